--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""dragonflybank cluster."""
--- /dev/null
+++ b/libs/model/dragonflybank/model/__init__.py
@@ -0,0 +1,1 @@
+"""Value types shared by every library of the workspace."""
--- /dev/null
+++ b/libs/model/dragonflybank/model/codes.py
@@ -0,0 +1,96 @@
+"""Result codes.
+
+Functions that can be refused return ``returns.result.Result`` whose failure
+is a `Problem`. The hundreds of a code give its meaning: 0 success, 1xx bad
+input, 2xx refused and not run, 3xx outcome not known, 4xx ran and failed,
+5xx a failure between processes.
+"""
+
+__all__ = ["Code", "Problem", "problem", "proves_not_run"]
+
+import enum
+
+import attrs
+from returns.result import Failure
+
+
+class Code(enum.IntEnum):
+    """A numbered result code; docs/result-codes.md has the table."""
+
+    OK = 0
+    BAD_SETTINGS = 101
+    BAD_COMMAND = 102
+    BAD_REQUEST = 103
+    BAD_CONFIGURATION = 104
+    OVER_QUOTA = 201
+    OVERLOADED = 202
+    CAN_NEVER_RUN = 203
+    STORE_UNAVAILABLE = 204
+    DRAINING = 205
+    NO_WORKER = 206
+    BREAK_CLOSED = 207
+    CHANGE_CONFLICT = 208
+    KEY_REUSED = 209
+    UNKNOWN_JOB = 210
+    CANCELLED_BEFORE_START = 211
+    ANSWER_LOST = 301
+    WORKER_LOST = 302
+    WRITE_UNSETTLED = 303
+    ASK_AGAIN = 304
+    TASK_FAILED = 401
+    SIZE_EXCEEDED = 402
+    FAILED_ON_UNLIKE_WORKERS = 403
+    CANCELLED_AFTER_START = 404
+    STALE_EPOCH = 501
+    TIMED_OUT = 502
+    UNREACHABLE = 503
+    CAS_CONFLICT = 504
+    NOT_OWNER = 505
+    NOT_HOME = 506
+    FULL = 507
+
+
+@attrs.frozen
+class Problem:
+    """Why something was refused or failed.
+
+    Attributes:
+        code: The numbered result code.
+        detail: One sentence for people.
+        field: The field, column or key at fault, or an empty string.
+        accepted: What would be accepted, or an empty string.
+        retry_after_s: Seconds after which a retry is useful; 0 if never.
+    """
+
+    code: Code
+    detail: str = ""
+    field: str = ""
+    accepted: str = ""
+    retry_after_s: float = 0.0
+
+
+def problem(
+    code: Code,
+    detail: str = "",
+    *,
+    field: str = "",
+    accepted: str = "",
+    retry_after_s: float = 0.0,
+) -> Failure:
+    """Returns a ``Failure`` that carries a `Problem`.
+
+    Example:
+        >>> problem(Code.FULL, "no free slot").failure().code.name
+        'FULL'
+    """
+    return Failure(Problem(code, detail, field, accepted, retry_after_s))
+
+
+def proves_not_run(code: Code) -> bool:
+    """Returns whether the code alone proves that the work did not run.
+
+    Example:
+        >>> proves_not_run(Code.OVERLOADED), proves_not_run(Code.ANSWER_LOST)
+        (True, False)
+    """
+    return Code.BAD_SETTINGS <= code < Code.ANSWER_LOST
--- /dev/null
+++ b/libs/model/dragonflybank/model/hashing.py
@@ -0,0 +1,57 @@
+"""Rendezvous hashing, shard numbers and digests.
+
+Rendezvous hashing follows Thaler and Ravishankar, "Using name-based mappings
+to increase hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+"""
+
+__all__ = ["digest", "ranked", "shard_of"]
+
+import functools
+import hashlib
+from collections.abc import Iterable
+
+
+def ranked(key: str, members: Iterable[str]) -> list[str]:
+    """Returns the members in order of preference for a key.
+
+    Removing a member moves only the keys that it was first for.
+
+    Example:
+        >>> ranked("worker-1", ["a", "b", "c"])[0] in "abc"
+        True
+    """
+    return sorted(
+        members, key=lambda member: (_weight(key, member), member), reverse=True
+    )
+
+
+def shard_of(
+    team: str, key: str, shard_count: int, *, team_shards: int = 1
+) -> int:
+    """Returns the number of the shard that keeps a job, from 0.
+
+    Args:
+        team: Team of the job.
+        key: The caller's key of the job.
+        shard_count: Number of shards of the team's region.
+        team_shards: Number of shards over which the team is spread.
+    """
+    part = _hash64(key) % team_shards
+    return _hash64(f"{team}\0{part}") % shard_count
+
+
+def digest(body: bytes) -> str:
+    """Returns the SHA-256 of a body in hexadecimal."""
+    return hashlib.sha256(body).hexdigest()
+
+
+def _hash64(text: str) -> int:
+    raw = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(raw, "big")
+
+
+# The weights are asked for again on each gossip round; 1,600 workers by 100
+# hosts fit in the cache.
+@functools.lru_cache(maxsize=1 << 17)
+def _weight(key: str, member: str) -> int:
+    return _hash64(f"{key}\0{member}")
--- /dev/null
+++ b/libs/model/dragonflybank/model/resources.py
@@ -0,0 +1,82 @@
+"""Resource vectors: processors, memory, accelerators, slots, connections."""
+
+__all__ = ["Resources", "fits", "minus", "plus", "scaled", "share", "total"]
+
+import functools
+from collections.abc import Iterable
+
+import attrs
+
+
+@attrs.frozen
+class Resources:
+    """Amounts of each resource of a worker, a grant or a request.
+
+    Attributes:
+        cores: Processors.
+        memory_mb: Memory in MiB.
+        accelerators: Whole accelerators.
+        slots: Execution slots of the worker's executor.
+        connections: Connections of the worker's executor.
+    """
+
+    cores: float = 0.0
+    memory_mb: float = 0.0
+    accelerators: int = 0
+    slots: int = 0
+    connections: int = 0
+
+
+_NAMES = tuple(field.name for field in attrs.fields(Resources))
+
+
+def fits(need: Resources, free: Resources) -> bool:
+    """Returns whether the need is within the free amounts.
+
+    Example:
+        >>> fits(Resources(cores=2), Resources(cores=4))
+        True
+    """
+    return all(getattr(need, n) <= getattr(free, n) for n in _NAMES)
+
+
+def plus(left: Resources, right: Resources) -> Resources:
+    """Returns the sum of two vectors."""
+    return Resources(*(getattr(left, n) + getattr(right, n) for n in _NAMES))
+
+
+def minus(left: Resources, right: Resources) -> Resources:
+    """Returns the difference of two vectors; amounts may be negative."""
+    return Resources(*(getattr(left, n) - getattr(right, n) for n in _NAMES))
+
+
+def scaled(amounts: Resources, factor: float) -> Resources:
+    """Returns cores and memory times a factor; counts are kept."""
+    return attrs.evolve(
+        amounts,
+        cores=amounts.cores * factor,
+        memory_mb=amounts.memory_mb * factor,
+    )
+
+
+def share(part: Resources, whole: Resources) -> float:
+    """Returns the largest share that a part takes of any resource.
+
+    A resource that the whole has none of is infinite if the part needs it.
+
+    Example:
+        >>> share(Resources(cores=2), Resources(cores=8, memory_mb=100))
+        0.25
+    """
+    return max(_ratio(getattr(part, n), getattr(whole, n)) for n in _NAMES)
+
+
+def total(amounts: Iterable[Resources]) -> Resources:
+    """Returns the sum of any number of vectors."""
+    return functools.reduce(plus, amounts, Resources())
+
+
+def _ratio(part: float, whole: float) -> float:
+    if part <= 0:
+        return 0.0
+    return part / whole if whole > 0 else float("inf")
--- /dev/null
+++ b/libs/platform/dragonflybank/platform/vmlist.py
@@ -0,0 +1,58 @@
+"""The platform's lagging list of live and leaving VMs."""
+
+__all__ = ["HttpVmList", "VmList", "decode_vm", "encode_vm"]
+
+import abc
+
+import attrs
+from returns.result import Result
+
+from dragonflybank.model.codes import Problem
+from dragonflybank.model.resources import Resources
+from dragonflybank.model.topology import VmInfo, VmRole, VmState
+from dragonflybank.platform.connection import HttpConnection
+
+CALL_TIMEOUT_S = 2.0
+
+
+class VmList(abc.ABC):
+    """The list of VMs, some seconds late."""
+
+    @abc.abstractmethod
+    async def vms(self) -> Result[tuple[VmInfo, ...], Problem]:
+        """Returns all VMs of the deployment."""
+
+
+class HttpVmList(VmList):
+    """The VM list over HTTP."""
+
+    def __init__(self, url: str, *, timeout_s: float = CALL_TIMEOUT_S):
+        self._conn = HttpConnection(url, timeout_s=timeout_s)
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        await self._conn.close()
+
+    async def vms(self) -> Result[tuple[VmInfo, ...], Problem]:
+        """See `VmList.vms`."""
+        reply = await self._conn.call("GET", "/v1/vms")
+        return reply.bind(lambda r: r.json_if(200)).map(
+            lambda body: tuple(decode_vm(row) for row in body["vms"])
+        )
+
+
+def decode_vm(row: dict) -> VmInfo:
+    """Returns a VM from its JSON object."""
+    return VmInfo(
+        **{
+            **row,
+            "role": VmRole(row["role"]),
+            "state": VmState(row["state"]),
+            "size": Resources(**row["size"]),
+        }
+    )
+
+
+def encode_vm(vm: VmInfo) -> dict:
+    """Returns the JSON object of a VM."""
+    return attrs.asdict(vm)
--- /dev/null
+++ b/libs/platform/dragonflybank/platform/writes.py
@@ -0,0 +1,116 @@
+"""Store writes that are settled when their answer is lost."""
+
+__all__ = ["SettledWriter", "writer_mark"]
+
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable
+
+from returns.result import Failure, Result, Success
+
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.platform.store import ConfigStore
+
+RETRY_MIN_S = 0.05
+RETRY_MAX_S = 2.0
+
+
+def writer_mark() -> str:
+    """Returns a mark that identifies one write."""
+    return secrets.token_hex(8)
+
+
+class SettledWriter:
+    """Repeats a compare-and-swap until its outcome is known.
+
+    A read alone does not settle a write whose answer was lost, because the
+    first request may still arrive. The same compare-and-swap is sent again:
+    at most one of the two takes effect. After a conflict the mark in the
+    value tells whose write is there.
+
+    Args:
+        store: The store.
+        sleep: Coroutine function that waits for some seconds.
+    """
+
+    def __init__(
+        self,
+        store: ConfigStore,
+        *,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ):
+        self._store = store
+        self._sleep = sleep
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        version: int,
+        has_mark: Callable[[bytes], bool],
+        attempts: int | None = None,
+    ) -> Result[int, Problem]:
+        """Writes a value and settles the outcome.
+
+        Args:
+            key: Key.
+            value: Bytes that contain the writer's mark.
+            version: Version that the key must have.
+            has_mark: Whether a value carries the mark of this write.
+            attempts: Largest number of calls; None for no limit.
+
+        Returns:
+            The new version; ``CAS_CONFLICT`` if another write won;
+            ``STORE_UNAVAILABLE`` if no call had an effect;
+            ``WRITE_UNSETTLED`` if the attempts did not settle it.
+        """
+        may_have_effect = False
+        delay_s = RETRY_MIN_S
+        last = Problem(Code.STORE_UNAVAILABLE)
+        tried = 0
+        while attempts is None or tried < attempts:
+            tried += 1
+            outcome = await self._store.put(key, value, version=version)
+            match outcome:
+                case Success(_):
+                    return outcome
+                case Failure(Problem(code=Code.CAS_CONFLICT)):
+                    settled = await self._compare(
+                        key, version, has_mark, may_have_effect
+                    )
+                    if settled is not None:
+                        return settled
+                case Failure(Problem(code=Code.BAD_REQUEST)):
+                    return outcome
+                case Failure(failed):
+                    last = failed
+                    may_have_effect |= failed.code is Code.TIMED_OUT
+            if attempts is None or tried < attempts:
+                await self._sleep(delay_s)
+            delay_s = min(2 * delay_s, RETRY_MAX_S)
+        code = (
+            Code.WRITE_UNSETTLED if may_have_effect else Code.STORE_UNAVAILABLE
+        )
+        return problem(code, last.detail, retry_after_s=1.0)
+
+    async def _compare(
+        self, key, version, has_mark, may_have_effect
+    ) -> Result[int, Problem] | None:
+        if not may_have_effect:
+            return problem(Code.CAS_CONFLICT, f"{key} was written by another")
+        match await self._store.get(key):
+            case Success(stored) if stored.value is not None and has_mark(
+                stored.value
+            ):
+                return Success(stored.version)
+            case Success(stored) if stored.version == version + 1:
+                return problem(
+                    Code.CAS_CONFLICT, f"{key} was written by another"
+                )
+            case Success(_):
+                # Our write may have come first and been replaced.
+                return problem(
+                    Code.WRITE_UNSETTLED, f"{key} was written more than once"
+                )
+        return None
--- /dev/null
+++ b/tools/known_red.py
@@ -0,0 +1,64 @@
+"""Pytest plugin for KNOWN-RED.txt, the list of tests with an open fault.
+
+A listed test is expected to fail and is printed. A listed test that passes
+fails the run, and so does an entry that names no collected test, so that the
+list stays true.
+
+An entry is a block of lines ``field: text`` with the fields ``test``,
+``command``, ``seed``, ``seen`` and ``issue``; blocks are separated by blank
+lines, and lines that start with ``#`` are comments.
+"""
+
+__all__ = ["pytest_collection_modifyitems", "read_entries"]
+
+import pathlib
+
+import pytest
+
+FIELDS = ("test", "command", "seed", "seen", "issue")
+LIST_NAME = "KNOWN-RED.txt"
+
+
+def pytest_collection_modifyitems(config, items):
+    """Marks the listed tests as strict expected failures and prints them."""
+    path = pathlib.Path(config.rootpath) / LIST_NAME
+    entries = read_entries(path.read_text()) if path.exists() else []
+    by_test = {entry["test"]: entry for entry in entries}
+    for item in items:
+        entry = by_test.pop(item.nodeid, None)
+        if entry is not None:
+            item.add_marker(
+                pytest.mark.xfail(strict=True, reason=entry["seen"])
+            )
+            print(f"known red: {entry['test']} ({entry['issue']})")
+    if by_test and not config.option.file_or_dir:
+        names = ", ".join(sorted(by_test))
+        raise pytest.UsageError(f"{LIST_NAME} names unknown tests: {names}")
+
+
+def read_entries(text):
+    """Returns the entries of the list.
+
+    Args:
+        text: The content of KNOWN-RED.txt.
+
+    Returns:
+        A list of dicts with the keys of ``FIELDS``.
+
+    Raises:
+        pytest.UsageError: An entry lacks a field.
+    """
+    lines = [line for line in text.splitlines() if not line.startswith("#")]
+    blocks = [b for b in "\n".join(lines).split("\n\n") if b.strip()]
+    entries = [
+        dict(
+            (part.strip() for part in line.split(":", 1))
+            for line in block.strip().splitlines()
+        )
+        for block in blocks
+    ]
+    for entry in entries:
+        missing = [name for name in FIELDS if name not in entry]
+        if missing:
+            raise pytest.UsageError(f"{LIST_NAME}: {entry} lacks {missing}")
+    return entries
