Settle conflicting store writes by their mark in every case

Cause: aiohttp sends an idempotent request again on a broken connection, so a conflict after one call may stem from this very write. Ruled out: switching the resending off, which needs a private attribute. Conclusion: a conflict is reported as lost only when one other write is seen.

--- /dev/null
+++ b/libs/platform/dragonflybank/platform/tests/test_writes.py
@@ -0,0 +1,109 @@
+"""Tests of settled writes."""
+
+import asyncio
+
+import testtools
+from returns.result import Failure, Success
+from testtools.matchers import Equals
+
+from dragonflybank.model.codes import Code, problem
+from dragonflybank.platform.store import ConfigStore, Stored
+from dragonflybank.platform.writes import SettledWriter
+
+
+class _ScriptedStore(ConfigStore):
+    """A store of one key whose answers to writes follow a script.
+
+    Steps: ``ok``, ``lost_answer`` (effect, then a time-out), ``lost_request``
+    (time-out without effect), ``late`` (time-out; the write arrives after the
+    next call) and ``down``.
+    """
+
+    def __init__(self, *steps):
+        self.version = 0
+        self.value = None
+        self.writes = []
+        self._steps = list(steps)
+        self._late = []
+
+    async def get(self, key):
+        return Success(Stored(self.version, self.value))
+
+    async def put(self, key, value, *, version):
+        step = self._steps.pop(0) if self._steps else "ok"
+        if step == "down":
+            return problem(Code.STORE_UNAVAILABLE)
+        if step == "late":
+            self._late.append((value, version))
+            return problem(Code.TIMED_OUT)
+        if step == "lost_request":
+            return problem(Code.TIMED_OUT)
+        outcome = self.write(value, version)
+        for late in self._late:
+            self.write(*late)
+        self._late = []
+        return problem(Code.TIMED_OUT) if step == "lost_answer" else outcome
+
+    def write(self, value, version):
+        if version != self.version:
+            return problem(Code.CAS_CONFLICT)
+        self.version += 1
+        self.value = value
+        self.writes.append(value)
+        return Success(self.version)
+
+    async def delete(self, key, *, version):
+        raise NotImplementedError
+
+    async def versions(self, prefix):
+        raise NotImplementedError
+
+    async def watch(self, key, *, after, wait_s):
+        raise NotImplementedError
+
+
+async def _no_sleep(_):
+    pass
+
+
+def _put(store, **kwargs):
+    writer = SettledWriter(store, sleep=_no_sleep)
+    return asyncio.run(
+        writer.put("k", b"mine", version=0, has_mark=b"mine".__eq__, **kwargs)
+    )
+
+
+class TestSettledWriter(testtools.TestCase):
+    """Guards against a wrong belief about a write whose answer was lost."""
+
+    def test_lost_answer_is_found_by_the_mark(self):
+        store = _ScriptedStore("lost_answer")
+        self.assertThat(_put(store), Equals(Success(1)))
+        self.assertThat(store.writes, Equals([b"mine"]))
+
+    def test_late_first_request_takes_effect_once(self):
+        store = _ScriptedStore("late")
+        self.assertThat(_put(store), Equals(Success(1)))
+        self.assertThat(store.writes, Equals([b"mine"]))
+
+    def test_lost_race_is_reported_as_conflict(self):
+        store = _ScriptedStore("lost_request")
+        store.write(b"other", 0)
+        outcome = _put(store)
+        self.assertThat(outcome.failure().code, Equals(Code.CAS_CONFLICT))
+
+    def test_replaced_write_is_not_reported_as_lost(self):
+        store = _ScriptedStore()
+        store.write(b"mine", 0)
+        store.write(b"other", 1)
+        outcome = _put(store)
+        self.assertThat(outcome.failure().code, Equals(Code.WRITE_UNSETTLED))
+
+    def test_outage_without_effect_differs_from_unsettled(self):
+        down = _put(_ScriptedStore("down", "down"), attempts=2)
+        lost = _put(_ScriptedStore("lost_request", "down"), attempts=2)
+        self.assertThat(
+            [down.failure().code, lost.failure().code],
+            Equals([Code.STORE_UNAVAILABLE, Code.WRITE_UNSETTLED]),
+        )
+        self.assertIsInstance(down, Failure)
--- a/libs/platform/dragonflybank/platform/writes.py
+++ b/libs/platform/dragonflybank/platform/writes.py
@@ -63,7 +63,8 @@
         Returns:
             The new version; ``CAS_CONFLICT`` if another write won;
             ``STORE_UNAVAILABLE`` if no call had an effect;
-            ``WRITE_UNSETTLED`` if the attempts did not settle it.
+            ``WRITE_UNSETTLED`` if the attempts did not settle it or several
+            writes replaced the value, one of which may be this one.
         """
         may_have_effect = False
         delay_s = RETRY_MIN_S
@@ -76,9 +77,7 @@
                 case Success(_):
                     return outcome
                 case Failure(Problem(code=Code.CAS_CONFLICT)):
-                    settled = await self._compare(
-                        key, version, has_mark, may_have_effect
-                    )
+                    settled = await self._compare(key, version, has_mark)
                     if settled is not None:
                         return settled
                 case Failure(Problem(code=Code.BAD_REQUEST)):
@@ -95,21 +94,21 @@
         return problem(code, last.detail, retry_after_s=1.0)
 
     async def _compare(
-        self, key, version, has_mark, may_have_effect
+        self, key: str, version: int, has_mark: Callable[[bytes], bool]
     ) -> Result[int, Problem] | None:
-        if not may_have_effect:
-            return problem(Code.CAS_CONFLICT, f"{key} was written by another")
+        # A conflict after the first call is compared too: the HTTP client
+        # may have sent the request twice over a connection that broke.
         match await self._store.get(key):
             case Success(stored) if stored.value is not None and has_mark(
                 stored.value
             ):
                 return Success(stored.version)
-            case Success(stored) if stored.version == version + 1:
+            case Success(stored) if stored.version <= version + 1:
                 return problem(
                     Code.CAS_CONFLICT, f"{key} was written by another"
                 )
             case Success(_):
-                # Our write may have come first and been replaced.
+                # This write may have come first and been replaced.
                 return problem(
                     Code.WRITE_UNSETTLED, f"{key} was written more than once"
                 )
