--- /dev/null
+++ b/libs/standins/dragonflybank/standins/faults.py
@@ -0,0 +1,108 @@
+"""Fault switches of the stand-ins and faults armed for an exact call.
+
+A switch stays in force until it is changed. A hook fires once, at the n-th
+call of a kind after it was armed, before or after the effect of the call.
+"""
+
+__all__ = ["Action", "Hook", "Switches", "When", "decode_hook"]
+
+import asyncio
+import enum
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+
+class Action(enum.StrEnum):
+    """What a hook does to its call."""
+
+    CLOSE = "close"
+    DROP = "drop"
+    DELAY = "delay"
+    ERROR = "error"
+    SILENCE = "silence"
+    FREEZE = "freeze"
+    DOWN = "down"
+    KILL = "kill"
+    HOLD = "hold"
+    NONE = "none"
+
+
+class When(enum.StrEnum):
+    """Whether a hook acts before or after the effect of the call."""
+
+    BEFORE = "before"
+    AFTER = "after"
+
+
+@attrs.define
+class Switches:
+    """Faults in force at one stand-in.
+
+    Attributes:
+        down: New connections are refused, existing ones are closed.
+        delay_s: Delay before the effect of each call, in seconds. The effect
+            happens even if the caller has given up by then.
+        drop_reply: The effect happens, then the connection is closed.
+        drop_request: No effect; the connection stays open without a reply.
+        fails_everything: Each task and lookup of a worker fails at once.
+        frozen: The VM is paused. Calls take effect when it continues; leases
+            go on expiring.
+        leaving: The worker says that it is leaving.
+        killed: The worker's VM is gone with its tasks; when the switch is
+            cleared, a VM with a new incarnation takes its place.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    drop_reply: bool = False
+    drop_request: bool = False
+    fails_everything: bool = False
+    frozen: bool = False
+    leaving: bool = False
+    killed: bool = False
+
+
+@attrs.define(eq=False)
+class Hook:
+    """A fault armed for an exact call.
+
+    Attributes:
+        kind: Kind of the call, as ``put`` or ``start``.
+        action: What happens.
+        when: Before or after the effect.
+        nth: Number of the matching call after arming, from 1.
+        path: Prefix that the path of the call must have.
+        delay_s: Delay of ``Action.DELAY`` in seconds.
+        run: Coroutine function called before the action, in process only.
+        fired: Set when the hook has acted, before ``Action.HOLD`` waits.
+        released: Ends ``Action.HOLD`` when set.
+    """
+
+    kind: str
+    action: Action = Action.NONE
+    when: When = When.BEFORE
+    nth: int = 1
+    path: str = ""
+    delay_s: float = 0.0
+    run: Callable[[], Awaitable[None]] | None = None
+    fired: asyncio.Event = attrs.field(factory=asyncio.Event)
+    released: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def counts(self, kind: str, path: str) -> bool:
+        """Counts a call and returns whether the hook fires at it."""
+        if kind != self.kind or not path.startswith(self.path):
+            return False
+        self.nth -= 1
+        return self.nth == 0
+
+
+def decode_hook(row: dict) -> Hook:
+    """Returns a hook from its JSON object."""
+    return Hook(
+        **{
+            **row,
+            "action": Action(row["action"]),
+            "when": When(row.get("when", When.BEFORE)),
+        }
+    )
--- /dev/null
+++ b/libs/standins/dragonflybank/standins/tests/test_worker_server.py
@@ -0,0 +1,164 @@
+"""Tests of the worker stand-in through the platform's client."""
+
+import asyncio
+import json
+
+import testtools
+from testtools.matchers import Equals
+
+from dragonflybank.model.codes import Code
+from dragonflybank.model.leases import StartReply, TaskState
+from dragonflybank.model.resources import Resources
+from dragonflybank.platform.worker import HttpWorkerClient
+from dragonflybank.standins.simulation import expected_result
+from dragonflybank.standins.worker_server import WorkerServer
+
+SIZE = Resources(cores=4, memory_mb=1000, slots=2, connections=3)
+GRANT = Resources(cores=1, memory_mb=100, slots=1, connections=1)
+
+
+def _payload(**fields):
+    return json.dumps(fields)
+
+
+def _start(client, task_id, payload, *, epoch=1, lease_s=30.0):
+    return client.start(
+        task_id,
+        epoch=epoch,
+        work_class="sweep",
+        grant=GRANT,
+        lease_s=lease_s,
+        payload=payload,
+    )
+
+
+def _execute(client, request_id, payload):
+    return client.execute(
+        request_id,
+        epoch=1,
+        work_class="die_lookup",
+        payload=payload,
+        timeout_s=30,
+    )
+
+
+async def _ended(client, *, epoch=1):
+    events = await client.events(epoch=epoch, wait_s=30)
+    return [(e.task_id, e.state, e.reason) for e in events.unwrap()]
+
+
+async def _with_worker(steps):
+    server = WorkerServer("w1", SIZE)
+    await server.start()
+    client = HttpWorkerClient("w1", server.url)
+    try:
+        await client.claim("h1", epoch=0)
+        return await steps(server, client)
+    finally:
+        await client.close()
+        await server.close()
+
+
+class TestWorker(testtools.TestCase):
+    """Guards against a worker that hides a scheduler's mistake."""
+
+    def run_steps(self, steps):
+        return asyncio.run(_with_worker(steps))
+
+    def test_claim_is_a_compare_and_swap_on_the_epoch(self):
+        async def steps(server, client):
+            lost = (await client.claim("h2", epoch=0)).unwrap()
+            won = (await client.claim("h2", epoch=1)).unwrap()
+            stale = await _start(client, "t/k/1/0", "", epoch=1)
+            return lost.won, lost.state.owner, won.won, stale.failure().code
+
+        self.assertThat(
+            self.run_steps(steps),
+            Equals((False, "h1", True, Code.STALE_EPOCH)),
+        )
+
+    def test_known_task_is_not_started_again(self):
+        async def steps(server, client):
+            payload = _payload(run_s=0.01, answer="x")
+            first = await _start(client, "t/k/1/0", payload)
+            again = await _start(client, "t/k/1/0", payload)
+            event = (await client.events(epoch=1, wait_s=30)).unwrap()[0]
+            await client.ack([event.task_id], epoch=1)
+            state = (await client.state()).unwrap()
+            expected = expected_result("sweep", payload)
+            is_expected = event.result == expected
+            return first.unwrap(), again.unwrap(), is_expected, state.tasks
+
+        self.assertThat(
+            self.run_steps(steps),
+            Equals((StartReply.STARTED, StartReply.KNOWN, True, ())),
+        )
+
+    def test_task_ends_by_its_grant_its_lease_or_a_stop(self):
+        async def steps(server, client):
+            await _start(client, "size", _payload(run_s=0.01, memory_mb=200))
+            seen = await _ended(client)
+            await client.ack(["size"], epoch=1)
+            await _start(client, "lease", _payload(run_s=60), lease_s=0.01)
+            seen += await _ended(client)
+            await client.ack(["lease"], epoch=1)
+            await _start(client, "stop", _payload(run_s=60))
+            await client.throttle(["stop"], epoch=1)
+            await client.checkpoint(["stop"], epoch=1)
+            return seen + await _ended(client)
+
+        self.assertThat(
+            self.run_steps(steps),
+            Equals(
+                [
+                    ("size", TaskState.STOPPED, "size_exceeded"),
+                    ("lease", TaskState.LAPSED, "lease_expired"),
+                    ("stop", TaskState.STOPPED, "checkpointed"),
+                ]
+            ),
+        )
+
+    def test_lookup_over_slots_and_queue_is_refused(self):
+        async def steps(server, client):
+            payload = _payload(run_s=60, answer="y")
+            calls = [
+                asyncio.create_task(_execute(client, f"r{i}", payload))
+                for i in range(4)
+            ]
+            done, rest = await asyncio.wait(
+                calls, return_when=asyncio.FIRST_COMPLETED
+            )
+            codes = [task.result().failure().code for task in done]
+            usage = (await client.state()).unwrap().usage
+            for task in rest:
+                task.cancel()
+            return codes, usage.slots
+
+        self.assertThat(self.run_steps(steps), Equals(([Code.FULL], 2)))
+
+    def test_lookup_answer_is_the_documented_function(self):
+        async def steps(server, client):
+            payload = _payload(answer="käännös", result_bytes=5000)
+            answer = (await _execute(client, "r1", payload)).unwrap()
+            failed = await _execute(client, "r2", _payload(fail=True))
+            is_right = answer == expected_result("die_lookup", payload)
+            return is_right, len(answer.encode()), failed.failure().code
+
+        self.assertThat(
+            self.run_steps(steps), Equals((True, 5000, Code.TASK_FAILED))
+        )
+
+    def test_vm_in_place_of_a_killed_one_knows_no_task(self):
+        async def steps(server, client):
+            before = (await client.state()).unwrap()
+            await _start(client, "t", _payload(run_s=60))
+            await server.set_faults(killed=True)
+            gone = await client.state()
+            await server.set_faults(killed=False)
+            after = (await client.state()).unwrap()
+            is_new = before.incarnation != after.incarnation
+            return gone.failure().code, is_new, after.epoch, after.tasks
+
+        self.assertThat(
+            self.run_steps(steps), Equals((Code.UNREACHABLE, True, 0, ()))
+        )
--- /dev/null
+++ b/libs/standins/dragonflybank/standins/worker_server.py
@@ -0,0 +1,280 @@
+"""A stand-in of the platform's worker API.
+
+One process serves many workers, each on a port of its own. A start is
+compared with the worker's epoch and is not refused for lack of room. A VM
+that takes the place of a killed one has a new incarnation and epoch 0.
+"""
+
+__all__ = ["WorkerServer", "main"]
+
+import argparse
+import asyncio
+import json
+import time
+
+import attrs
+from aiohttp import web
+
+from dragonflybank.model.hashing import digest
+from dragonflybank.model.leases import TaskState
+from dragonflybank.model.resources import Resources
+from dragonflybank.standins.faults import Switches
+from dragonflybank.standins.program import run_program
+from dragonflybank.standins.records import (
+    ClaimWon,
+    LeavingAnnounced,
+    RecordLog,
+    Refused,
+    WorkerUp,
+)
+from dragonflybank.standins.server import Route, StandinServer
+from dragonflybank.standins.workload import LOOKUP_GRANT, HeldTask, Workload
+
+DEFAULT_SIZE = Resources(
+    cores=64, memory_mb=256 * 1024, slots=8, connections=64
+)
+
+
+def main() -> None:
+    """Runs a number of workers as one program."""
+
+    def make_servers(args, log):
+        size = Resources(**json.loads(args.size)) if args.size else DEFAULT_SIZE
+        return {
+            name: WorkerServer(name, size, log, usage_lag_s=args.usage_lag_s)
+            for name in args.names.split(",")
+        }
+
+    def add_arguments(parser: argparse.ArgumentParser):
+        parser.add_argument("--names", default="worker", help="w1,w2,...")
+        parser.add_argument("--size", default="", help="JSON of Resources")
+        parser.add_argument("--usage-lag-s", type=float, default=0.0)
+
+    run_program(__doc__, make_servers, add_arguments)
+
+
+class WorkerServer(StandinServer):
+    """One worker.
+
+    Attributes:
+        epoch: Ownership epoch, 0 before the first claim.
+        owner: Name of the owning host.
+        incarnation: Identity of this start of the VM.
+        work: Its tasks and lookups.
+
+    Args:
+        name: Name of the worker.
+        size: What it can hold, slots and connections included.
+        log: Records.
+        usage_lag_s: Age of the reported usage in seconds.
+        lookup_grant: Room that a running lookup takes.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        size: Resources = DEFAULT_SIZE,
+        log: RecordLog | None = None,
+        *,
+        usage_lag_s: float = 0.0,
+        lookup_grant: Resources = LOOKUP_GRANT,
+    ):
+        super().__init__(name, log)
+        self.work = Workload(
+            name,
+            size,
+            self.log,
+            usage_lag_s=usage_lag_s,
+            lookup_grant=lookup_grant,
+        )
+        self.size = size
+        self.epoch = 0
+        self.owner = ""
+        self.incarnation = ""
+        self._boot()
+
+    def routes(self) -> list[Route]:
+        """See `StandinServer.routes`."""
+        return [
+            Route("POST", "/v1/claim", "claim", self._claim),
+            Route("GET", "/v1/state", "state", self._get_state),
+            Route("POST", "/v1/tasks", "start", self._start_task),
+            Route("POST", "/v1/renew", "renew", self._renew),
+            Route("GET", "/v1/events", "events", self._events),
+            Route("POST", "/v1/ack", "ack", self._ack),
+            Route("POST", "/v1/stop", "stop", self._stop),
+            Route("POST", "/v1/throttle", "throttle", self._throttle),
+            Route("POST", "/v1/checkpoint", "checkpoint", self._checkpoint),
+            Route("POST", "/v1/execute", "execute", self._execute),
+        ]
+
+    async def close(self) -> None:
+        """See `StandinServer.close`."""
+        await super().close()
+        self.work.cancel()
+
+    def _boot(self) -> None:
+        self.epoch = 0
+        self.owner = ""
+        self.incarnation = f"{self.name}-{time.time_ns()}"
+        now = time.time()
+        self.log.add(WorkerUp(now, self.name, self.incarnation, self.size))
+
+    async def _switched(self, old: Switches) -> None:
+        new = self.switches
+        self.work.is_sick = new.fails_everything
+        if new.leaving != old.leaving:
+            now = time.time()
+            record = LeavingAnnounced(now, self.name, "worker", new.leaving)
+            self.log.add(record)
+        if new.killed and not old.killed:
+            self.work.lose()
+        if old.killed and not new.killed:
+            self._boot()
+        if new.frozen and not old.frozen:
+            self.work.pause()
+        if old.frozen and not new.frozen:
+            self.work.resume()
+        await super()._switched(old)
+
+    async def _claim(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        if body["epoch"] != self.epoch:
+            return self._stale("claim", body["host"], body["epoch"])
+        self.epoch += 1
+        self.owner = body["host"]
+        now = time.time()
+        self.log.add(ClaimWon(now, self.name, self.owner, self.epoch))
+        # A waiting call for events of the former owner ends.
+        self.work.notify()
+        return web.json_response(self._state())
+
+    async def _get_state(self, request: web.Request) -> web.Response:
+        return web.json_response(self._state())
+
+    async def _start_task(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        if body["epoch"] != self.epoch:
+            return self._stale("start", body["task_id"], body["epoch"])
+        if body["task_id"] in self.work.tasks:
+            return web.json_response({})
+        self.work.start(
+            body["task_id"],
+            body["work_class"],
+            epoch=self.epoch,
+            grant=Resources(**body["grant"]),
+            lease_s=body["lease_s"],
+            payload=body["payload"],
+        )
+        return web.json_response({}, status=201)
+
+    async def _renew(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        if body["epoch"] != self.epoch:
+            return self._stale("renew", self.name, body["epoch"])
+        self.work.renew(body["lease_s"])
+        return web.json_response(self._state())
+
+    async def _events(self, request: web.Request) -> web.Response:
+        epoch = int(request.query["epoch"])
+        try:
+            async with asyncio.timeout(float(request.query["wait_s"])):
+                while epoch == self.epoch and not self.work.ended():
+                    await self.work.changed.wait()
+        except TimeoutError:
+            pass
+        if epoch != self.epoch:
+            return self._stale("events", self.name, epoch)
+        rows = [_event_row(task) for task in self.work.ended()]
+        return web.json_response({"events": rows})
+
+    async def _ack(self, request: web.Request) -> web.Response:
+        return await self._for_tasks(request, "ack", self.work.forget)
+
+    async def _stop(self, request: web.Request) -> web.Response:
+        return await self._for_tasks(
+            request, "stop", lambda ids: self.work.stop(ids, "stopped")
+        )
+
+    async def _throttle(self, request: web.Request) -> web.Response:
+        return await self._for_tasks(request, "throttle", self.work.throttle)
+
+    async def _checkpoint(self, request: web.Request) -> web.Response:
+        return await self._for_tasks(
+            request,
+            "checkpoint",
+            lambda ids: self.work.stop(ids, "checkpointed"),
+        )
+
+    async def _for_tasks(self, request, kind, act) -> web.Response:
+        body = await request.json()
+        if body["epoch"] != self.epoch:
+            return self._stale(kind, ",".join(body["task_ids"]), body["epoch"])
+        act(body["task_ids"])
+        return web.json_response({})
+
+    async def _execute(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        request_id = body["request_id"]
+        if body["epoch"] != self.epoch:
+            return self._stale("execute", request_id, body["epoch"])
+        answer = self.work.execute(
+            request_id, body["work_class"], body["payload"]
+        )
+        if answer is None:
+            self._refuse("execute", request_id, "no free slot")
+            return web.json_response({"error": "no free slot"}, status=503)
+        state, text = await answer
+        if state is not TaskState.DONE:
+            return web.Response(text=text, status=500)
+        headers = {
+            "X-Request-Id": request_id,
+            "X-Digest": digest(text.encode()),
+        }
+        return web.Response(body=text.encode(), headers=headers)
+
+    def _stale(self, kind: str, subject: str, epoch: int) -> web.Response:
+        reason = f"epoch {epoch} against {self.epoch}"
+        self._refuse(kind, subject, reason)
+        return web.json_response(self._state(), status=409)
+
+    def _refuse(self, kind: str, subject: str, reason: str) -> None:
+        self.log.add(Refused(time.time(), self.name, kind, subject, reason))
+
+    def _state(self) -> dict:
+        return {
+            "epoch": self.epoch,
+            "owner": self.owner,
+            "incarnation": self.incarnation,
+            "size": attrs.asdict(self.size),
+            "slots": self.size.slots,
+            "connections": self.size.connections,
+            "leaving": self.switches.leaving,
+            "tasks": [_task_row(task) for task in self.work.tasks.values()],
+            "usage": attrs.asdict(self.work.usage(time.time())),
+        }
+
+
+def _task_row(task: HeldTask) -> dict:
+    return {
+        "task_id": task.task_id,
+        "work_class": task.work_class,
+        "state": task.state,
+        "grant": attrs.asdict(task.grant),
+        "started_at": task.started_at,
+    }
+
+
+def _event_row(task: HeldTask) -> dict:
+    return {
+        "task_id": task.task_id,
+        "state": task.state,
+        "result": task.result,
+        "reason": task.reason,
+        "run_s": task.run_s,
+        "peak": attrs.asdict(task.used),
+    }
+
+
+if __name__ == "__main__":
+    main()
