Add peer links, messages and gossip membership

Ruled out: a dead limit of 3 s for hosts of other regions, since they exchange entries on every fourth round only (2 s) and would be taken for dead in ordinary operation; it is 12 s there. Entries with field names on the wire were ruled out for their size.

--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/gossip.py
@@ -0,0 +1,138 @@
+"""Gossip rounds: whom to send the table to, and the loop that does it."""
+
+__all__ = ["Gossiper", "choose_targets"]
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from dragonflybank.cluster.clock import Clock
+from dragonflybank.cluster.entries import (
+    Entry,
+    HostStatus,
+    entry_from_wire,
+    entry_to_wire,
+)
+from dragonflybank.cluster.membership import MAX_ENTRIES, Membership
+from dragonflybank.cluster.messages import Gossip
+from dragonflybank.cluster.peers import PeerLinks
+from dragonflybank.model.codes import Problem
+from dragonflybank.model.topology import CapacitySummary
+
+ROUND_S = 0.5
+FANOUT = 3
+# Cross-region traffic is slow and billed by volume.
+ROUNDS_PER_REMOTE = 4
+# Shorter than the time after which a host is dead, so that a silent
+# connection is replaced while other peers still carry the host's entry.
+CALL_TIMEOUT_S = 1.0
+
+
+def choose_targets(
+    membership: Membership, rng: random.Random, now: float
+) -> tuple[str, ...]:
+    """Returns the addresses that receive the table in this round.
+
+    Three peers of the own region, of which one gives way to a peer of another
+    region on every fourth round, and one join candidate if there is any.
+    """
+    peers = sorted(membership.peers(now), key=lambda e: e.host)
+    near = [e.address for e in peers if e.region == membership.own.region]
+    far = [e.address for e in peers if e.region != membership.own.region]
+    is_remote = membership.own.counter % ROUNDS_PER_REMOTE == 0 and bool(far)
+    wanted = FANOUT - 1 if is_remote else FANOUT
+    chosen = rng.sample(near, min(wanted, len(near)))
+    if is_remote:
+        chosen.append(rng.choice(far))
+    candidates = membership.candidates(now)
+    if candidates:
+        chosen.append(rng.choice(candidates))
+    return tuple(chosen)
+
+
+class Gossiper:
+    """Sends gossip and merges what comes in.
+
+    Attributes:
+        membership: The table.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        links: PeerLinks,
+        *,
+        rng: random.Random,
+        summary: Callable[[float], CapacitySummary | None] = lambda now: None,
+    ):
+        self.membership = membership
+        self._links = links
+        self._rng = rng
+        self._summary = summary
+        self._asked: dict[str, asyncio.Task] = {}
+
+    async def run(self, clock: Clock) -> None:
+        """Sends a round every half second until it is cancelled."""
+        try:
+            while True:
+                self.send_round(clock)
+                await clock.sleep(ROUND_S)
+        finally:
+            for task in self._asked.values():
+                task.cancel()
+            await asyncio.gather(*self._asked.values(), return_exceptions=True)
+
+    def send_round(self, clock: Clock) -> None:
+        """Ticks the table and sends it; answers are merged as they come.
+
+        A peer that has not yet answered an earlier round is passed over, so
+        that a silent peer holds at most one message.
+        """
+        now = clock.now()
+        self.membership.tick(now)
+        self.membership.update_own(summary=self._summary(now))
+        message = _to_message(self.membership.message(now))
+        for address in choose_targets(self.membership, self._rng, now):
+            if address not in self._asked:
+                task = asyncio.create_task(self._send(address, message, clock))
+                self._asked[address] = task
+
+    async def answer(
+        self, message: Gossip, now: float
+    ) -> Result[Gossip, Problem]:
+        """Merges a peer's message; the handler of kind ``gossip``."""
+        corrections = self.membership.merge(_entries(message), now)
+        return Success(_to_message(corrections))
+
+    async def announce_leaving(self, clock: Clock) -> None:
+        """Sets the own status to leaving and tells every peer at once."""
+        self.membership.update_own(status=HostStatus.LEAVING)
+        now = clock.now()
+        self.membership.tick(now)
+        message = _to_message(self.membership.message(now))
+        calls = [
+            self._links.ask_at(e.address, message, timeout_s=CALL_TIMEOUT_S)
+            for e in self.membership.peers(now)
+        ]
+        await asyncio.gather(*calls)
+
+    async def _send(self, address: str, message: Gossip, clock: Clock) -> None:
+        try:
+            reply = await self._links.ask_at(
+                address, message, timeout_s=CALL_TIMEOUT_S
+            )
+            if isinstance(reply, Success):
+                self.membership.merge(_entries(reply.unwrap()), clock.now())
+        finally:
+            del self._asked[address]
+
+
+def _to_message(entries: tuple[Entry, ...]) -> Gossip:
+    return Gossip(tuple(entry_to_wire(e) for e in entries))
+
+
+def _entries(message: Gossip) -> tuple[Entry, ...]:
+    read = (entry_from_wire(w) for w in message.entries[:MAX_ENTRIES])
+    return tuple(r.unwrap() for r in read if not isinstance(r, Failure))
--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/membership.py
@@ -0,0 +1,294 @@
+"""Membership of scheduler hosts by gossip with heartbeat counters.
+
+Failure detection follows van Renesse, Minsky and Hayden, "A gossip-style
+failure detection service", Middleware 1998: each host increments its own
+counter and passes on its table; a host whose counter stands still is dead.
+The table needs no store.
+"""
+
+__all__ = [
+    "DEAD_AFTER_S",
+    "FORGET_AFTER_S",
+    "MAX_ENTRIES",
+    "REMOTE_DEAD_AFTER_S",
+    "Membership",
+]
+
+from collections.abc import Iterable
+
+import attrs
+
+from dragonflybank.cluster.entries import Entry, HostStatus
+from dragonflybank.model.topology import CapacitySummary
+
+DEAD_AFTER_S = 3.0
+# Hosts of different regions exchange entries on every fourth round only, so
+# three seconds without news of a remote host are ordinary.
+REMOTE_DEAD_AFTER_S = 4 * DEAD_AFTER_S
+# A dead host stays in the table as a join candidate for this time.
+FORGET_AFTER_S = 300.0
+# The last counter of a forgotten host is kept longer, so that an entry
+# delayed in a paused host's buffers does not bring it back to life. About
+# 100 bytes each; an ordinary day replaces 310 VMs.
+FLOOR_KEPT_S = 86_400.0
+# Bounds the size of a message.
+MAX_ENTRIES = 16
+# A longer gap between two ticks means that this process was paused; the
+# silence of the others during the gap says nothing about them.
+PAUSE_S = 2.0
+
+
+@attrs.define
+class _Known:
+    entry: Entry
+    updated_at: float
+
+
+class Membership:
+    """The membership table of one scheduler host.
+
+    Attributes:
+        own: The host's own entry.
+        wakes: Number of times the host found that it had been paused or
+            taken for dead.
+    """
+
+    def __init__(self, host: str, region: str, address: str, *, now: float):
+        # The start time makes a restarted host's entries newer than those of
+        # its earlier start; `merge` corrects it if the clock went back.
+        self.own = Entry(host, int(now), 0, region, address=address)
+        self.wakes = 0
+        self._table: dict[str, _Known] = {}
+        self._floors: dict[str, tuple[tuple[int, int], float]] = {}
+        self._region_seen: dict[str, float] = {}
+        self._candidates: dict[str, str] = {}
+        self._started_at = now
+        self._ticked_at = now
+
+    def tick(self, now: float) -> None:
+        """Increments the own counter and forgets hosts that are long dead.
+
+        Args:
+            now: Present time; expected every half second.
+        """
+        if now - self._ticked_at > PAUSE_S:
+            self._wake(now)
+        self._ticked_at = now
+        self.own = attrs.evolve(self.own, counter=self.own.counter + 1)
+        self._forget(now)
+        for region in {e.region for e in self._live_entries(now)}:
+            self._region_seen[region] = now
+
+    def merge(self, entries: Iterable[Entry], now: float) -> tuple[Entry, ...]:
+        """Takes over the entries that are newer than the known ones.
+
+        Args:
+            entries: Entries of one message, the sender's own first.
+            now: Present time.
+
+        Returns:
+            Entries to send back, because the sender's own entry is older
+            than what is known of it, or because it was taken for dead.
+        """
+        entries = tuple(entries)
+        corrections = [
+            correction
+            for place, entry in enumerate(entries)
+            if (correction := self._merge_one(entry, place == 0, now))
+        ]
+        return tuple(corrections)
+
+    def message(self, now: float) -> tuple[Entry, ...]:
+        """Returns the entries to send: the own, then the newest others."""
+        known = [k for k in self._table.values() if not self._lapsed(k, now)]
+        known.sort(key=lambda k: k.updated_at, reverse=True)
+        return (self.own, *(k.entry for k in known[: MAX_ENTRIES - 1]))
+
+    def live(self, region: str | None, now: float) -> tuple[str, ...]:
+        """Returns the sorted names of live hosts that are not leaving.
+
+        Args:
+            region: Region, or None for all regions.
+            now: Present time.
+        """
+        return tuple(
+            sorted(
+                e.host
+                for e in self._live_entries(now)
+                if region in (None, e.region)
+            )
+        )
+
+    def peers(self, now: float) -> tuple[Entry, ...]:
+        """Returns the other hosts that are not dead, leaving ones included."""
+        return tuple(
+            k.entry for k in self._table.values() if not self._lapsed(k, now)
+        )
+
+    def is_dead(self, host: str, now: float) -> bool:
+        """Returns whether a host is dead in this host's view.
+
+        An unknown host is dead once this host has listened long enough that
+        it would have heard of it.
+        """
+        if host == self.own.host:
+            return False
+        known = self._table.get(host)
+        if known is not None:
+            return self._lapsed(known, now)
+        if host in self._floors:
+            return True
+        return self._seen_until(now) - self._started_at > REMOTE_DEAD_AFTER_S
+
+    def region_silent_s(self, region: str, now: float) -> float:
+        """Returns the seconds since a live host of a region was in view."""
+        if self.live(region, now):
+            return 0.0
+        seen_at = self._region_seen.get(region, self._started_at)
+        return self._seen_until(now) - seen_at
+
+    def summaries(
+        self, now: float, max_age_s: float, *, region: str | None = None
+    ) -> tuple[CapacitySummary, ...]:
+        """Returns the capacity summaries of other live hosts.
+
+        Args:
+            now: Present time.
+            max_age_s: Largest time since the host's entry was received; the
+                clocks of other hosts are not relied upon.
+            region: Only hosts of this region, or None for all.
+        """
+        return tuple(
+            known.entry.summary
+            for known in self._table.values()
+            if known.entry.summary is not None
+            and known.entry.status is HostStatus.LIVE
+            and region in (None, known.entry.region)
+            and not self._lapsed(known, now)
+            and now - known.updated_at <= max_age_s
+        )
+
+    def address(self, host: str) -> str | None:
+        """Returns the address and port of a host, or None if unknown."""
+        if host == self.own.host:
+            return self.own.address
+        known = self._table.get(host)
+        return known.entry.address if known else self._candidates.get(host)
+
+    def region_of(self, host: str) -> str | None:
+        """Returns the region of a host, or None if unknown."""
+        if host == self.own.host:
+            return self.own.region
+        known = self._table.get(host)
+        return known.entry.region if known else None
+
+    def update_own(self, **changes) -> None:
+        """Changes status, generation or summary of the own entry."""
+        self.own = attrs.evolve(self.own, **changes)
+
+    def set_candidates(self, addresses: dict[str, str]) -> None:
+        """Sets the hosts named by seeds and the VM list.
+
+        Args:
+            addresses: Address and port by name; a seed without a name is
+                listed under its address.
+        """
+        self._candidates = dict(addresses)
+
+    def candidates(self, now: float) -> tuple[str, ...]:
+        """Returns addresses at which a host may be that is not in view."""
+        in_view = {e.address for e in self.peers(now)} | {self.own.address}
+        known = {k.entry.address for k in self._table.values()}
+        return tuple(sorted((known | set(self._candidates.values())) - in_view))
+
+    def _merge_one(
+        self, entry: Entry, from_sender: bool, now: float
+    ) -> Entry | None:
+        if entry.host == self.own.host:
+            self._contest(entry)
+            return None
+        known = self._table.get(entry.host)
+        held = known.entry.age_key if known else self._floor(entry.host)
+        if entry.status is HostStatus.DEAD:
+            return None
+        if held is not None and entry.age_key <= held:
+            is_behind = entry.incarnation < held[0]
+            return (
+                _told_dead(entry, held) if from_sender and is_behind else None
+            )
+        was_dead = known is not None and self._lapsed(known, now)
+        self._table[entry.host] = _Known(entry, now)
+        self._floors.pop(entry.host, None)
+        if was_dead and from_sender and entry.region == self.own.region:
+            # Only hosts of the own region take over a dead host's workers
+            # within seconds, so only there it must check what it owns.
+            return _told_dead(entry, entry.age_key)
+        return None
+
+    def _contest(self, entry: Entry) -> None:
+        # Another host holds an entry of this host that this host did not
+        # send in this incarnation, or has it as dead or leaving.
+        is_newer = entry.age_key > self.own.age_key
+        is_wrong = (
+            entry.incarnation == self.own.incarnation
+            and entry.status is not self.own.status
+            and entry.status is not HostStatus.LIVE
+        )
+        if is_newer or is_wrong:
+            self._raise_incarnation(entry.incarnation)
+
+    def _raise_incarnation(self, seen: int) -> None:
+        self.wakes += 1
+        self.own = attrs.evolve(
+            self.own,
+            incarnation=max(seen, self.own.incarnation) + 1,
+            counter=0,
+        )
+
+    def _wake(self, now: float) -> None:
+        was_at = self._ticked_at
+        for known in self._table.values():
+            if not self._lapsed(known, was_at):
+                known.updated_at = now
+        self._region_seen = dict.fromkeys(self._region_seen, now)
+        self._started_at = now
+        self._raise_incarnation(0)
+
+    def _forget(self, now: float) -> None:
+        for host, known in list(self._table.items()):
+            if now - known.updated_at > FORGET_AFTER_S:
+                del self._table[host]
+                self._floors[host] = (known.entry.age_key, now)
+        self._floors = {
+            host: floor
+            for host, floor in self._floors.items()
+            if now - floor[1] <= FLOOR_KEPT_S
+        }
+
+    def _floor(self, host: str) -> tuple[int, int] | None:
+        floor = self._floors.get(host)
+        return floor[0] if floor else None
+
+    def _live_entries(self, now: float) -> list[Entry]:
+        entries = [self.own, *self.peers(now)]
+        return [e for e in entries if e.status is HostStatus.LIVE]
+
+    def _lapsed(self, known: _Known, now: float) -> bool:
+        is_near = known.entry.region == self.own.region
+        limit_s = DEAD_AFTER_S if is_near else REMOTE_DEAD_AFTER_S
+        return self._seen_until(now) - known.updated_at > limit_s
+
+    def _seen_until(self, now: float) -> float:
+        # After a pause and before the next tick, the time of the pause is
+        # not held against the others.
+        return min(now, self._ticked_at + PAUSE_S)
+
+
+def _told_dead(entry: Entry, held: tuple[int, int]) -> Entry:
+    return attrs.evolve(
+        entry,
+        incarnation=held[0],
+        counter=held[1],
+        status=HostStatus.DEAD,
+        summary=None,
+    )
--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/messages.py
@@ -0,0 +1,246 @@
+"""Messages between scheduler hosts and their codec.
+
+A request travels as the msgpack array ``[kind, sender, body]``, in which the
+body is a message encoded on its own. A reply is the array ``[problem,
+value]``, of which exactly one is meaningful. Every handler must be idempotent,
+since a request may be delivered twice after a reconnect.
+"""
+
+__all__ = [
+    "MESSAGES",
+    "CancelJob",
+    "ConfigValue",
+    "Empty",
+    "Envelope",
+    "FetchConfig",
+    "FinishedReply",
+    "Gossip",
+    "Handover",
+    "HandoverReply",
+    "JobReply",
+    "Kind",
+    "ListWork",
+    "LookupReply",
+    "LookupRequest",
+    "QueryJob",
+    "ReleaseRequest",
+    "ReserveReply",
+    "ReserveRequest",
+    "ResolveRequest",
+    "StartAnswer",
+    "StartRequest",
+    "StopRequest",
+    "SubmitJob",
+    "TaskFinished",
+    "WireEntry",
+    "WireSummary",
+    "WorkRows",
+    "decode",
+    "decode_reply",
+    "decode_request",
+    "encode",
+    "encode_reply",
+    "encode_request",
+]
+
+import enum
+import functools
+from typing import Any, TypeVar
+
+import attrs
+import msgspec
+from returns.result import Failure, Result, Success
+
+from dragonflybank.cluster.owner_messages import (
+    Empty,
+    Handover,
+    HandoverReply,
+    ReleaseRequest,
+    ReserveReply,
+    ReserveRequest,
+    ResolveRequest,
+    StartAnswer,
+    StartRequest,
+    StopRequest,
+)
+from dragonflybank.cluster.work_messages import (
+    CancelJob,
+    FinishedReply,
+    JobReply,
+    ListWork,
+    LookupReply,
+    LookupRequest,
+    QueryJob,
+    SubmitJob,
+    TaskFinished,
+    WorkRows,
+)
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.model.leases import Resolution
+
+T = TypeVar("T")
+
+# Gossip is sent several times a second to each peer, so its entries are
+# arrays without field names: host, incarnation, counter, region, status,
+# address, configuration generation, summary.
+WireSummary = tuple[int, int, tuple[float, ...], tuple[float, ...], int]
+WireEntry = tuple[str, int, int, str, str, str, int, WireSummary | None]
+
+
+class Kind(enum.StrEnum):
+    """Kind of a request."""
+
+    GOSSIP = "gossip"
+    FETCH_CONFIG = "fetch_config"
+    LOOKUP = "lookup"
+    JOB_SUBMIT = "job_submit"
+    JOB_QUERY = "job_query"
+    JOB_CANCEL = "job_cancel"
+    RESERVE = "reserve"
+    RELEASE = "release"
+    START = "start"
+    STOP = "stop"
+    RESOLVE = "resolve"
+    TASK_FINISHED = "task_finished"
+    HANDOVER = "handover"
+    LIST_WORK = "list_work"
+
+
+@attrs.frozen
+class Envelope:
+    """A request on the wire.
+
+    Attributes:
+        kind: Kind of the request, any text.
+        sender: Name of the sending host.
+        body: Encoded message.
+    """
+
+    kind: str
+    sender: str
+    body: bytes
+
+
+@attrs.frozen
+class Gossip:
+    """Membership entries, the sender's own first; also the reply to them.
+
+    Attributes:
+        entries: At most ``membership.MAX_ENTRIES`` entries.
+    """
+
+    entries: tuple[WireEntry, ...] = ()
+
+
+@attrs.frozen
+class FetchConfig:
+    """Asks for the configuration in force.
+
+    Attributes:
+        generation: Generation of the sender.
+    """
+
+    generation: int
+
+
+@attrs.frozen
+class ConfigValue:
+    """A configuration.
+
+    Attributes:
+        generation: Its generation, 0 if the host has none.
+        value: Its encoded value, empty unless it is greater than the asker's.
+    """
+
+    generation: int
+    value: bytes = b""
+
+
+# Request class -> (kind, reply class).
+MESSAGES: dict[type, tuple[Kind, type]] = {
+    Gossip: (Kind.GOSSIP, Gossip),
+    FetchConfig: (Kind.FETCH_CONFIG, ConfigValue),
+    LookupRequest: (Kind.LOOKUP, LookupReply),
+    SubmitJob: (Kind.JOB_SUBMIT, JobReply),
+    QueryJob: (Kind.JOB_QUERY, JobReply),
+    CancelJob: (Kind.JOB_CANCEL, JobReply),
+    ReserveRequest: (Kind.RESERVE, ReserveReply),
+    ReleaseRequest: (Kind.RELEASE, Empty),
+    StartRequest: (Kind.START, StartAnswer),
+    StopRequest: (Kind.STOP, Empty),
+    ResolveRequest: (Kind.RESOLVE, Resolution),
+    TaskFinished: (Kind.TASK_FINISHED, FinishedReply),
+    Handover: (Kind.HANDOVER, HandoverReply),
+    ListWork: (Kind.LIST_WORK, WorkRows),
+}
+
+
+def encode(message: Any) -> bytes:
+    """Returns the msgpack bytes of a message.
+
+    Example:
+        >>> decode(encode(FetchConfig(3)), FetchConfig).unwrap().generation
+        3
+    """
+    return msgspec.msgpack.encode(message)
+
+
+def decode(body: bytes, kind: type[T]) -> Result[T, Problem]:
+    """Returns the message of a class; ``BAD_REQUEST`` if it is malformed."""
+    try:
+        return Success(_decoder(kind).decode(body))
+    except msgspec.MsgspecError as exc:
+        return problem(Code.BAD_REQUEST, str(exc))
+
+
+def encode_request(kind: str, sender: str, body: bytes) -> bytes:
+    """Returns the bytes of a request."""
+    return encode((kind, sender, body))
+
+
+def decode_request(raw: bytes) -> Result[Envelope, Problem]:
+    """Returns the envelope of a request."""
+    return decode(raw, tuple[str, str, bytes]).map(lambda e: Envelope(*e))
+
+
+def encode_reply(result: Result[Any, Problem]) -> bytes:
+    """Returns the bytes of a reply with a value or a problem."""
+    if isinstance(result, Failure):
+        return encode((result.failure(), None))
+    return encode((None, result.unwrap()))
+
+
+def decode_reply(raw: bytes, kind: type[T]) -> Result[T, Problem]:
+    """Returns the value or the problem of a reply.
+
+    Args:
+        raw: Bytes of the reply.
+        kind: Class of the value.
+
+    Returns:
+        The value; the problem that the peer answered; ``TIMED_OUT`` if the
+        reply cannot be read, since the request may have had an effect.
+    """
+    read = decode(raw, tuple[Problem | None, msgspec.Raw]).bind(
+        lambda parts: (
+            decode(bytes(parts[1]), kind)
+            if parts[0] is None
+            else Failure(_Answered(parts[0]))
+        )
+    )
+    if isinstance(read, Success):
+        return read
+    failed = read.failure()
+    if isinstance(failed, _Answered):
+        return Failure(failed.problem)
+    return problem(Code.TIMED_OUT, f"unreadable reply: {failed.detail}")
+
+
+@attrs.frozen
+class _Answered:
+    problem: Problem
+
+
+@functools.lru_cache(maxsize=64)
+def _decoder(kind: type) -> msgspec.msgpack.Decoder:
+    return msgspec.msgpack.Decoder(kind)
--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/peers.py
@@ -0,0 +1,49 @@
+"""Links to all other hosts, by address."""
+
+__all__ = ["PeerLinks"]
+
+from collections.abc import Callable
+from typing import Any
+
+from returns.result import Result
+
+from dragonflybank.cluster.links import PeerLink, ask
+from dragonflybank.model.codes import Code, problem
+
+
+class PeerLinks:
+    """One link for each peer, opened when it is first used.
+
+    Attributes:
+        host: Name of the own host, the sender of all requests.
+    """
+
+    def __init__(self, host: str, address_of: Callable[[str], str | None]):
+        self.host = host
+        self._address_of = address_of
+        self._links: dict[str, PeerLink] = {}
+
+    async def ask(self, host: str, request: Any, *, timeout_s: float) -> Result:
+        """Sends a typed request to a host by name; see `links.ask`."""
+        address = self._address_of(host)
+        if not address:
+            return problem(Code.UNREACHABLE, f"no address of {host}")
+        return await self.ask_at(address, request, timeout_s=timeout_s)
+
+    async def ask_at(
+        self, address: str, request: Any, *, timeout_s: float
+    ) -> Result:
+        """Sends a typed request to an address; see `links.ask`."""
+        link = self._links.get(address)
+        if link is None:
+            link = self._links[address] = PeerLink(self.host, address)
+        return await ask(link, request, timeout_s=timeout_s)
+
+    async def keep_only(self, addresses: set[str]) -> None:
+        """Closes the links to addresses that are no longer in use."""
+        for address in set(self._links) - addresses:
+            await self._links.pop(address).close()
+
+    async def close(self) -> None:
+        """Closes all links."""
+        await self.keep_only(set())
--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/tests/test_membership.py
@@ -0,0 +1,191 @@
+"""Tests of the membership table."""
+
+import attrs
+import testtools
+from testtools.matchers import Equals, HasLength
+
+from dragonflybank.cluster.entries import (
+    Entry,
+    HostStatus,
+    entry_from_wire,
+    entry_to_wire,
+)
+from dragonflybank.cluster.membership import (
+    DEAD_AFTER_S,
+    FORGET_AFTER_S,
+    MAX_ENTRIES,
+    Membership,
+)
+from dragonflybank.model.resources import Resources
+from dragonflybank.model.topology import CapacitySummary
+
+T0 = 1000.0
+NORTH, SOUTH = "north", "south"
+
+
+def _member(name="a", region=NORTH):
+    return Membership(name, region, f"{name}:1", now=T0)
+
+
+def _peer(name, counter, *, incarnation=5, region=NORTH, **kwargs):
+    return Entry(
+        name, incarnation, counter, region, address=f"{name}:1", **kwargs
+    )
+
+
+def _run(member, start, stop, heard=None):
+    """Ticks every half second; ``heard`` gives the entries at each time."""
+    now = start
+    while now <= stop:
+        member.tick(now)
+        if heard is not None:
+            member.merge(heard(now), now)
+        now += 0.5
+    return now - 0.5
+
+
+def _beating(name, **kwargs):
+    return lambda now: [_peer(name, int(now * 2), **kwargs)]
+
+
+class TestFailureDetection(testtools.TestCase):
+    """Guards against hosts that are held alive or dead wrongly."""
+
+    def test_a_standing_counter_is_dead_after_three_seconds(self):
+        member = _member()
+        now = _run(member, T0, T0 + 10, _beating("b"))
+        self.assertFalse(member.is_dead("b", now + DEAD_AFTER_S - 1.5))
+        end = _run(member, now, now + DEAD_AFTER_S + 0.5)
+        self.assertTrue(member.is_dead("b", end))
+        self.assertThat(member.live(NORTH, end), Equals(("a",)))
+
+    def test_a_repeated_counter_does_not_keep_a_host_alive(self):
+        member = _member()
+        end = _run(member, T0, T0 + 5, lambda now: [_peer("b", 7)])
+        self.assertTrue(member.is_dead("b", end))
+
+    def test_a_forgotten_host_does_not_come_back_with_an_old_entry(self):
+        member = _member()
+        now = _run(member, T0, T0 + 2, _beating("b"))
+        old = _peer("b", int(now * 2) - 1)
+        end = _run(member, now, now + FORGET_AFTER_S + 5)
+        self.assertIsNone(member.address("b"))
+        corrections = member.merge([old], end)
+        self.assertTrue(member.is_dead("b", end))
+        self.assertThat(member.live(NORTH, end), Equals(("a",)))
+        self.assertThat(corrections, HasLength(0))
+        member.merge([_peer("b", 1, incarnation=6)], end)
+        self.assertThat(member.live(NORTH, end), Equals(("a", "b")))
+
+    def test_dead_hosts_are_not_passed_on(self):
+        member = _member()
+        now = _run(member, T0, T0 + 2, _beating("b"))
+        end = _run(member, now, now + 5)
+        sent = [e.host for e in member.message(end)]
+        self.assertThat(sent, Equals(["a"]))
+
+    def test_a_remote_host_outlives_the_rounds_between_regions(self):
+        member = _member()
+        now = _run(member, T0, T0 + 2, _beating("r", region=SOUTH))
+        end = _run(member, now, now + 8)
+        self.assertFalse(member.is_dead("r", end))
+        end = _run(member, end, now + 13)
+        self.assertTrue(member.is_dead("r", end))
+        self.assertThat(member.region_silent_s(SOUTH, end), Equals(1.0))
+
+    def test_a_pause_of_the_own_process_kills_nobody(self):
+        member = _member()
+        now = _run(member, T0, T0 + 10, _beating("b"))
+        woken = now + 60
+        self.assertFalse(member.is_dead("b", woken))
+        before = member.own.incarnation
+        member.tick(woken)
+        self.assertThat(member.live(NORTH, woken), Equals(("a", "b")))
+        self.assertThat(member.own.incarnation, Equals(before + 1))
+        self.assertThat(member.wakes, Equals(1))
+
+    def test_a_host_that_was_dead_before_a_pause_stays_dead(self):
+        member = _member()
+        now = _run(member, T0, T0 + 2, _beating("b"))
+        now = _run(member, now, now + 5)
+        member.tick(now + 60)
+        self.assertTrue(member.is_dead("b", now + 60))
+
+
+class TestIncarnations(testtools.TestCase):
+    """Guards against old entries that override a host's present state."""
+
+    def test_an_old_incarnation_is_refused_and_corrected(self):
+        member = _member()
+        member.merge([_peer("b", 3, incarnation=9)], T0)
+        corrections = member.merge([_peer("b", 50, incarnation=8)], T0 + 1)
+        self.assertThat(
+            [(c.status, c.incarnation) for c in corrections],
+            Equals([(HostStatus.DEAD, 9)]),
+        )
+        restarted = Membership("b", NORTH, "b:1", now=8.0)
+        restarted.merge(corrections, 9.0)
+        self.assertThat(restarted.own.incarnation, Equals(10))
+
+    def test_a_host_declared_leaving_raises_its_incarnation(self):
+        member = _member()
+        wrong = attrs.evolve(member.own, status=HostStatus.LEAVING)
+        member.merge([_peer("b", 1), wrong], T0)
+        self.assertThat(member.own.incarnation, Equals(wrong.incarnation + 1))
+        self.assertThat(member.own.status, Equals(HostStatus.LIVE))
+
+    def test_a_host_that_was_taken_for_dead_is_told(self):
+        member = _member()
+        now = _run(member, T0, T0 + 2, _beating("b"))
+        now = _run(member, now, now + 5)
+        back = _peer("b", int(now * 2) + 9)
+        corrections = member.merge([back], now)
+        self.assertThat(corrections[0].status, Equals(HostStatus.DEAD))
+        self.assertThat(member.live(NORTH, now), Equals(("a", "b")))
+
+    def test_a_leaving_host_is_left_out_at_once(self):
+        member = _member()
+        member.merge([_peer("b", 1)], T0)
+        member.merge([_peer("b", 2, status=HostStatus.LEAVING)], T0)
+        self.assertThat(member.live(NORTH, T0), Equals(("a",)))
+        self.assertFalse(member.is_dead("b", T0))
+
+
+class TestContents(testtools.TestCase):
+    """Guards against unbounded messages and stale summaries."""
+
+    def test_a_message_is_bounded_and_newest_first(self):
+        member = _member()
+        for i in range(40):
+            member.merge([_peer(f"h{i:02}", 1)], T0 + i / 100)
+        sent = [e.host for e in member.message(T0 + 0.5)]
+        self.assertThat(sent, HasLength(MAX_ENTRIES))
+        self.assertThat(sent[:3], Equals(["a", "h39", "h38"]))
+
+    def test_old_summaries_are_left_out(self):
+        member = _member()
+        summary = CapacitySummary("b", NORTH, T0, 5, Resources(cores=3))
+        member.merge([_peer("b", 1, summary=summary)], T0)
+        self.assertThat(member.summaries(T0 + 1, 2.0), Equals((summary,)))
+        self.assertThat(member.summaries(T0 + 2.5, 2.0), Equals(()))
+
+    def test_an_entry_survives_the_wire(self):
+        summary = CapacitySummary(
+            "b",
+            NORTH,
+            T0,
+            5,
+            Resources(3, 1024, 1, 6, 60),
+            Resources(2, 512, 1, 3, 30),
+            0.25,
+        )
+        entry = _peer("b", 7, generation=12, summary=summary)
+        read = entry_from_wire(entry_to_wire(entry)).unwrap()
+        self.assertThat(read, Equals(entry))
+
+    def test_known_hosts_out_of_view_are_join_candidates(self):
+        member = _member()
+        member.set_candidates({"a": "a:1", "b": "b:1", "c": "c:1"})
+        self.assertThat(member.candidates(T0), Equals(("b:1", "c:1")))
+        member.merge([_peer("b", 1)], T0)
+        self.assertThat(member.candidates(T0), Equals(("c:1",)))
--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/tests/test_messages.py
@@ -0,0 +1,45 @@
+"""Tests of the messages and their codec."""
+
+import testtools
+from returns.result import Success
+from testtools.matchers import Equals
+
+from dragonflybank.cluster.messages import (
+    MESSAGES,
+    JobReply,
+    Kind,
+    decode_reply,
+    encode_reply,
+)
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.model.resources import Resources
+from dragonflybank.model.work import JobRecord, JobSpec, StartRecord
+
+
+class TestCodec(testtools.TestCase):
+    """Guards against messages that change on the wire."""
+
+    def test_every_kind_has_a_message(self):
+        kinds = {kind for kind, _ in MESSAGES.values()}
+        self.assertThat(kinds, Equals(set(Kind)))
+
+    def test_a_nested_record_survives(self):
+        record = JobRecord(
+            JobSpec("courts", "k", "sweep", payload="pöytä"),
+            starts=(StartRecord("t", "w", 1 << 50, Resources(cores=2), 1.5),),
+            problem=Problem(Code.SIZE_EXCEEDED, "memory"),
+        )
+        raw = encode_reply(Success(JobReply(record)))
+        self.assertThat(
+            decode_reply(raw, JobReply), Equals(Success(JobReply(record)))
+        )
+
+    def test_a_problem_is_a_reply(self):
+        refused = problem(Code.NOT_HOME, "elsewhere", retry_after_s=1.0)
+        raw = encode_reply(refused)
+        self.assertThat(decode_reply(raw, JobReply), Equals(refused))
+
+    def test_an_unreadable_reply_does_not_prove_that_nothing_ran(self):
+        for raw in (b"", b"\x93\x01", encode_reply(Success("text"))):
+            reply = decode_reply(raw, JobReply)
+            self.assertThat(reply.failure().code, Equals(Code.TIMED_OUT))
