--- /dev/null
+++ b/libs/jobs/dragonflybank/jobs/admission.py
@@ -0,0 +1,94 @@
+"""Whether a shard takes a new job."""
+
+__all__ = ["check_room", "check_spec"]
+
+import msgspec
+from returns.result import Result
+
+from dragonflybank.jobs.entries import Entry
+from dragonflybank.jobs.journal import Journal
+from dragonflybank.jobs.retention import RECORD_KEPT_S
+from dragonflybank.jobs.runner import HomeRules
+from dragonflybank.jobs.size import ACCEPT_LIMIT_BYTES, MAX_SPEC_BYTES
+from dragonflybank.jobs.transitions import accepted_entry
+from dragonflybank.jobs.value import KeptItem
+from dragonflybank.model.codes import Code, problem
+from dragonflybank.model.resources import fits
+from dragonflybank.model.work import JobSpec, WorkClass, WorkKind
+
+# A shard over its limit becomes smaller as jobs end or are forgotten.
+RETRY_MIN_S = 5.0
+RETRY_MAX_S = 300.0
+
+
+def check_spec(spec: JobSpec, rules: HomeRules) -> Result | None:
+    """Returns why a job can never be accepted, or None."""
+    wc = rules.work_class(spec.work_class)
+    if wc is None or wc.kind is WorkKind.LOOKUP:
+        return problem(
+            Code.BAD_REQUEST,
+            f"{spec.work_class} is no class of patient work",
+            field="work_class",
+        )
+    if spec.tasks < 1:
+        return problem(
+            Code.BAD_REQUEST,
+            f"{spec.tasks} tasks",
+            field="tasks",
+            accepted="at least 1",
+        )
+    if len(msgspec.msgpack.encode(spec)) > MAX_SPEC_BYTES:
+        return problem(
+            Code.BAD_REQUEST,
+            "the job is too long",
+            field="payload",
+            accepted=f"at most {MAX_SPEC_BYTES} bytes in all",
+        )
+    if _projected_bytes(spec) > ACCEPT_LIMIT_BYTES:
+        return problem(
+            Code.BAD_REQUEST,
+            f"{spec.tasks} tasks are too many for one job",
+            field="tasks",
+        )
+    largest = rules.largest()
+    if largest is not None and not fits(spec.size, largest):
+        return problem(
+            Code.CAN_NEVER_RUN,
+            "no worker can hold a task of this size",
+            field="resources",
+            accepted=f"at most {largest}",
+        )
+    limit = rules.max_running(spec.team)
+    needed = spec.tasks if wc.kind is WorkKind.GANG else 1
+    if limit is not None and needed > limit:
+        return problem(
+            Code.OVER_QUOTA,
+            f"the team may run {limit} tasks at once in this shard",
+            field="tasks",
+            accepted=f"at most {limit}",
+        )
+    return None
+
+
+def check_room(spec: JobSpec, journal: Journal, now: float) -> Result | None:
+    """Returns why a job is not accepted at present, or None."""
+    size = journal.projected_bytes() + _projected_bytes(spec)
+    if size <= ACCEPT_LIMIT_BYTES:
+        return None
+    ended = [
+        item.record.finished_at
+        for item in journal.items()
+        if isinstance(item, Entry) and item.final
+    ]
+    # The first record that is reduced to a tombstone makes room.
+    wait_s = min(ended, default=now) + RECORD_KEPT_S - now
+    return problem(
+        Code.OVERLOADED,
+        f"the shard's journal is full ({size} of {ACCEPT_LIMIT_BYTES} bytes)",
+        retry_after_s=min(RETRY_MAX_S, max(RETRY_MIN_S, wait_s)),
+    )
+
+
+def _projected_bytes(spec: JobSpec) -> int:
+    kept = KeptItem.of(accepted_entry(spec, WorkClass(spec.work_class), 0.0))
+    return len(kept.encoded) + kept.growth
--- /dev/null
+++ b/libs/jobs/dragonflybank/jobs/journal.py
@@ -0,0 +1,376 @@
+"""The journal of a shard: one value in the store, written in group commits.
+
+One write is in flight at a time. Changes made meanwhile wait for the next
+one, so that the store sees at most ten writes a second for each shard,
+whatever the load. The compare-and-swap of the write fences off a former
+home.
+"""
+
+__all__ = ["Journal"]
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+
+import attrs
+import msgspec
+from returns.result import Failure, Result, Success
+
+from dragonflybank.jobs.entries import Entry, Key
+from dragonflybank.jobs.value import (
+    Item,
+    KeptItem,
+    ShardValue,
+    decode_shard,
+    shard_key,
+)
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.platform.store import ConfigStore
+from dragonflybank.platform.writes import SettledWriter, writer_mark
+
+WRITE_INTERVAL_S = 0.1
+# Three calls of at most 2 s each; a caller is then told that the outcome is
+# not known, while the write is repeated until it is settled.
+ATTEMPTS_BEFORE_ANSWER = 3
+RETRY_AFTER_S = 1.0
+
+
+@attrs.define
+class _Batch:
+    # None stands for a removed item.
+    items: dict[Key, KeptItem | None] = attrs.field(factory=dict)
+    at: float = 0.0
+    outcome: Result[None, Problem] | None = None
+    answered: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def answer(self, outcome: Result[None, Problem]) -> None:
+        if self.outcome is None:
+            self.outcome = outcome
+            self.answered.set()
+
+
+class Journal:
+    """The entries of a shard and their commits.
+
+    Attributes:
+        shard: Name of the shard.
+        host: Name of this host.
+        written_at: Time of the latest settled write, seconds since 1970.
+        is_open: Whether this host is the home as far as it knows.
+        is_stalled: Whether the outcome of the latest write is not known.
+
+    Args:
+        store: The store.
+        shard: Name of the shard.
+        host: Name of this host.
+        sleep: Coroutine function that waits for some seconds.
+        on_settled: Called with the changed keys after each settled write,
+            and with all keys when the shard is lost.
+    """
+
+    def __init__(
+        self,
+        store: ConfigStore,
+        shard: str,
+        host: str,
+        *,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        on_settled: Callable[[Iterable[Key]], None] = lambda keys: None,
+    ):
+        self.shard = shard
+        self.host = host
+        self.written_at = 0.0
+        self.is_open = False
+        self.is_stalled = False
+        self._store = store
+        self._sleep = sleep
+        self._writer = SettledWriter(store, sleep=sleep)
+        self._on_settled = on_settled
+        self._version = 0
+        self._closing = False
+        self._settled: dict[Key, KeptItem] = {}
+        self._latest: dict[Key, KeptItem] = {}
+        self._in_flight: _Batch | None = None
+        self._pending: _Batch | None = None
+        self._flushing: asyncio.Task | None = None
+
+    async def open(
+        self, now: float, *, min_idle_s: float = 0.0
+    ) -> Result[None, Problem]:
+        """Reads the shard and takes it over.
+
+        Args:
+            now: Present time, seconds since 1970.
+            min_idle_s: Time since the latest write of another home below
+                which the shard is not taken, in seconds.
+
+        Returns:
+            ``NOT_HOME`` if another home wrote too recently, ``CAS_CONFLICT``
+            if another host took the shard over at the same time, or the
+            problem of the store.
+        """
+        found = await self._store.get(shard_key(self.shard))
+        if isinstance(found, Failure):
+            return found
+        stored = found.unwrap()
+        if stored.value is not None:
+            refused = self._load(stored.value, now, min_idle_s)
+            if refused is not None:
+                return refused
+        self._version = stored.version
+        mark = writer_mark()
+        outcome = await self._put(
+            self._encoded(now, mark, self.host),
+            mark,
+            attempts=ATTEMPTS_BEFORE_ANSWER,
+        )
+        if isinstance(outcome, Failure):
+            return outcome
+        self.is_open = True
+        self._settled = dict(self._latest)
+        self._version, self.written_at = outcome.unwrap(), now
+        return Success(None)
+
+    def latest(self, key: Key) -> Item | None:
+        """Returns an item with the changes that are not yet settled."""
+        kept = self._latest.get(key)
+        return kept.item if kept is not None else None
+
+    def settled(self, key: Key) -> Item | None:
+        """Returns an item as the store certainly holds it."""
+        kept = self._settled.get(key)
+        return kept.item if kept is not None else None
+
+    def items(self) -> Iterator[Item]:
+        """Yields all items with the changes that are not yet settled."""
+        return (kept.item for kept in tuple(self._latest.values()))
+
+    def entries(self) -> Iterator[Entry]:
+        """Yields the entries of jobs that have not ended."""
+        return (
+            item
+            for item in self.items()
+            if isinstance(item, Entry) and not item.final
+        )
+
+    def size_bytes(self) -> int:
+        """Returns the approximate number of bytes of the value."""
+        return sum(len(kept.encoded) for kept in self._latest.values())
+
+    def projected_bytes(self) -> int:
+        """Returns the size once all accepted work has been started."""
+        growth = sum(kept.growth for kept in self._latest.values())
+        return self.size_bytes() + growth
+
+    async def commit(
+        self, *items: Item, now: float, drop: Iterable[Key] = ()
+    ) -> Result[None, Problem]:
+        """Changes items and waits until the change is settled.
+
+        The items are visible in `latest` before this waits. They are taken
+        back if the write certainly had no effect. Without items it rewrites
+        the shard.
+
+        Args:
+            *items: Changed entries and tombstones.
+            now: Present time, seconds since 1970.
+            drop: Keys to remove.
+
+        Returns:
+            ``STORE_UNAVAILABLE`` if the change was certainly not made,
+            ``WRITE_UNSETTLED`` if that is not known, ``NOT_HOME`` if this
+            host lost the shard, ``DRAINING`` if it is releasing it.
+        """
+        changes = {item.key: KeptItem.of(item) for item in items}
+        changes.update(dict.fromkeys(drop))
+        refused = self._refusal(changes)
+        if refused is not None:
+            return refused
+        self._restore(changes, changes)
+        batch = self._pending = self._pending or _Batch()
+        batch.items.update(changes)
+        batch.at = max(batch.at, now)
+        if self._flushing is None or self._flushing.done():
+            self._flushing = asyncio.create_task(self._flush())
+        await batch.answered.wait()
+        return batch.outcome
+
+    async def settle(self, key: Key) -> Result[None, Problem]:
+        """Waits until the latest change of a key is settled."""
+        for batch in (self._pending, self._in_flight):
+            if batch is not None and key in batch.items:
+                await batch.answered.wait()
+                return batch.outcome
+        if not self.is_open:
+            return problem(Code.NOT_HOME, f"{self.shard} has another home")
+        return Success(None)
+
+    async def close(self, now: float) -> None:
+        """Waits for the changes in progress and releases the shard."""
+        self._closing = True
+        for batch in (self._in_flight, self._pending):
+            if batch is not None:
+                await batch.answered.wait()
+        if self.is_open and not self.is_stalled:
+            mark = writer_mark()
+            await self._put(self._encoded(now, mark, ""), mark, attempts=1)
+        if self._flushing is not None:
+            self._flushing.cancel()
+        self._lose(Problem(Code.NOT_HOME, f"{self.shard} was released"))
+
+    def _load(self, raw: bytes, now: float, min_idle_s: float) -> Result | None:
+        try:
+            value, items = decode_shard(raw)
+        except msgspec.MsgspecError as exc:
+            # The value is left alone: a newer version may have written it.
+            return _unavailable(f"{self.shard} cannot be read: {exc}")
+        if value.home not in ("", self.host) and (
+            now - value.written_at < min_idle_s
+        ):
+            return problem(Code.NOT_HOME, f"the home is {value.home}")
+        self._latest = {item.key: KeptItem.of(item) for item in items}
+        return None
+
+    def _refusal(self, keys: Iterable[Key]) -> Result | None:
+        if not self.is_open:
+            return problem(Code.NOT_HOME, f"{self.shard} has another home")
+        if self.is_stalled:
+            if any(key in self._in_flight.items for key in keys):
+                return problem(
+                    Code.WRITE_UNSETTLED,
+                    "an earlier change of this job is not settled",
+                    retry_after_s=RETRY_AFTER_S,
+                )
+            return _unavailable("the store does not answer")
+        if self._closing:
+            return problem(
+                Code.DRAINING,
+                "the shard moves to another host",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return None
+
+    async def _flush(self) -> None:
+        try:
+            while self._pending is not None:
+                self._in_flight, self._pending = self._pending, None
+                await asyncio.gather(
+                    self._write(self._in_flight), self._sleep(WRITE_INTERVAL_S)
+                )
+        except Exception as exc:
+            # A programming error must not leave callers waiting.
+            self._lose(Problem(Code.WRITE_UNSETTLED, repr(exc)))
+            raise
+
+    async def _write(self, batch: _Batch) -> None:
+        mark = writer_mark()
+        value = self._encoded(batch.at, mark, self.host)
+        outcome = await self._put(value, mark, attempts=ATTEMPTS_BEFORE_ANSWER)
+        if _code(outcome) is Code.WRITE_UNSETTLED:
+            self._stall(outcome.failure())
+            outcome = await self._put(value, mark, resumed=True)
+            self.is_stalled = False
+        if isinstance(outcome, Success):
+            self._accept_write(batch, outcome.unwrap())
+        elif _code(outcome) in (Code.CAS_CONFLICT, Code.WRITE_UNSETTLED):
+            self._lose(outcome.failure())
+        else:
+            self._roll_back(outcome.failure())
+
+    def _accept_write(self, batch: _Batch, version: int) -> None:
+        self._version, self.written_at = version, batch.at
+        for key, kept in batch.items.items():
+            _set(self._settled, key, kept)
+        self._in_flight = None
+        batch.answer(Success(None))
+        self._on_settled(batch.items)
+
+    def _stall(self, failed: Problem) -> None:
+        # Callers are answered now; the write goes on until it is settled.
+        self.is_stalled = True
+        self._in_flight.answer(Failure(failed))
+        pending, self._pending = self._pending, None
+        if pending is not None:
+            self._restore(
+                pending.items, {**self._settled, **self._in_flight.items}
+            )
+            pending.answer(_unavailable(failed.detail))
+
+    def _roll_back(self, failed: Problem) -> None:
+        # Pending changes may be based on those of the failed write.
+        for batch in self._take_batches():
+            self._restore(batch.items, self._settled)
+            batch.answer(_unavailable(failed.detail))
+
+    def _lose(self, failed: Problem) -> None:
+        self.is_open = self.is_stalled = False
+        keys = {**self._settled, **self._latest}
+        self._settled.clear()
+        self._latest.clear()
+        unsettled = failed.code is Code.WRITE_UNSETTLED
+        code = Code.WRITE_UNSETTLED if unsettled else Code.NOT_HOME
+        for batch in self._take_batches():
+            batch.answer(problem(code, failed.detail))
+        self._on_settled(keys)
+
+    def _take_batches(self) -> list[_Batch]:
+        batches = (self._in_flight, self._pending)
+        self._in_flight = self._pending = None
+        return [batch for batch in batches if batch is not None]
+
+    def _restore(self, keys, source) -> None:
+        for key in keys:
+            _set(self._latest, key, source.get(key))
+
+    def _encoded(self, now: float, mark: str, home: str) -> bytes:
+        kept = self._latest.values()
+        return msgspec.msgpack.encode(
+            ShardValue(
+                self.shard,
+                home,
+                mark,
+                now,
+                _raw(k for k in kept if isinstance(k.item, Entry)),
+                _raw(k for k in kept if not isinstance(k.item, Entry)),
+            )
+        )
+
+    async def _put(
+        self, value: bytes, mark: str, **how
+    ) -> Result[int, Problem]:
+        return await self._writer.put(
+            shard_key(self.shard),
+            value,
+            version=self._version,
+            has_mark=lambda raw: _mark_of(raw) == mark,
+            **how,
+        )
+
+
+@attrs.frozen
+class _Mark:
+    mark: str = ""
+
+
+def _mark_of(raw: bytes) -> str:
+    return msgspec.msgpack.decode(raw, type=_Mark).mark
+
+
+def _raw(kept: Iterable[KeptItem]) -> tuple[msgspec.Raw, ...]:
+    return tuple(msgspec.Raw(k.encoded) for k in kept)
+
+
+def _set(items: dict[Key, KeptItem], key: Key, kept: KeptItem | None) -> None:
+    if kept is None:
+        items.pop(key, None)
+    else:
+        items[key] = kept
+
+
+def _code(outcome: Result) -> Code:
+    if isinstance(outcome, Success):
+        return Code.OK
+    return outcome.failure().code
+
+
+def _unavailable(detail: str) -> Result:
+    return problem(Code.STORE_UNAVAILABLE, detail, retry_after_s=RETRY_AFTER_S)
--- /dev/null
+++ b/libs/jobs/dragonflybank/jobs/results.py
@@ -0,0 +1,181 @@
+"""Results under keys of their own.
+
+A long result would make every later write of the shard's value longer. It is
+written once under ``results/<task id>`` before the journal refers to it.
+"""
+
+__all__ = ["ResultStore", "StoredResult", "TokenBucket"]
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+import msgspec
+from returns.result import Failure, Result, Success
+
+from dragonflybank.jobs.entries import Key
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.model.hashing import digest
+from dragonflybank.platform.store import ConfigStore
+from dragonflybank.platform.writes import SettledWriter, writer_mark
+
+# The share of one host in the store's several hundred writes a second.
+RESULT_WRITES_PER_S = 20.0
+# A result that would wait longer stays at its worker and is reported again.
+MAX_WAIT_S = 2.0
+ATTEMPTS = 3
+
+
+@attrs.frozen
+class StoredResult:
+    """The value of a result key.
+
+    Attributes:
+        mark: Mark of the write.
+        digest: SHA-256 of the text in UTF-8, hexadecimal.
+        text: The result.
+    """
+
+    mark: str
+    digest: str
+    text: str
+
+
+class TokenBucket:
+    """Paces calls to a rate, with bursts of one second's worth.
+
+    Args:
+        rate_per_s: Calls a second.
+    """
+
+    def __init__(self, rate_per_s: float):
+        self._interval_s = 1.0 / rate_per_s
+        self._next_at = 0.0
+
+    def take(self, now: float, *, max_wait_s: float) -> float | None:
+        """Takes a token and returns the time to wait for it, in seconds.
+
+        Returns:
+            None, and takes no token, if the wait would be too long.
+        """
+        next_at = max(self._next_at, now - 1.0)
+        wait_s = max(0.0, next_at - now)
+        if wait_s > max_wait_s:
+            return None
+        self._next_at = next_at + self._interval_s
+        return wait_s
+
+
+class ResultStore:
+    """Writes, reads and deletes results, paced for the whole host.
+
+    Args:
+        store: The store.
+        writes_per_s: Writes and deletes a second.
+        sleep: Coroutine function that waits for some seconds.
+    """
+
+    def __init__(
+        self,
+        store: ConfigStore,
+        *,
+        writes_per_s: float = RESULT_WRITES_PER_S,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ):
+        self._store = store
+        self._sleep = sleep
+        self._writer = SettledWriter(store, sleep=sleep)
+        self._bucket = TokenBucket(writes_per_s)
+        self._writing: set[str] = set()
+
+    async def write(
+        self, task_id: str, text: str, now: float
+    ) -> Result[str, Problem]:
+        """Writes a result once and returns its digest.
+
+        The same result may be written again; it is then left as it is.
+
+        Returns:
+            The digest; ``FULL`` if too many results wait, or the problem of
+            the store.
+        """
+        if task_id in self._writing:
+            return problem(Code.FULL, "the result is being written")
+        wait_s = self._bucket.take(now, max_wait_s=MAX_WAIT_S)
+        if wait_s is None:
+            return problem(
+                Code.FULL, "too many results wait", retry_after_s=MAX_WAIT_S
+            )
+        self._writing.add(task_id)
+        try:
+            await self._sleep(wait_s)
+            return await self._write(task_id, text)
+        finally:
+            self._writing.discard(task_id)
+
+    async def read(self, task_id: str, wanted: str) -> Result[str, Problem]:
+        """Returns a result whose digest is known."""
+        found = await self._store.get(_key(task_id))
+        if isinstance(found, Failure):
+            return found
+        value = found.unwrap().value
+        if value is None or _decode(value).digest != wanted:
+            return problem(Code.ASK_AGAIN, "the result is no longer kept")
+        return Success(_decode(value).text)
+
+    async def delete(self, key: Key, now: float) -> Result[None, Problem]:
+        """Deletes all results of a job.
+
+        Returns:
+            ``FULL`` if too many calls wait, or the problem of the store.
+        """
+        prefix = _key("/".join(key)) + "/"
+        found = await self._store.versions(prefix)
+        if isinstance(found, Failure):
+            return found
+        for name, version in found.unwrap().items():
+            if not _is_task(name.removeprefix(prefix)):
+                continue
+            wait_s = self._bucket.take(now, max_wait_s=MAX_WAIT_S)
+            if wait_s is None:
+                return problem(Code.FULL, "too many results wait")
+            await self._sleep(wait_s)
+            outcome = await self._store.delete(name, version=version)
+            if isinstance(outcome, Failure):
+                return outcome
+        return Success(None)
+
+    async def _write(self, task_id: str, text: str) -> Result[str, Problem]:
+        wanted = digest(text.encode())
+        value = msgspec.msgpack.encode(
+            StoredResult(writer_mark(), wanted, text)
+        )
+        outcome = await self._writer.put(
+            _key(task_id),
+            value,
+            version=0,
+            has_mark=lambda raw: _decode(raw).digest == wanted,
+            attempts=ATTEMPTS,
+        )
+        if isinstance(outcome, Success):
+            return Success(wanted)
+        if outcome.failure().code is Code.CAS_CONFLICT:
+            # An earlier delivery of the same event wrote it.
+            present = await self.read(task_id, wanted)
+            return present.map(lambda text: wanted)
+        return outcome
+
+
+def _decode(raw: bytes) -> StoredResult:
+    return msgspec.msgpack.decode(raw, type=StoredResult)
+
+
+def _key(task_id: str) -> str:
+    return f"results/{task_id}"
+
+
+def _is_task(rest: str) -> bool:
+    # A job key may contain slashes, so the prefix of one job may be that of
+    # the results of another.
+    parts = rest.split("/")
+    return len(parts) == 2 and all(part.isdecimal() for part in parts)
--- /dev/null
+++ b/libs/jobs/dragonflybank/jobs/tests/fakes.py
@@ -0,0 +1,293 @@
+"""In-memory store and workers with faults, for the tests of this library."""
+
+__all__ = ["FakeRunner", "FakeStore", "Rules", "new_home", "spec_of"]
+
+import asyncio
+import collections
+
+import attrs
+from returns.result import Success
+
+from dragonflybank.jobs.home import HomeRules, ShardHome, TaskRunner
+from dragonflybank.model.codes import Code, problem
+from dragonflybank.model.leases import (
+    Reservation,
+    Resolution,
+    ResolutionKind,
+    StartReply,
+    TaskEvent,
+    TaskState,
+)
+from dragonflybank.model.resources import Resources
+from dragonflybank.model.work import JobSpec, WorkClass, WorkKind
+from dragonflybank.platform.store import ConfigStore, Stored
+
+CLASSES = (
+    WorkClass("sweep"),
+    WorkClass("urgent_sweep", priority=1),
+    WorkClass("worthy_sweep", value=5.0),
+    WorkClass("simulation", repeatable=False),
+    WorkClass("ring", WorkKind.GANG),
+    WorkClass("billed_ring", WorkKind.GANG, repeatable=False),
+    WorkClass("die_lookup", WorkKind.LOOKUP),
+)
+
+
+class FakeStore(ConfigStore):
+    """A store whose next writes follow ``faults``, and then ``mode``.
+
+    A fault is ``ok``, ``down``, ``slow`` (waits for ``gate``), ``effect``
+    (takes effect, answer lost), ``lost`` (request lost) or ``late`` (the
+    request takes effect when ``deliver`` is called, answer lost).
+    """
+
+    def __init__(self):
+        self.mode = "ok"
+        self.faults = collections.deque()
+        self.gate = asyncio.Event()
+        self.writes = []
+        self._values = {}
+        self._late = []
+
+    async def get(self, key):
+        await asyncio.sleep(0)
+        if self.mode == "down":
+            return problem(Code.STORE_UNAVAILABLE, "down", retry_after_s=1.0)
+        return Success(self._values.get(key, Stored(0, None)))
+
+    async def put(self, key, value, *, version):
+        await asyncio.sleep(0)
+        fault = self.faults.popleft() if self.faults else self.mode
+        self.writes.append(key)
+        if fault == "down":
+            return problem(Code.STORE_UNAVAILABLE, "down", retry_after_s=1.0)
+        if fault == "slow":
+            await self.gate.wait()
+        if fault == "late":
+            self._late.append((key, value, version))
+        if fault in ("ok", "slow", "effect"):
+            outcome = self._put(key, value, version)
+            if fault != "effect":
+                return outcome
+        return problem(Code.TIMED_OUT, fault, retry_after_s=1.0)
+
+    async def delete(self, key, *, version):
+        await asyncio.sleep(0)
+        if self.mode == "down":
+            return problem(Code.STORE_UNAVAILABLE, "down")
+        return self._put(key, None, version)
+
+    async def versions(self, prefix):
+        return Success(
+            {
+                key: stored.version
+                for key, stored in self._values.items()
+                if key.startswith(prefix) and stored.value is not None
+            }
+        )
+
+    async def watch(self, key, *, after, wait_s):
+        raise NotImplementedError
+
+    def deliver(self):
+        """Lets the late writes arrive."""
+        late, self._late = self._late, []
+        for key, value, version in late:
+            self._put(key, value, version)
+
+    def keys(self, prefix):
+        """Returns the present keys with a prefix."""
+        return [
+            key
+            for key, stored in self._values.items()
+            if key.startswith(prefix) and stored.value is not None
+        ]
+
+    def _put(self, key, value, version):
+        stored = self._values.get(key, Stored(0, None))
+        expected = stored.version if stored.value is not None else 0
+        if version != expected:
+            return problem(Code.CAS_CONFLICT)
+        self._values[key] = Stored(stored.version + 1, value)
+        return Success(stored.version + 1)
+
+
+@attrs.define
+class Worker:
+    """A worker with an epoch and its tasks."""
+
+    name: str
+    epoch: int = 1
+    reachable: bool = True
+    lapsed: bool = False
+    tasks: dict[str, TaskEvent | None] = attrs.field(factory=dict)
+
+
+class FakeRunner(TaskRunner):
+    """Workers in memory; the next starts follow ``faults``.
+
+    A fault is ``ok``, ``lost`` (not delivered), ``answer`` (answer lost) or
+    ``late`` (delivered when ``deliver`` is called, answer lost).
+    """
+
+    def __init__(self, *names, room=100):
+        self.workers = {n: Worker(n) for n in names or ("w1", "w2", "w3")}
+        self.room = room
+        self.faults = collections.deque()
+        self.before_start = None
+        self.ran = []
+        self.reserved = []
+        self.released = []
+        self.stops = []
+        self.resolves = []
+        self.refusal = None
+        self._late = []
+        self._ids = 0
+
+    async def reserve(self, spec, wc, count, size, *, avoid, now):
+        await asyncio.sleep(0)
+        self.reserved.append((spec.key, count, size))
+        if self.refusal is not None:
+            return self.refusal
+        names = sorted(self.workers, key=lambda name: (name in avoid, name))
+        count = min(count, self.room - len(self.live()))
+        if count < 1:
+            return problem(Code.FULL, "no room")
+        return Success(
+            tuple(
+                self._hold(names[index % len(names)], size, now)
+                for index in range(count)
+            )
+        )
+
+    async def release(self, reservations):
+        self.released += [held.id for held in reservations]
+
+    async def start(self, start, spec, *, now):
+        await asyncio.sleep(0)
+        if self.before_start is not None:
+            await self.before_start(start)
+        fault = self.faults.popleft() if self.faults else "ok"
+        if fault == "late":
+            self._late.append(start)
+        if fault in ("ok", "answer"):
+            outcome = self._start(start)
+            if fault == "ok":
+                return outcome
+        return problem(Code.TIMED_OUT, fault)
+
+    async def stop(self, starts):
+        self.stops.append([start.task_id for start in starts])
+        for start in starts:
+            worker = self.workers[start.worker]
+            if worker.tasks.get(start.task_id, 0) is None:
+                worker.tasks[start.task_id] = TaskEvent(
+                    start.task_id, start.worker, TaskState.STOPPED
+                )
+        return Success(None)
+
+    async def resolve(self, start, *, now):
+        await asyncio.sleep(0)
+        self.resolves.append(start.task_id)
+        worker = self.workers[start.worker]
+        if worker.lapsed:
+            return Success(Resolution(ResolutionKind.LEASE_LAPSED))
+        if not worker.reachable:
+            return Success(Resolution(ResolutionKind.UNDECIDED))
+        worker.epoch = max(worker.epoch, start.epoch + 1)
+        if start.task_id not in worker.tasks:
+            return Success(Resolution(ResolutionKind.NOT_STARTED))
+        event = worker.tasks[start.task_id]
+        if event is None:
+            return Success(Resolution(ResolutionKind.ADOPTED))
+        return Success(Resolution(ResolutionKind.FINISHED, event))
+
+    def deliver(self):
+        """Lets the late starts arrive."""
+        late, self._late = self._late, []
+        for start in late:
+            self._start(start)
+
+    def live(self):
+        """Returns the ids of the tasks that run."""
+        return [
+            task
+            for worker in self.workers.values()
+            for task, event in worker.tasks.items()
+            if event is None and not worker.lapsed
+        ]
+
+    def end(self, task, state=TaskState.DONE, result="r", reason=""):
+        """Ends a task at its worker and returns the event."""
+        worker = next(w for w in self.workers.values() if task in w.tasks)
+        event = TaskEvent(task, worker.name, state, result, reason)
+        worker.tasks[task] = event
+        return event
+
+    def _hold(self, name, size, now):
+        self._ids += 1
+        epoch = self.workers[name].epoch
+        return Reservation(f"r{self._ids}", name, "h", epoch, size, now + 5)
+
+    def _start(self, start):
+        worker = self.workers[start.worker]
+        if start.epoch != worker.epoch:
+            return problem(Code.STALE_EPOCH, "stale epoch")
+        if start.task_id in worker.tasks:
+            return Success(StartReply.KNOWN)
+        worker.tasks[start.task_id] = None
+        self.ran.append(start.task_id)
+        return Success(StartReply.STARTED)
+
+
+@attrs.define
+class Rules(HomeRules):
+    """Rules with settable limits."""
+
+    limits: dict[str, int] = attrs.field(factory=dict)
+    size: Resources | None = None
+    sick: set[str] = attrs.field(factory=set)
+    racks: dict[str, str] = attrs.field(factory=dict)
+
+    def work_class(self, name):
+        return next((wc for wc in CLASSES if wc.name == name), None)
+
+    def max_running(self, team):
+        return self.limits.get(team)
+
+    def largest(self):
+        return self.size
+
+    def is_quarantined(self, worker):
+        return worker in self.sick
+
+    def rack_of(self, worker):
+        return self.racks.get(worker, "")
+
+    def rack_count(self):
+        return max(1, len(set(self.racks.values())))
+
+
+async def no_sleep(seconds):
+    """Yields instead of waiting."""
+    await asyncio.sleep(0)
+
+
+def new_home(store, runner, *, host="h1", rules=None, seed=0):
+    """Returns a shard home that never waits for real time."""
+    return ShardHome(
+        "oulu/0",
+        host,
+        store=store,
+        runner=runner,
+        rules=rules or Rules(),
+        seed=seed,
+        clock=lambda: 0.0,
+        sleep=no_sleep,
+        log=lambda decision: None,
+    )
+
+
+def spec_of(key, work_class="sweep", **fields):
+    """Returns a job of the team ``courts``."""
+    return JobSpec("courts", key, work_class, **fields)
--- /dev/null
+++ b/libs/jobs/dragonflybank/jobs/value.py
@@ -0,0 +1,76 @@
+"""The value of a shard in the store and its encoding."""
+
+__all__ = ["Item", "KeptItem", "ShardValue", "decode_shard", "shard_key"]
+
+import attrs
+import msgspec
+
+from dragonflybank.jobs.entries import Entry, Key, Tombstone
+from dragonflybank.jobs.size import growth_bytes
+
+Item = Entry | Tombstone
+
+
+@attrs.frozen
+class ShardValue:
+    """The value of a shard in the store.
+
+    Attributes:
+        shard: Name of the shard, ``<region>/<number>``.
+        home: Name of the home, empty if it was released.
+        mark: Mark of the write.
+        written_at: Time of the write, seconds since 1970.
+        records: Encoded `Entry` of each job.
+        tombstones: Encoded `Tombstone` of each job finished long ago.
+    """
+
+    shard: str
+    home: str
+    mark: str
+    written_at: float
+    records: tuple[msgspec.Raw, ...] = ()
+    tombstones: tuple[msgspec.Raw, ...] = ()
+
+
+@attrs.frozen
+class KeptItem:
+    """An item with its encoding, so that a commit encodes only changes.
+
+    Attributes:
+        item: The entry or tombstone.
+        encoded: Its bytes.
+        growth: Bytes by which it may still grow.
+    """
+
+    item: Item
+    encoded: bytes
+    growth: int
+
+    @classmethod
+    def of(cls, item: Item) -> "KeptItem":
+        """Returns the item with its encoding."""
+        return cls(item, msgspec.msgpack.encode(item), growth_bytes(item))
+
+    @property
+    def key(self) -> Key:
+        """Team and key of the job."""
+        return self.item.key
+
+
+def decode_shard(raw: bytes) -> tuple[ShardValue, list[Item]]:
+    """Returns a shard value and its items.
+
+    Raises:
+        msgspec.DecodeError: The bytes are no shard value.
+    """
+    value = msgspec.msgpack.decode(raw, type=ShardValue)
+    entries = [msgspec.msgpack.decode(r, type=Entry) for r in value.records]
+    stones = [
+        msgspec.msgpack.decode(r, type=Tombstone) for r in value.tombstones
+    ]
+    return value, [*entries, *stones]
+
+
+def shard_key(shard: str) -> str:
+    """Returns the store key of a shard."""
+    return f"shards/{shard}"
--- a/libs/model/dragonflybank/model/leases.py
+++ b/libs/model/dragonflybank/model/leases.py
@@ -68,6 +68,7 @@
         epoch: Epoch of the ownership under which the room is held.
         grant: Resources held.
         expires_at: Time at which the room is free again, seconds since 1970.
+        incarnation: Identity of the start of the worker's VM.
     """
 
     id: str
@@ -76,6 +77,7 @@
     epoch: int
     grant: Resources
     expires_at: float
+    incarnation: str = ""
 
 
 class StartReply(enum.StrEnum):
--- a/libs/model/dragonflybank/model/work.py
+++ b/libs/model/dragonflybank/model/work.py
@@ -115,6 +115,9 @@
         epoch: Ownership epoch at which alone the start can succeed.
         grant: Resources that the lease grants.
         sent_at: Time of the journal entry, in seconds since 1970.
+        reservation: Identity of the reservation that the start uses.
+        incarnation: Identity of the start of the worker's VM. A worker of
+            another incarnation does not know the task even if it ran.
     """
 
     task_id: str
@@ -122,6 +125,8 @@
     epoch: int
     grant: Resources
     sent_at: float
+    reservation: str = ""
+    incarnation: str = ""
 
 
 @attrs.frozen
--- a/libs/platform/dragonflybank/platform/writes.py
+++ b/libs/platform/dragonflybank/platform/writes.py
@@ -50,6 +50,7 @@
         version: int,
         has_mark: Callable[[bytes], bool],
         attempts: int | None = None,
+        resumed: bool = False,
     ) -> Result[int, Problem]:
         """Writes a value and settles the outcome.
 
@@ -59,13 +60,15 @@
             version: Version that the key must have.
             has_mark: Whether a value carries the mark of this write.
             attempts: Largest number of calls; None for no limit.
+            resumed: Whether an earlier call for the same write returned
+                ``WRITE_UNSETTLED``, so that the write may have had an effect.
 
         Returns:
             The new version; ``CAS_CONFLICT`` if another write won;
             ``STORE_UNAVAILABLE`` if no call had an effect;
             ``WRITE_UNSETTLED`` if the attempts did not settle it.
         """
-        may_have_effect = False
+        may_have_effect = resumed
         delay_s = RETRY_MIN_S
         last = Problem(Code.STORE_UNAVAILABLE)
         tried = 0
