Add placement, admission, retries, quotas and spill

Cause: hosts and job homes need the decisions of D6, D10 and D13.

Ruled out: a rest that weighs accelerators like other resources; a test showed it puts work without accelerators on a half-full accelerator worker before an empty plain one. Counting only the waiting requests in the estimate; a test showed it admits late requests when all slots are busy.

--- a/libs/model/dragonflybank/model/hashing.py
+++ b/libs/model/dragonflybank/model/hashing.py
@@ -4,7 +4,7 @@
 to increase hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
 """
 
-__all__ = ["digest", "ranked", "shard_of"]
+__all__ = ["digest", "ranked", "shard_of", "shards_of_team"]
 
 import functools
 import hashlib
@@ -36,8 +36,26 @@
         shard_count: Number of shards of the team's region.
         team_shards: Number of shards over which the team is spread.
     """
-    part = _hash64(key) % team_shards
-    return _hash64(f"{team}\0{part}") % shard_count
+    return _shard_of_part(team, _hash64(key) % team_shards, shard_count)
+
+
+def shards_of_team(
+    team: str, shard_count: int, *, team_shards: int = 1
+) -> tuple[int, ...]:
+    """Returns the numbers of the shards that hold a team's jobs, in order.
+
+    Two parts of a team may fall on one shard, so there may be fewer shards
+    than ``team_shards``. Each home needs them for its part of the quota.
+
+    Args:
+        team: The team.
+        shard_count: Number of shards of the team's region.
+        team_shards: Number of shards over which the team is spread.
+    """
+    parts = range(team_shards)
+    return tuple(
+        sorted({_shard_of_part(team, part, shard_count) for part in parts})
+    )
 
 
 def digest(body: bytes) -> str:
@@ -45,6 +63,10 @@
     return hashlib.sha256(body).hexdigest()
 
 
+def _shard_of_part(team: str, part: int, shard_count: int) -> int:
+    return _hash64(f"{team}\0{part}") % shard_count
+
+
 def _hash64(text: str) -> int:
     raw = hashlib.blake2b(text.encode(), digest_size=8).digest()
     return int.from_bytes(raw, "big")
--- /dev/null
+++ b/libs/policy/dragonflybank/policy/admission.py
@@ -0,0 +1,309 @@
+"""Admission of lookups: which wait, which are refused early.
+
+`EdfQueue` orders by deadline (Liu and Layland 1973), estimates the wait from
+measured service times and refuses what cannot be served in time. `FcfsQueue`
+without a check of the wait is the baseline. `room_for` keeps slots that work
+of other classes cannot take.
+"""
+
+__all__ = [
+    "AdmissionQueue",
+    "EdfQueue",
+    "FcfsQueue",
+    "Reserve",
+    "ServiceTimes",
+    "Taken",
+    "Waiting",
+    "room_for",
+]
+
+import abc
+import bisect
+import collections
+import random
+from collections.abc import Iterable, Mapping
+
+import attrs
+from returns.result import Result, Success
+
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.model.resources import Resources
+from dragonflybank.policy.windows import Window
+
+# About 1 s of the peak load of one host; a longer queue cannot be served
+# within the time-out of a lookup.
+QUEUE_LIMIT = 4096
+# A service time that one in twenty requests exceeds is planned for.
+PLANNED_PART = 0.95
+# Until this many are measured the declared time is used.
+MIN_MEASURED = 20
+RETRY_MIN_S = 0.05
+
+
+@attrs.frozen
+class Waiting:
+    """A request that asks for a slot.
+
+    Attributes:
+        id: Identity of the request.
+        work_class: Name of the work class.
+        deadline: Time by which the answer is due, seconds since 1970.
+        expected_s: Declared service time in seconds.
+    """
+
+    id: str
+    work_class: str
+    deadline: float
+    expected_s: float = 0.1
+
+
+@attrs.frozen
+class Taken:
+    """What leaves the queue in one step.
+
+    Attributes:
+        request: The request to serve, None if there is none.
+        late: Requests that can no longer be served in time. They did not
+            run and are refused.
+    """
+
+    request: Waiting | None = None
+    late: tuple[Waiting, ...] = ()
+
+
+@attrs.frozen
+class Reserve:
+    """Slots of each executor that are kept for one class.
+
+    Attributes:
+        work_class: Name of the class.
+        slots: Number of tasks of the class that always find room.
+        size: Size of one task.
+    """
+
+    work_class: str
+    slots: int
+    size: Resources = Resources(slots=1, connections=1)
+
+
+class ServiceTimes:
+    """Measured service times by class."""
+
+    def __init__(self):
+        self._windows = collections.defaultdict(Window)
+        self._mean_s = {}
+
+    def add(self, work_class: str, service_s: float) -> None:
+        """Adds a measured service time in seconds."""
+        self._windows[work_class].add(service_s)
+        self._mean_s.pop(work_class, None)
+
+    def mean(self, req: Waiting) -> float:
+        """Returns the mean service time of a request's class in seconds."""
+        name = req.work_class
+        if len(self._windows[name]) < MIN_MEASURED:
+            return req.expected_s
+        if name not in self._mean_s:
+            self._mean_s[name] = self._windows[name].mean()
+        return self._mean_s[name]
+
+    def planned(self, req: Waiting) -> float:
+        """Returns the time to plan for a request's own service, seconds."""
+        window = self._windows[req.work_class]
+        if len(window) < MIN_MEASURED:
+            return req.expected_s
+        return window.percentile(PLANNED_PART)
+
+
+class AdmissionQueue(abc.ABC):
+    """Requests that wait for slots."""
+
+    @abc.abstractmethod
+    def offer(self, req: Waiting, now: float) -> Result[float, Problem]:
+        """Asks for admission.
+
+        Args:
+            req: The request.
+            now: Present time, seconds since 1970.
+
+        Returns:
+            The expected wait in seconds, or ``OVERLOADED`` with a time to
+            retry. A refused request did not run.
+        """
+
+    @abc.abstractmethod
+    def take(self, now: float) -> Taken:
+        """Takes the next request for a slot that is free."""
+
+    @abc.abstractmethod
+    def __len__(self) -> int:
+        """Returns the number of waiting requests."""
+
+
+class EdfQueue(AdmissionQueue):
+    """Earliest deadline first, with refusal of what would be late.
+
+    Args:
+        slots: Number of slots that serve the queue.
+        times: Measured service times.
+        limit: Largest number of waiting requests.
+        seed: Seed of the jitter of retry times.
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        times: ServiceTimes,
+        *,
+        limit: int = QUEUE_LIMIT,
+        seed: int = 0,
+    ):
+        self.slots = slots
+        self.running = 0
+        self._times = times
+        self._limit = limit
+        self._rng = random.Random(seed)
+        # Latest deadline first, so that the next request is popped from the
+        # end without moving the others.
+        self._waiting = []
+        self._expected_s = 0.0
+        self._latest_mean_s = 0.0
+        self._offered = 0
+
+    def __len__(self):
+        return len(self._waiting)
+
+    def offer(self, req, now):
+        """See the base class."""
+        mean_s = self._times.mean(req)
+        self._latest_mean_s = mean_s
+        wait_s = self.wait_s(deadline=req.deadline)
+        excess_s = now + wait_s + self._times.planned(req) - req.deadline
+        if excess_s > 0.0:
+            return self._refuse("would be late", excess_s)
+        if len(self._waiting) >= self._limit:
+            return self._refuse("queue is full", self.wait_s())
+        self._offered += 1
+        item = (-req.deadline, -self._offered, mean_s, req)
+        bisect.insort(self._waiting, item)
+        self._expected_s += mean_s
+        return Success(wait_s)
+
+    def take(self, now):
+        """See the base class."""
+        late = []
+        while self._waiting:
+            *_, mean_s, req = self._waiting.pop()
+            self._expected_s -= mean_s
+            if now + self._times.mean(req) <= req.deadline:
+                self.running += 1
+                return Taken(req, tuple(late))
+            late.append(req)
+        self._expected_s = 0.0
+        return Taken(None, tuple(late))
+
+    def remove(self, request_id: str) -> bool:
+        """Removes a waiting request that its caller has given up."""
+        for place, (*_, mean_s, req) in enumerate(self._waiting):
+            if req.id == request_id:
+                del self._waiting[place]
+                self._expected_s -= mean_s
+                return True
+        return False
+
+    def finished(self, work_class: str, service_s: float) -> None:
+        """Counts the end of a request that was taken.
+
+        Args:
+            work_class: Name of its class.
+            service_s: Measured service time in seconds.
+        """
+        self.running -= 1
+        self._times.add(work_class, service_s)
+
+    def wait_s(self, *, deadline: float | None = None) -> float:
+        """Returns the expected wait of a new request in seconds.
+
+        Args:
+            deadline: Deadline of the request; requests with a later one do
+                not delay it. None for one that is last.
+        """
+        if self.slots <= 0:
+            return float("inf")
+        count = len(self._waiting)
+        ahead = count
+        if deadline is not None:
+            ahead -= bisect.bisect_left(self._waiting, (-deadline,))
+        mean_s = self._expected_s / count if count else self._latest_mean_s
+        free = self.slots - self.running
+        if ahead < free:
+            return 0.0
+        return (ahead - max(0, free) + 1) * mean_s / self.slots
+
+    def _refuse(self, why, excess_s):
+        # The jitter keeps refused callers from coming back together.
+        retry_s = max(RETRY_MIN_S, min(excess_s, 30.0))
+        retry_s *= self._rng.uniform(1.0, 2.0)
+        return problem(Code.OVERLOADED, why, retry_after_s=retry_s)
+
+
+class FcfsQueue(AdmissionQueue):
+    """First come first served without any refusal; a baseline."""
+
+    def __init__(self):
+        self._waiting = collections.deque()
+
+    def __len__(self):
+        return len(self._waiting)
+
+    def offer(self, req, now):
+        """See the base class."""
+        self._waiting.append(req)
+        return Success(0.0)
+
+    def take(self, now):
+        """See the base class."""
+        return Taken(self._waiting.popleft() if self._waiting else None)
+
+
+def room_for(
+    work_class: str,
+    free: Resources,
+    running: Mapping[str, int],
+    reserves: Iterable[Reserve],
+) -> Resources:
+    """Returns the free room of an executor that a class may take.
+
+    The part of each other class's reserve that is not in use is held back.
+
+    Args:
+        work_class: Class of the work to be placed.
+        free: Free room of the executor.
+        running: Number of running tasks of each class that has a reserve.
+        reserves: Reserves of the executor.
+
+    Example:
+        >>> two = [Reserve("die_lookup", 2)]
+        >>> free = Resources(slots=8, connections=64)
+        >>> room_for("simulation", free, {}, two).slots
+        6
+        >>> room_for("simulation", free, {"die_lookup": 1}, two).slots
+        7
+        >>> room_for("die_lookup", free, {}, two).slots
+        8
+    """
+    for reserve in reserves:
+        held = max(0, reserve.slots - running.get(reserve.work_class, 0))
+        if held and reserve.work_class != work_class:
+            free = _without(free, reserve.size, held)
+    return free
+
+
+def _without(free, size, count):
+    return Resources(
+        max(0.0, free.cores - count * size.cores),
+        max(0.0, free.memory_mb - count * size.memory_mb),
+        max(0, free.accelerators - count * size.accelerators),
+        max(0, free.slots - count * size.slots),
+        max(0, free.connections - count * size.connections),
+    )
--- /dev/null
+++ b/libs/policy/dragonflybank/policy/placement.py
@@ -0,0 +1,352 @@
+"""Choice of a worker for one task.
+
+Best fit keeps large rooms whole over all resources of a worker. First fit,
+least loaded and random placement are the baselines that it is measured
+against. `LookupPolicy` chooses an executor for a lookup by the power of two
+choices (Mitzenmacher 2001). `placement_index` serves large fleets.
+"""
+
+__all__ = [
+    "BestFitPolicy",
+    "Candidate",
+    "Choice",
+    "FirstFitPolicy",
+    "LeastLoadedPolicy",
+    "LookupPolicy",
+    "PlacementPolicy",
+    "RandomPolicy",
+    "Spread",
+    "can_ever_hold",
+    "left_over",
+    "obstacle",
+]
+
+import abc
+import random
+from collections.abc import Collection, Iterable, Mapping, Sequence
+
+import attrs
+from returns.result import Result, Success
+
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.model.resources import Resources, fits
+
+# Bounds the length of the log line of a decision.
+PASSED_OVER_LIMIT = 5
+# The gossip and reservation rounds take about this long to show new room.
+RETRY_WHEN_FULL_S = 0.5
+# Free accelerators outweigh the four other resources together, so that work
+# that needs none does not take the processors next to them.
+ACCELERATOR_WEIGHT = 4.0
+
+
+@attrs.frozen
+class Candidate:
+    """A worker that may be chosen.
+
+    Attributes:
+        name: Unique name of the worker.
+        size: What it can hold.
+        free: What is free of its size for the work to be placed.
+        rack: Rack.
+        long_running: Number of long tasks and stragglers that it runs.
+        leaving: Whether it is leaving.
+        quarantined: Whether it is in quarantine.
+        failure_domain: Failure domain.
+    """
+
+    name: str
+    size: Resources
+    free: Resources
+    rack: str = ""
+    long_running: int = 0
+    leaving: bool = False
+    quarantined: bool = False
+    failure_domain: str = ""
+
+
+@attrs.frozen
+class Choice:
+    """A chosen worker.
+
+    Attributes:
+        name: Name of the worker.
+        reason: Why it was chosen, in a few words.
+        passed_over: At most `PASSED_OVER_LIMIT` alternatives, each with the
+            reason why it was not taken.
+    """
+
+    name: str
+    reason: str
+    passed_over: tuple[tuple[str, str], ...] = ()
+
+
+@attrs.frozen
+class Spread:
+    """A wish to spread the tasks of one job.
+
+    Attributes:
+        by: Attribute of the candidate, ``rack`` or ``failure_domain``.
+        used: Number of the job's tasks in each rack or failure domain.
+    """
+
+    by: str = "rack"
+    used: Mapping[str, int] = attrs.field(factory=dict)
+
+
+class PlacementPolicy(abc.ABC):
+    """Chooses a worker for one task."""
+
+    @abc.abstractmethod
+    def choose(
+        self,
+        need: Resources,
+        candidates: Sequence[Candidate],
+        now: float,
+        *,
+        avoid: Collection[str] = (),
+        spread: Spread | None = None,
+    ) -> Result[Choice, Problem]:
+        """Chooses one of the candidates.
+
+        Args:
+            need: Resources of the task.
+            candidates: The workers that may be chosen.
+            now: Present time, seconds since 1970.
+            avoid: Names of workers that must not be chosen.
+            spread: How to spread the tasks of the job, if asked.
+
+        Returns:
+            The choice, or ``NO_WORKER`` if no candidate has room.
+        """
+
+
+class _ScoredPolicy(PlacementPolicy):
+    """Chooses the candidate with the lowest score."""
+
+    reason = ""
+
+    @abc.abstractmethod
+    def _score(self, need: Resources, candidate: Candidate) -> float:
+        """Returns the score of a candidate that has room; lower is better."""
+
+    def choose(self, need, candidates, now, *, avoid=(), spread=None):
+        """See the base class."""
+        scored, refused = [], []
+        for candidate in candidates:
+            if candidate.name not in avoid and _has_room(need, candidate):
+                scored.append((self._score(need, candidate), candidate))
+            elif len(refused) < PASSED_OVER_LIMIT:
+                refused.append(candidate)
+        if not scored:
+            return _no_room(need, candidates, refused, avoid)
+        if spread is not None:
+            scored = [
+                (spread.used.get(getattr(c, spread.by), 0), score, c)
+                for score, c in scored
+            ]
+        best = min(scored, key=lambda item: item[:-1])
+        others = scored[: PASSED_OVER_LIMIT + 1]
+        passed = [
+            (item[-1].name, _behind(item, best))
+            for item in others
+            if item is not best
+        ]
+        passed += [(c.name, obstacle(need, c, avoid)) for c in refused]
+        return Success(
+            Choice(
+                best[-1].name,
+                f"{self.reason} of {len(scored)} with room",
+                tuple(passed[:PASSED_OVER_LIMIT]),
+            )
+        )
+
+
+class BestFitPolicy(_ScoredPolicy):
+    """Leaves the smallest rest, summed over the shares of all resources.
+
+    Work that needs no accelerators goes to workers without free ones first,
+    because `ACCELERATOR_WEIGHT` makes them the largest part of the rest.
+    """
+
+    reason = "smallest rest"
+
+    def _score(self, need, candidate):
+        return left_over(need, candidate.free, candidate.size)
+
+
+class LeastLoadedPolicy(_ScoredPolicy):
+    """Takes the candidate with the largest rest; a baseline."""
+
+    reason = "largest rest"
+
+    def _score(self, need, candidate):
+        return -left_over(need, candidate.free, candidate.size)
+
+
+class RandomPolicy(_ScoredPolicy):
+    """Takes any candidate with room; a baseline.
+
+    Args:
+        seed: Seed of the generator.
+    """
+
+    reason = "random"
+
+    def __init__(self, seed: int = 0):
+        self._rng = random.Random(seed)
+
+    def _score(self, need, candidate):
+        return self._rng.random()
+
+
+class FirstFitPolicy(_ScoredPolicy):
+    """Takes the first candidate that has room, first come first served."""
+
+    reason = "first"
+
+    def _score(self, need, candidate):
+        return 0.0
+
+
+class LookupPolicy(PlacementPolicy):
+    """Takes the executor with more free slots of two chosen at random.
+
+    All candidates are compared only if neither of the two has room, so the
+    time of a choice does not depend on the number of executors while there
+    is room.
+
+    Args:
+        seed: Seed of the generator.
+    """
+
+    def __init__(self, seed: int = 0):
+        self._rng = random.Random(seed)
+
+    def choose(self, need, candidates, now, *, avoid=(), spread=None):
+        """See the base class; ``spread`` has no effect on lookups."""
+        count = len(candidates)
+        if count == 0:
+            return _no_room(need, candidates, (), avoid)
+        picks = {self._rng.randrange(count) for _ in range(2)}
+        sample = [candidates[i] for i in picks]
+        usable = _usable(need, sample, avoid)
+        reason = "most free slots of two"
+        if not usable:
+            usable = _usable(need, candidates, avoid)
+            sample = candidates[:PASSED_OVER_LIMIT]
+            reason = "most free slots of all"
+        if not usable:
+            return _no_room(need, candidates, sample, avoid)
+        best = min(usable, key=_lookup_rank)
+        passed = tuple(
+            (c.name, obstacle(need, c, avoid) or f"{c.free.slots} free slots")
+            for c in sample
+            if c is not best
+        )
+        return Success(Choice(best.name, reason, passed))
+
+
+def can_ever_hold(
+    need: Resources, sizes: Iterable[Resources]
+) -> Result[None, Problem]:
+    """Checks that some worker of the cell could hold a task when empty.
+
+    Args:
+        need: Resources of the task.
+        sizes: Sizes of the workers of the whole cell, not of one host.
+
+    Returns:
+        ``CAN_NEVER_RUN`` if no worker is large enough.
+    """
+    if any(fits(need, size) for size in sizes):
+        return Success(None)
+    return problem(
+        Code.CAN_NEVER_RUN,
+        "no worker of the cell is large enough",
+        field="size",
+    )
+
+
+def left_over(need: Resources, free: Resources, size: Resources) -> float:
+    """Returns the free shares that remain, summed over the resources.
+
+    Accelerators are weighted by `ACCELERATOR_WEIGHT`.
+
+    Example:
+        >>> left_over(Resources(1), Resources(2, 50), Resources(4, 100))
+        0.75
+    """
+    rest = 0.0
+    if size.cores:
+        rest += (free.cores - need.cores) / size.cores
+    if size.memory_mb:
+        rest += (free.memory_mb - need.memory_mb) / size.memory_mb
+    if size.accelerators:
+        spare = (free.accelerators - need.accelerators) / size.accelerators
+        rest += ACCELERATOR_WEIGHT * spare
+    if size.slots:
+        rest += (free.slots - need.slots) / size.slots
+    if size.connections:
+        rest += (free.connections - need.connections) / size.connections
+    return rest
+
+
+def obstacle(
+    need: Resources, candidate: Candidate, avoid: Collection[str] = ()
+) -> str:
+    """Returns why a candidate cannot be chosen, empty if it can."""
+    if candidate.leaving:
+        return "leaving"
+    if candidate.quarantined:
+        return "quarantined"
+    if candidate.name in avoid:
+        return "to be avoided"
+    short = [
+        field.name
+        for field in attrs.fields(Resources)
+        if getattr(need, field.name) > getattr(candidate.free, field.name)
+    ]
+    return f"no room: {', '.join(short)}" if short else ""
+
+
+# The loops over candidates spend most of their time here; the comparisons
+# are written out because `fits` takes five times as long.
+def _has_room(need: Resources, candidate: Candidate) -> bool:
+    free = candidate.free
+    return (
+        need.cores <= free.cores
+        and need.memory_mb <= free.memory_mb
+        and need.slots <= free.slots
+        and need.connections <= free.connections
+        and need.accelerators <= free.accelerators
+        and not candidate.leaving
+        and not candidate.quarantined
+    )
+
+
+def _usable(need, candidates, avoid):
+    return [c for c in candidates if c.name not in avoid and _has_room(need, c)]
+
+
+def _lookup_rank(candidate):
+    return (-candidate.free.slots, candidate.long_running, candidate.name)
+
+
+def _behind(item, best):
+    if len(item) == 3 and item[0] > best[0]:
+        return f"{item[0]} tasks of the job are there"
+    return "ranked lower"
+
+
+def _no_room(need, candidates, refused, avoid):
+    if not any(fits(need, c.size) for c in candidates):
+        return problem(
+            Code.NO_WORKER, f"none of {len(candidates)} workers is large enough"
+        )
+    why = "; ".join(f"{c.name}: {obstacle(need, c, avoid)}" for c in refused)
+    return problem(
+        Code.NO_WORKER,
+        f"no room on {len(candidates)} workers ({why})",
+        retry_after_s=RETRY_WHEN_FULL_S,
+    )
--- /dev/null
+++ b/libs/policy/dragonflybank/policy/quotas.py
@@ -0,0 +1,120 @@
+"""Team quotas that need no call for each request.
+
+A team's lookup rate is divided over the hosts that serve lookups, its number
+of running tasks over its job shards.
+"""
+
+__all__ = ["LookupQuota", "host_share", "shard_share"]
+
+from collections.abc import Collection
+
+from returns.result import Result, Success
+
+from dragonflybank.model.codes import Code, Problem, problem
+
+# A host may admit one second of its share at once.
+BUCKET_S = 1.0
+
+
+class LookupQuota:
+    """The lookups that one host may admit for one team.
+
+    Args:
+        host: Name of this host.
+        lookups_per_s: The team's quota in the region, lookups a second.
+        hosts: Live hosts of the region that serve lookups.
+        now: Present time, seconds since 1970.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        lookups_per_s: int,
+        hosts: Collection[str],
+        now: float,
+    ):
+        self._host = host
+        self._rate = host_share(lookups_per_s, host, hosts)
+        self._tokens = self._rate * BUCKET_S
+        self._at = now
+
+    @property
+    def rate(self) -> int:
+        """This host's share, lookups a second."""
+        return self._rate
+
+    def update(
+        self, lookups_per_s: int, hosts: Collection[str], now: float
+    ) -> None:
+        """Adopts a changed quota or membership and keeps the tokens."""
+        self._refill(now)
+        self._rate = host_share(lookups_per_s, self._host, hosts)
+        self._tokens = min(self._tokens, self._rate * BUCKET_S)
+
+    def admit(self, now: float) -> Result[None, Problem]:
+        """Takes a token for a lookup.
+
+        Args:
+            now: Present time, seconds since 1970.
+
+        Returns:
+            ``OVER_QUOTA`` with a time to retry if the share is used up.
+        """
+        self._refill(now)
+        if self._tokens >= 1.0:
+            self._tokens -= 1.0
+            return Success(None)
+        wait_s = (1.0 - self._tokens) / self._rate if self._rate else BUCKET_S
+        return problem(
+            Code.OVER_QUOTA,
+            f"the team may send {self._rate} lookups a second to this host",
+            retry_after_s=wait_s,
+        )
+
+    def _refill(self, now):
+        # A clock that steps back adds nothing.
+        passed_s = max(0.0, now - self._at)
+        full = self._rate * BUCKET_S
+        self._tokens = min(full, self._tokens + passed_s * self._rate)
+        self._at = max(self._at, now)
+
+
+def host_share(quota: int, host: str, hosts: Collection[str]) -> int:
+    """Returns a host's part of a quota; the first name takes the remainder.
+
+    Args:
+        quota: Quota of the team in the region.
+        host: The host; it counts as live even if it is not in ``hosts``.
+        hosts: Live hosts that serve lookups.
+
+    Example:
+        >>> [host_share(100, host, "abc") for host in "abc"]
+        [34, 33, 33]
+    """
+    names = sorted({*hosts, host})
+    share, remainder = divmod(quota, len(names))
+    return share + (remainder if host == names[0] else 0)
+
+
+def shard_share(max_running: int, shard: int, shards: Collection[int]) -> int:
+    """Returns a shard's part of a team's running tasks.
+
+    Args:
+        max_running: Largest number of running tasks of the team.
+        shard: Number of the shard.
+        shards: Numbers of the team's shards. Two parts of a team may fall
+            on one shard, so this may be fewer than the configured number.
+
+    Returns:
+        The part; 0 for a shard that is not the team's. The parts of all
+        shards add up to ``max_running``.
+
+    Example:
+        >>> [shard_share(10, shard, [5, 2, 7]) for shard in (2, 5, 7)]
+        [4, 3, 3]
+    """
+    numbers = sorted(set(shards))
+    if shard not in numbers:
+        return 0
+    share, remainder = divmod(max_running, len(numbers))
+    return share + (remainder if shard == numbers[0] else 0)
--- /dev/null
+++ b/libs/policy/dragonflybank/policy/spill.py
@@ -0,0 +1,221 @@
+"""Where work goes when the own workers are full (D6).
+
+A lookup goes to a peer of the region, then to another region if the wait
+costs more than the link, else it waits. The decision rests on the capacity
+summaries in gossip; no host is polled for a request.
+"""
+
+__all__ = [
+    "LinkPrice",
+    "Request",
+    "Route",
+    "RouteKind",
+    "owners_to_ask",
+    "route_lookup",
+]
+
+import enum
+import random
+from collections.abc import Collection, Iterable
+
+import attrs
+
+from dragonflybank.model.resources import Resources, fits, share
+from dragonflybank.model.topology import CapacitySummary
+
+# Gossip marks a host dead after the same time.
+SUMMARY_MAX_AGE_S = 3.0
+# Two peers chosen at random (Mitzenmacher 2001).
+SAMPLE = 2
+# A home asks few owners in each round; the rest of the work waits.
+OWNERS_ASKED = 3
+PASSED_OVER_LIMIT = 5
+
+
+class RouteKind(enum.StrEnum):
+    """What to do with a lookup."""
+
+    LOCAL = "local"
+    PEER = "peer"
+    REGION = "region"
+    WAIT = "wait"
+
+
+@attrs.frozen
+class Route:
+    """Where a lookup goes.
+
+    Attributes:
+        kind: Kind of the route.
+        host: The host to forward to, empty if it stays here.
+        reason: Why, in a few words.
+        passed_over: At most five alternatives and why each was not taken.
+    """
+
+    kind: RouteKind
+    host: str = ""
+    reason: str = ""
+    passed_over: tuple[tuple[str, str], ...] = ()
+
+
+@attrs.frozen
+class LinkPrice:
+    """Cost of a link between regions and of waiting.
+
+    Attributes:
+        latency_s: One-way latency in seconds.
+        per_byte: Price of a byte, in units of cost.
+        wait_per_s: Cost of a second of waiting, in units of cost.
+    """
+
+    latency_s: float = 0.012
+    per_byte: float = 1e-6
+    wait_per_s: float = 1.0
+
+
+@attrs.frozen
+class Request:
+    """What the route of a lookup depends on.
+
+    Attributes:
+        bytes: Request and answer together.
+        time_left_s: Time until the deadline, in seconds.
+        value: Worth of an answer in time, in units of cost.
+        hops_in_region: Forwards within the present region so far.
+        hops_between: Forwards between regions so far.
+    """
+
+    bytes: int = 1024
+    time_left_s: float = 1.2
+    value: float = 1.0
+    hops_in_region: int = 0
+    hops_between: int = 0
+
+
+def route_lookup(
+    req: Request,
+    own: CapacitySummary,
+    summaries: Iterable[CapacitySummary],
+    now: float,
+    rng: random.Random,
+    *,
+    price: LinkPrice = LinkPrice(),
+    avoid: Collection[str] = (),
+) -> Route:
+    """Decides where a lookup is served.
+
+    Args:
+        req: The lookup.
+        own: Present capacity of this host.
+        summaries: Latest summaries of the other live hosts.
+        now: Present time, seconds since 1970.
+        rng: Seeded generator.
+        price: Price of the links to other regions.
+        avoid: Hosts that must not be chosen, as those already tried.
+
+    Returns:
+        The route. A lookup is forwarded at most once within a region and at
+        most once to another region.
+    """
+    if own.free_lookup_slots > 0:
+        return Route(RouteKind.LOCAL, reason="own slots are free")
+    others = [s for s in summaries if s.host not in avoid]
+    stale = [s for s in others if now - s.at > SUMMARY_MAX_AGE_S]
+    fresh = [s for s in others if now - s.at <= SUMMARY_MAX_AGE_S]
+    passed = [(s.host, f"summary is {now - s.at:.1f} s old") for s in stale]
+    if req.hops_in_region == 0:
+        peers = [s for s in fresh if s.region == own.region]
+        sample = rng.sample(peers, min(SAMPLE, len(peers)))
+        best = max(sample, key=_free_rank, default=None)
+        if best is not None and best.free_lookup_slots > 0:
+            passed = [
+                (s.host, f"{s.free_lookup_slots} free slots")
+                for s in sample
+                if s is not best
+            ] + passed
+            reason = f"{best.free_lookup_slots} free slots"
+            return _route(RouteKind.PEER, best.host, reason, passed)
+        passed = [(s.host, "no free slot") for s in sample] + passed
+    if req.hops_between > 0:
+        return _route(RouteKind.WAIT, "", "was forwarded already", passed)
+    return _other_region(req, own, fresh, passed, price, rng)
+
+
+def owners_to_ask(
+    need: Resources,
+    own: CapacitySummary,
+    summaries: Iterable[CapacitySummary],
+    now: float,
+    rng: random.Random,
+    *,
+    limit: int = OWNERS_ASKED,
+) -> list[str]:
+    """Returns the hosts of the region to ask for a reservation, in order.
+
+    The own host comes first, since asking it costs no message. Of the
+    others those with the smallest sufficient room come first, which keeps
+    large rooms whole.
+
+    Args:
+        need: Resources of one task.
+        own: Present capacity of this host.
+        summaries: Latest summaries of the other live hosts.
+        now: Present time, seconds since 1970.
+        rng: Seeded generator; it orders hosts with equal room, so that
+            homes do not all ask the same one.
+        limit: Largest number of hosts.
+    """
+    others = [
+        s
+        for s in summaries
+        if s.region == own.region
+        and s.host != own.host
+        and now - s.at <= SUMMARY_MAX_AGE_S
+        and fits(need, s.largest)
+    ]
+    rng.shuffle(others)
+    others.sort(key=lambda s: -share(need, s.largest))
+    first = [own] if fits(need, own.largest) else []
+    return [s.host for s in (first + others)[:limit]]
+
+
+def _other_region(req, own, fresh, passed, price, rng):
+    remote = [s for s in fresh if s.region != own.region]
+    sample = rng.sample(remote, min(SAMPLE, len(remote)))
+    here = _wait_cost(own.queue_s, req, price)
+    costs = {
+        s.host: _wait_cost(_remote_wait_s(s, price), req, price)
+        + req.bytes * price.per_byte
+        for s in sample
+    }
+    best = min(costs, key=costs.get, default=None)
+    passed = [
+        (host, f"costs {cost:.4g}")
+        for host, cost in costs.items()
+        if host != best
+    ] + passed
+    if best is not None and costs[best] < here:
+        passed.insert(0, ("", f"waiting here costs {here:.4g}"))
+        reason = f"costs {costs[best]:.4g}"
+        return _route(RouteKind.REGION, best, reason, passed)
+    if best is not None:
+        passed.insert(0, (best, f"costs {costs[best]:.4g}"))
+    return _route(RouteKind.WAIT, "", f"costs {here:.4g}", passed)
+
+
+def _route(kind, host, reason, passed):
+    return Route(kind, host, reason, tuple(passed[:PASSED_OVER_LIMIT]))
+
+
+def _remote_wait_s(summary, price):
+    queue_s = 0.0 if summary.free_lookup_slots > 0 else summary.queue_s
+    return 2 * price.latency_s + queue_s
+
+
+def _wait_cost(wait_s, req, price):
+    missed = req.value if wait_s > req.time_left_s else 0.0
+    return min(wait_s, req.time_left_s) * price.wait_per_s + missed
+
+
+def _free_rank(summary):
+    return (summary.free_lookup_slots, -summary.queue_s, summary.host)
