--- /dev/null
+++ b/libs/policy/dragonflybank/policy/health.py
@@ -0,0 +1,171 @@
+"""Sick workers and sick jobs, told apart (D15).
+
+A worker is sick if unlike jobs fail on it; a job is sick if it fails on
+unlike workers.
+"""
+
+__all__ = ["WorkerHealth", "may_retry", "quarantine_limit"]
+
+import collections
+from collections.abc import Collection, Mapping
+
+import attrs
+from returns.result import Result, Success
+
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.model.work import WorkClass
+
+UNLIKE_JOBS = 3
+UNLIKE_WORKERS = 3
+UNLIKE_RACKS = 2
+EVIDENCE_S = 60.0
+QUARANTINE_SHARE = 0.1
+# The first probe comes after half of the evidence window; the wait doubles
+# with each failed probe.
+PROBE_AFTER_S = 30.0
+PROBE_AFTER_MAX_S = 600.0
+
+
+@attrs.define
+class _Quarantine:
+    probe_at: float
+    wait_s: float = PROBE_AFTER_S
+
+
+class WorkerHealth:
+    """Failures of each worker and the workers in quarantine.
+
+    A task that exceeded its size or was stopped says nothing about its
+    worker and must not be reported as a failure.
+    """
+
+    def __init__(self):
+        self._failures = collections.defaultdict(collections.deque)
+        self._quarantined = {}
+
+    @property
+    def quarantined(self) -> frozenset[str]:
+        """Names of the workers in quarantine."""
+        return frozenset(self._quarantined)
+
+    def failed(
+        self,
+        worker: str,
+        team: str,
+        work_class: str,
+        now: float,
+        *,
+        region_workers: int,
+        elsewhere: int = 0,
+    ) -> bool:
+        """Counts a failure.
+
+        Args:
+            worker: Name of the worker.
+            team: Team of the job.
+            work_class: Class of the job.
+            now: Present time, seconds since 1970.
+            region_workers: Number of workers of the region.
+            elsewhere: Workers of the region that other hosts hold in
+                quarantine.
+
+        Returns:
+            Whether the worker is put in quarantine by this failure.
+        """
+        held = self._quarantined.get(worker)
+        if held is not None:
+            self._probe_failed(held, now)
+            return False
+        failures = self._failures[worker]
+        failures.append((now, (team, work_class)))
+        while failures and now - failures[0][0] > EVIDENCE_S:
+            failures.popleft()
+        if len({job for _, job in failures}) < UNLIKE_JOBS:
+            return False
+        if len(self._quarantined) + elsewhere >= quarantine_limit(
+            region_workers
+        ):
+            return False
+        self._quarantined[worker] = _Quarantine(now + PROBE_AFTER_S)
+        del self._failures[worker]
+        return True
+
+    def succeeded(self, worker: str) -> bool:
+        """Counts a success, which voids the evidence.
+
+        Returns:
+            Whether the worker is released from quarantine.
+        """
+        self._failures.pop(worker, None)
+        return self._quarantined.pop(worker, None) is not None
+
+    def forget(self, worker: str) -> None:
+        """Drops what is known about a worker that was replaced or left."""
+        self.succeeded(worker)
+
+    def probes_due(self, now: float) -> list[str]:
+        """Returns the quarantined workers that may be given one task.
+
+        The task must be repeatable. Its result is reported as any other; a
+        success releases the worker, a failure doubles the wait.
+        """
+        return [
+            name
+            for name, held in self._quarantined.items()
+            if now >= held.probe_at
+        ]
+
+    def probe_started(self, worker: str, now: float) -> None:
+        """Notes that a probe was sent; the next one is due after the wait."""
+        held = self._quarantined.get(worker)
+        if held is not None:
+            held.probe_at = now + held.wait_s
+
+    def _probe_failed(self, held, now):
+        held.wait_s = min(2 * held.wait_s, PROBE_AFTER_MAX_S)
+        held.probe_at = now + held.wait_s
+
+
+def may_retry(
+    work_class: WorkClass,
+    failed_on: Collection[str],
+    racks: Mapping[str, str],
+    *,
+    quarantined: Collection[str] = (),
+) -> Result[None, Problem]:
+    """Decides whether a job whose task failed is tried again.
+
+    Args:
+        work_class: Class of the job.
+        failed_on: Workers on which an attempt failed.
+        racks: Rack of each live worker of the region.
+        quarantined: Workers in quarantine; failures there do not count.
+
+    Returns:
+        ``TASK_FAILED`` for work that is not repeatable;
+        ``FAILED_ON_UNLIKE_WORKERS`` if the job itself is the likely cause.
+    """
+    if not work_class.repeatable:
+        return problem(Code.TASK_FAILED, "the work is not repeatable")
+    counted = set(failed_on) - set(quarantined)
+    seen = {racks[name] for name in counted if name in racks}
+    # In a region with fewer workers or racks than the limits a sick job
+    # would be tried for ever.
+    workers_needed = min(UNLIKE_WORKERS, max(1, len(racks)))
+    racks_needed = min(UNLIKE_RACKS, len(set(racks.values())))
+    if len(counted) < workers_needed or len(seen) < racks_needed:
+        return Success(None)
+    return problem(
+        Code.FAILED_ON_UNLIKE_WORKERS,
+        f"failed on {', '.join(sorted(counted))}",
+    )
+
+
+def quarantine_limit(region_workers: int) -> int:
+    """Returns how many workers of a region may be in quarantine.
+
+    Example:
+        >>> [quarantine_limit(count) for count in (1, 8, 24, 1600)]
+        [1, 1, 2, 160]
+    """
+    return max(1, int(QUARANTINE_SHARE * region_workers))
--- /dev/null
+++ b/libs/policy/dragonflybank/policy/tests/test_health.py
@@ -0,0 +1,104 @@
+"""Tests of sick workers and sick jobs."""
+
+import testtools
+from returns.pipeline import is_successful
+from testtools.matchers import Equals, Is
+
+from dragonflybank.model.codes import Code
+from dragonflybank.model.work import WorkClass
+from dragonflybank.policy import health
+
+RACKS = {f"w{i}": f"r{i // 8}" for i in range(24)}
+SWEEP = WorkClass("sweep")
+
+
+class TestWorkerHealth(testtools.TestCase):
+    """Guards against a worker that fails everything, and false alarms."""
+
+    def setUp(self):
+        super().setUp()
+        self.health = health.WorkerHealth()
+
+    def fail(self, worker, team, now, work_class="sweep", **kwargs):
+        return self.health.failed(
+            worker, team, work_class, now, region_workers=24, **kwargs
+        )
+
+    def quarantine(self, worker, now=0.0):
+        for team in ("t1", "t2", "t3"):
+            self.fail(worker, team, now)
+
+    def test_three_unlike_jobs_put_a_worker_in_quarantine(self):
+        self.fail("w1", "t1", 0.0)
+        self.fail("w1", "t2", 1.0)
+        self.assertTrue(self.fail("w1", "t2", 2.0, work_class="lookup"))
+        self.assertThat(self.health.quarantined, Equals({"w1"}))
+
+    def test_one_sick_job_does_not_condemn_its_workers(self):
+        for now in range(20):
+            self.assertFalse(self.fail("w1", "t1", float(now)))
+
+    def test_success_between_failures_voids_them(self):
+        self.fail("w1", "t1", 0.0)
+        self.fail("w1", "t2", 1.0)
+        self.health.succeeded("w1")
+        self.assertFalse(self.fail("w1", "t3", 2.0))
+
+    def test_failures_far_apart_do_not_add_up(self):
+        for number in range(5):
+            self.assertFalse(self.fail("w1", f"t{number}", 31.0 * number))
+
+    def test_a_wave_of_failures_cannot_empty_the_region(self):
+        for worker in RACKS:
+            self.quarantine(worker)
+        self.assertThat(len(self.health.quarantined), Equals(2))
+
+    def test_quarantine_of_other_hosts_counts_for_the_limit(self):
+        for team in ("t1", "t2", "t3"):
+            self.fail("w1", team, 0.0, elsewhere=2)
+        self.assertThat(self.health.quarantined, Equals(frozenset()))
+
+    def test_probe_releases_a_worker_that_recovered(self):
+        self.quarantine("w1")
+        self.assertThat(self.health.probes_due(29.0), Equals([]))
+        self.assertThat(self.health.probes_due(30.0), Equals(["w1"]))
+        self.health.probe_started("w1", 30.0)
+        self.assertThat(self.health.probes_due(31.0), Equals([]))
+        self.assertTrue(self.health.succeeded("w1"))
+        self.assertThat(self.health.quarantined, Equals(frozenset()))
+
+    def test_failed_probe_doubles_the_wait(self):
+        self.quarantine("w1")
+        self.fail("w1", "t1", 30.0)
+        self.assertThat(self.health.probes_due(89.0), Equals([]))
+        self.assertThat(self.health.probes_due(90.0), Equals(["w1"]))
+
+
+class TestMayRetry(testtools.TestCase):
+    """Guards against a sick job that is tried for ever."""
+
+    def code(self, failed_on, racks=RACKS, **kwargs):
+        outcome = health.may_retry(SWEEP, failed_on, racks, **kwargs)
+        return None if is_successful(outcome) else outcome.failure().code
+
+    def test_unlike_workers_stop_a_job(self):
+        self.assertThat(
+            self.code(["w1", "w2", "w9"]), Is(Code.FAILED_ON_UNLIKE_WORKERS)
+        )
+
+    def test_one_worker_or_one_rack_does_not_stop_a_job(self):
+        self.assertThat(self.code(["w1", "w1", "w1"]), Is(None))
+        self.assertThat(self.code(["w1", "w2", "w3"]), Is(None))
+
+    def test_failures_on_quarantined_workers_do_not_count(self):
+        found = self.code(["w1", "w2", "w9"], quarantined={"w9"})
+        self.assertThat(found, Is(None))
+
+    def test_region_of_one_worker_does_not_try_for_ever(self):
+        found = self.code(["w1"], racks={"w1": "r0"})
+        self.assertThat(found, Is(Code.FAILED_ON_UNLIKE_WORKERS))
+
+    def test_work_that_is_not_repeatable_is_never_tried_again(self):
+        billed = WorkClass("simulation", repeatable=False)
+        outcome = health.may_retry(billed, ["w1"], RACKS)
+        self.assertThat(outcome.failure().code, Is(Code.TASK_FAILED))
