Add staged changes and the configuration editor

Cause: operators race with conflicting changes, and a store write may take effect while its answer is lost.

An edit conflicts with a later edit of the same path, of a part of it or of a whole that contains it; the refusal names who changed what. The editor writes by compare-and-swap and repeats a write of unknown effect until the store answers.

Ruled out: comparing the written value alone after a conflict, because a later change replaces the value; an attempt limit for writes of unknown effect, because the operator would then be told something that is not settled.

Conclusion: applying a change twice has the effect of applying it once, and a generation grows by one or stays.

--- a/libs/config/dragonflybank/config/edits.py
+++ b/libs/config/dragonflybank/config/edits.py
@@ -1,10 +1,33 @@
 """Edits of the operator configuration and changes made of them."""
 
-__all__ = ["AppliedChange", "Change", "Edit", "overlaps"]
-
+__all__ = [
+    "CHANGE_NAME",
+    "AppliedChange",
+    "Change",
+    "Edit",
+    "decode_change",
+    "encode_change",
+    "overlaps",
+]
+
+import json
 from typing import Any
 
 import attrs
+from returns.result import Result
+
+from dragonflybank.config.decode import (
+    combined,
+    decode,
+    document_of,
+    parse_json,
+)
+from dragonflybank.config.rules import Rules, matching
+from dragonflybank.model.codes import Code, Problem
+
+CHANGE_NAME = matching(
+    r"[a-z0-9][a-z0-9_-]{0,62}", "a name of at most 63 of a-z, 0-9, '_', '-'"
+)
 
 
 @attrs.frozen
@@ -77,3 +100,22 @@
     """
     shorter, longer = sorted((left.split("."), right.split(".")), key=len)
     return longer[: len(shorter)] == shorter
+
+
+def encode_change(change: Change) -> str:
+    """Returns the JSON text of a staged change."""
+    return json.dumps(document_of(change))
+
+
+def decode_change(text: str | bytes) -> Result[Change, Problem]:
+    """Returns a staged change from JSON, or all faults as one problem."""
+    if isinstance(text, bytes):
+        text = text.decode(errors="replace")
+    return parse_json(text, code=Code.BAD_CONFIGURATION).bind(
+        lambda document: decode(
+            document, Change, _RULES, code=Code.BAD_CONFIGURATION
+        ).alt(combined)
+    )
+
+
+_RULES = Rules(fields={Change: {"name": CHANGE_NAME}}, checks={})
--- /dev/null
+++ b/libs/config/dragonflybank/config/tests/test_editor.py
@@ -0,0 +1,204 @@
+"""Tests of the configuration editor over a store with faults."""
+
+import asyncio
+
+import testtools
+from returns.result import Success
+from testtools.matchers import Contains, Equals, HasLength
+
+from dragonflybank.config.changes import Action, EditRequest
+from dragonflybank.config.editor import ConfigEditor
+from dragonflybank.config.tests.memory_store import (
+    Fault,
+    MemoryStore,
+    no_wait,
+)
+from dragonflybank.config.tests.test_changes import CFG, CLOSED, OPEN
+from dragonflybank.model.codes import Code
+
+WEIGHT = "team.workshops.weight"
+
+
+def set_to(path, value):
+    return [EditRequest(Action.SET, path, value)]
+
+
+async def with_config():
+    store = MemoryStore()
+    editor = ConfigEditor(store, sleep=no_wait)
+    (await editor.create(CFG)).unwrap()
+    return store, editor
+
+
+class TestConfigEditor(testtools.TestCase):
+    """Guards against an operator who is told what is not so."""
+
+    def run_with(self, steps):
+        async def run():
+            return await steps(*await with_config())
+
+        return asyncio.run(run())
+
+    def test_staged_change_is_applied_and_removed(self):
+        async def steps(store, editor):
+            await editor.stage("w", "anna", set_to(WEIGHT, 2), now=OPEN)
+            done = (await editor.apply("w", "ben", now=OPEN)).unwrap()
+            cfg = (await editor.active()).unwrap()
+            return done.generation, cfg.generation, await editor.staged()
+
+        found = self.run_with(steps)
+        self.assertThat(found, Equals((2, 2, Success(()))))
+
+    def test_lost_answer_on_apply_is_settled_first(self):
+        # Guards against "refused" for a change that is in force.
+        async def steps(store, editor):
+            await editor.stage("w", "anna", set_to(WEIGHT, 2), now=OPEN)
+            store.faults = [Fault.ANSWER_LOST] + [Fault.CALL_LOST] * 9
+            done = (await editor.apply("w", "anna", now=OPEN)).unwrap()
+            cfg = (await editor.active()).unwrap()
+            return done.generation, cfg.generation, len(cfg.history)
+
+        self.assertThat(self.run_with(steps), Equals((2, 2, 1)))
+
+    def test_lost_answer_then_another_change_is_still_known(self):
+        # Guards against a change applied twice after its answer was lost
+        # and another change replaced the value.
+        async def steps(store, editor):
+            other = ConfigEditor(store, sleep=no_wait)
+            await editor.stage("w", "anna", set_to(WEIGHT, 2), now=OPEN)
+            await other.stage(
+                "q", "ben", set_to("limits.team_queue", 7), now=OPEN
+            )
+            store.faults = [Fault.ANSWER_LOST]
+            task = asyncio.create_task(editor.apply("w", "anna", now=OPEN))
+
+            async def race():
+                (await other.apply("q", "ben", now=OPEN)).unwrap()
+
+            original, count = store.put, 0
+
+            async def put(key, value, *, version):
+                nonlocal count
+                count += 1
+                if count == 2:
+                    await race()
+                return await original(key, value, version=version)
+
+            store.put = put
+            done = (await task).unwrap()
+            cfg = (await editor.active()).unwrap()
+            return done.generation, [each.name for each in cfg.history]
+
+        self.assertThat(self.run_with(steps), Equals((2, ["w", "q"])))
+
+    def test_racing_operators_with_different_paths_both_succeed(self):
+        async def steps(store, editor):
+            other = ConfigEditor(store, sleep=no_wait)
+            await editor.stage("w", "anna", set_to(WEIGHT, 2), now=OPEN)
+            await other.stage(
+                "q", "ben", set_to("limits.team_queue", 7), now=OPEN
+            )
+
+            async def race():
+                (await other.apply("q", "ben", now=OPEN)).unwrap()
+
+            store.before_put = race
+            done = (await editor.apply("w", "anna", now=OPEN)).unwrap()
+            return done.generation, (await editor.active()).unwrap().generation
+
+        self.assertThat(self.run_with(steps), Equals((3, 3)))
+
+    def test_racing_operators_with_one_path_one_is_told_who_won(self):
+        async def steps(store, editor):
+            other = ConfigEditor(store, sleep=no_wait)
+            await editor.stage("w", "anna", set_to(WEIGHT, 2), now=OPEN)
+            await other.stage("v", "ben", set_to(WEIGHT, 3), now=OPEN)
+
+            async def race():
+                (await other.apply("v", "ben", now=OPEN)).unwrap()
+
+            store.before_put = race
+            return (await editor.apply("w", "anna", now=OPEN)).failure()
+
+        failed = self.run_with(steps)
+        self.assertThat(failed.code, Equals(Code.CHANGE_CONFLICT))
+        self.assertThat(failed.detail, Contains("ben set"))
+        self.assertThat(failed.detail, Contains("generation 2 is in force"))
+
+    def test_one_change_applied_by_two_operators_counts_once(self):
+        async def steps(store, editor):
+            other = ConfigEditor(store, sleep=no_wait)
+            await editor.stage("w", "anna", set_to(WEIGHT, 2), now=OPEN)
+
+            async def race():
+                (await other.apply("w", "ben", now=OPEN)).unwrap()
+
+            store.before_put = race
+            first = (await editor.apply("w", "anna", now=OPEN)).unwrap()
+            again = (await editor.apply("w", "anna", now=OPEN)).unwrap()
+            cfg = (await editor.active()).unwrap()
+            return first.generation, again.generation, cfg.generation
+
+        self.assertThat(self.run_with(steps), Equals((2, 2, 2)))
+
+    def test_apply_outside_the_break_writes_nothing(self):
+        async def steps(store, editor):
+            await editor.stage("w", "anna", set_to(WEIGHT, 2), now=CLOSED)
+            failed = (await editor.apply("w", "anna", now=CLOSED)).failure()
+            staged = (await editor.staged()).unwrap()
+            return failed.code, len(staged), (await editor.active()).unwrap()
+
+        found = self.run_with(steps)
+        self.assertThat(found, Equals((Code.BREAK_CLOSED, 1, CFG)))
+
+    def test_outage_without_effect_is_refused_and_not_unknown(self):
+        async def steps(store, editor):
+            await editor.stage("w", "anna", set_to(WEIGHT, 2), now=OPEN)
+            store.faults = [Fault.REFUSED] * 20
+            failed = (await editor.apply("w", "anna", now=OPEN)).failure()
+            return failed.code, (await editor.active()).unwrap().generation
+
+        self.assertThat(
+            self.run_with(steps), Equals((Code.STORE_UNAVAILABLE, 1))
+        )
+
+    def test_staged_name_belongs_to_its_author(self):
+        # Guards against a change that is replaced between diff and apply.
+        async def steps(store, editor):
+            await editor.stage("w", "anna", set_to(WEIGHT, 2), now=OPEN)
+            await editor.stage("w", "anna", set_to(WEIGHT, 3), now=OPEN)
+            failed = await editor.stage("w", "ben", set_to(WEIGHT, 4), now=OPEN)
+            return failed.failure().code, (await editor.staged()).unwrap()
+
+        code, staged = self.run_with(steps)
+        self.assertThat(code, Equals(Code.CHANGE_CONFLICT))
+        self.assertThat(staged[0].edits[0].new, Equals(3))
+
+    def test_lost_answers_on_stage_and_withdraw_are_settled(self):
+        async def steps(store, editor):
+            store.faults = [Fault.ANSWER_LOST, Fault.CALL_LOST]
+            made = await editor.stage("w", "anna", set_to(WEIGHT, 2), now=OPEN)
+            listed = (await editor.staged()).unwrap()
+            store.faults = [Fault.ANSWER_LOST, Fault.CALL_LOST]
+            gone = await editor.withdraw("w")
+            return made, listed, gone, (await editor.staged()).unwrap()
+
+        made, listed, gone, left = self.run_with(steps)
+        self.assertThat(listed, Equals((made.unwrap(),)))
+        self.assertThat((gone, left), Equals((made, ())))
+
+    def test_second_first_configuration_is_refused(self):
+        async def steps(store, editor):
+            return (await editor.create(CFG)).failure().code
+
+        self.assertThat(self.run_with(steps), Equals(Code.CHANGE_CONFLICT))
+
+    def test_unknown_change_names_the_staged_ones(self):
+        async def steps(store, editor):
+            await editor.stage("w", "anna", set_to(WEIGHT, 2), now=OPEN)
+            names = ("x", "../active")
+            return [(await editor.diff(name)).failure() for name in names]
+
+        failed = self.run_with(steps)
+        self.assertThat(failed, HasLength(2))
+        self.assertThat(failed[0].accepted, Equals("w"))
