Add the operators' language, its execution and rendering

Cause: operators need one small language for queries, explanations and staged changes, with errors that point at the fault.

Execution runs over an abstract view of the deployment, applies conditions and limit again, and names the hosts that did not answer, so that a partial list is not taken for a complete one. Reports become aligned text or JSON; control characters of callers' texts are replaced.

Ruled out: keywords as plain strings, since "applyx" was read as "apply x"; nested lists in values, since nothing in the configuration needs them and the depth of a text would be unbounded.

--- /dev/null
+++ b/libs/operators/dragonflybank/operators/execute.py
@@ -0,0 +1,274 @@
+"""Execution of the operators' commands over a view of the deployment."""
+
+__all__ = ["execute", "run"]
+
+import json
+from datetime import UTC, datetime
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from dragonflybank.config.breaks import is_break_open, next_break
+from dragonflybank.config.changes import Difference
+from dragonflybank.config.decode import document_of
+from dragonflybank.config.edits import AppliedChange
+from dragonflybank.config.operator import OperatorConfig
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.model.decisions import Decision
+from dragonflybank.operators import commands
+from dragonflybank.operators.commands import Command, Table, WorkRow
+from dragonflybank.operators.grammar import HELP, parse
+from dragonflybank.operators.render import Report, rows_report
+from dragonflybank.operators.view import HostRow, OperatorView, WorkerRow
+
+_NEEDS_OPERATOR = (commands.Stage, commands.Apply, commands.Withdraw)
+OPERATOR_LENGTH_MAX = 64
+
+
+async def execute(
+    view: OperatorView, text: str, *, operator: str, now: float
+) -> Result[Report, Problem]:
+    """Returns the report of a command.
+
+    Args:
+        view: The deployment as a scheduler host sees it.
+        text: One command of the language.
+        operator: Name of the operator, recorded with changes.
+        now: Seconds since 1970.
+    """
+    match parse(text):
+        case Success(command):
+            return await run(view, command, operator=operator, now=now)
+        case Failure(failed):
+            return Failure(failed)
+
+
+async def run(
+    view: OperatorView, command: Command, *, operator: str, now: float
+) -> Result[Report, Problem]:
+    """Returns the report of a parsed command; see `execute`."""
+    if isinstance(command, _NEEDS_OPERATOR) and not _is_name(operator):
+        return problem(
+            Code.BAD_REQUEST,
+            "a change needs the name of its operator",
+            field="operator",
+            accepted=f"1 to {OPERATOR_LENGTH_MAX} printable characters",
+        )
+    match command:
+        case commands.ShowWork():
+            return await _show_work(view, command, now)
+        case commands.ShowTable(table=table):
+            return await _TABLES[table](view, now)
+        case commands.ExplainJob(team=team, key=key):
+            return await _explain_job(view, team, key, now)
+        case commands.ExplainLookup(request_id=request_id):
+            decided = await view.decisions(request_id)
+            return decided.map(lambda found: _decisions_report(found, ""))
+        case commands.Stage(name=name, edits=edits):
+            staged = await view.editor.stage(name, operator, edits, now=now)
+            return staged.map(
+                lambda change: Report(
+                    text=f"staged {change.name} with {len(change.edits)} edits"
+                    f" on generation {change.based_on}"
+                )
+            )
+        case commands.Diff(name=name):
+            lines = await view.editor.diff(name)
+            return lines.map(lambda found: rows_report(found, Difference))
+        case commands.Apply(name=name):
+            done = await view.editor.apply(name, operator, now=now)
+            return done.map(_applied_report)
+        case commands.Withdraw(name=name):
+            gone = await view.editor.withdraw(name)
+            return gone.map(
+                lambda change: Report(
+                    text=f"withdrew {change.name} of {change.author}"
+                )
+            )
+    return Success(Report(text=HELP))
+
+
+async def _show_work(view, command, now) -> Result[Report, Problem]:
+    page = await view.work(
+        command.which, command.conditions, limit=command.limit, now=now
+    )
+    return page.map(lambda found: _work_report(found, command))
+
+
+def _work_report(page, command) -> Report:
+    matching = [
+        row for row in page.rows if commands.matches(row, command.conditions)
+    ]
+    # A page may hold rows of a host that ignored the limit.
+    rows = matching[: command.limit]
+    more = page.more + len(matching) - len(rows)
+    notes = [f"{more} more; raise the limit"] if more else []
+    if page.silent_hosts:
+        names = ", ".join(page.silent_hosts)
+        notes.append(f"incomplete: no answer from {names}")
+    return rows_report(rows, WorkRow, notes=notes)
+
+
+async def _explain_job(view, team, key, now) -> Result[Report, Problem]:
+    job = await view.job(team, key, now=now)
+    decided = await view.decisions(f"{team}/{key}")
+    found = decided.value_or(())
+    match job:
+        case Success(row):
+            text = (
+                f"{team}/{key} is {row.state}, class {row.work_class},"
+                f" attempt {row.attempt}, kept by {row.host}"
+            )
+            if row.detail:
+                text += f": {row.detail} (code {row.code})"
+        case Failure(Problem(code=Code.UNKNOWN_JOB)) if found:
+            # A refused job has decisions but no record.
+            text = f"{team}/{key} was not accepted"
+        case Failure(failed):
+            return Failure(failed)
+    if isinstance(decided, Failure):
+        notes = (f"no decisions: {decided.failure().detail}",)
+        return Success(Report(text=text, notes=notes))
+    return Success(_decisions_report(found, text))
+
+
+def _decisions_report(found: tuple[Decision, ...], text: str) -> Report:
+    columns = ("at", "kind", "chosen", "reason", "code", "passed_over")
+    rows = tuple(
+        (
+            _time(each.at),
+            each.kind,
+            each.chosen,
+            each.reason,
+            each.code,
+            "; ".join(f"{name}: {why}" for name, why in each.passed_over),
+        )
+        for each in found
+    )
+    notes = () if rows else ("no decision is kept in memory any more",)
+    return Report(columns, rows, text, notes)
+
+
+async def _show_workers(view, now) -> Result[Report, Problem]:
+    found = await view.workers(now)
+    return found.map(lambda rows: rows_report(rows, WorkerRow))
+
+
+async def _show_hosts(view, now) -> Result[Report, Problem]:
+    found = await view.hosts(now)
+    return found.map(lambda rows: rows_report(rows, HostRow))
+
+
+async def _show_teams(view, now) -> Result[Report, Problem]:
+    used = (await view.team_use()).value_or(())
+    return (await view.config()).map(
+        lambda cfg: _joined_report(cfg.teams, {u.team: u for u in used})
+    )
+
+
+async def _show_classes(view, now) -> Result[Report, Problem]:
+    used = (await view.class_use()).value_or(())
+    return (await view.config()).map(
+        lambda cfg: _joined_report(cfg.classes, {u.work_class: u for u in used})
+    )
+
+
+def _joined_report(rows, used) -> Report:
+    """Returns a table of configuration rows beside their present use."""
+    joined = [
+        {
+            **attrs.asdict(row, recurse=False),
+            **(attrs.asdict(used[row.name]) if row.name in used else {}),
+        }
+        for row in rows
+    ]
+    hidden = {"team", "work_class"}
+    columns = tuple(
+        dict.fromkeys(
+            name for row in joined for name in row if name not in hidden
+        )
+    )
+    cells = tuple(
+        tuple(_compact(row.get(name, "")) for name in columns) for row in joined
+    )
+    return Report(columns, cells)
+
+
+async def _show_config(view, now) -> Result[Report, Problem]:
+    return (await view.config()).map(lambda cfg: _config_report(cfg, now))
+
+
+def _config_report(cfg: OperatorConfig, now: float) -> Report:
+    document = document_of(attrs.evolve(cfg, history=()))
+    del document["history"]
+    history = tuple(
+        (d.generation, d.name, d.author, d.applied_by, _time(d.applied_at))
+        for d in cfg.history
+    )
+    columns = ("generation", "name", "author", "applied_by", "applied_at")
+    return Report(
+        columns,
+        history,
+        json.dumps(document, indent=1),
+        (_break_note(cfg, now),),
+    )
+
+
+def _break_note(cfg: OperatorConfig, now: float) -> str:
+    if is_break_open(cfg, now):
+        return "the break is open"
+    opens = next_break(cfg, now)
+    if opens is None:
+        return "there is no break window"
+    return f"the next break opens at {_time(opens)}"
+
+
+async def _show_staged(view, now) -> Result[Report, Problem]:
+    columns = ("name", "author", "based_on", "staged_at", "paths")
+    return (await view.editor.staged()).map(
+        lambda staged: Report(
+            columns,
+            tuple(
+                (
+                    change.name,
+                    change.author,
+                    change.based_on,
+                    _time(change.staged_at),
+                    ", ".join(edit.path for edit in change.edits),
+                )
+                for change in staged
+            ),
+        )
+    )
+
+
+def _applied_report(done: AppliedChange) -> Report:
+    return Report(
+        text=f"{done.name} is in force as generation {done.generation},"
+        f" applied by {done.applied_by} at {_time(done.applied_at)}"
+    )
+
+
+def _time(at: float) -> str:
+    return datetime.fromtimestamp(at, UTC).isoformat(timespec="seconds")
+
+
+def _compact(value):
+    if not attrs.has(type(value)):
+        return value
+    amounts = attrs.asdict(value).items()
+    return " ".join(f"{name}={amount:g}" for name, amount in amounts if amount)
+
+
+def _is_name(operator: str) -> bool:
+    return operator.isprintable() and 0 < len(operator) <= OPERATOR_LENGTH_MAX
+
+
+_TABLES = {
+    Table.WORKERS: _show_workers,
+    Table.HOSTS: _show_hosts,
+    Table.TEAMS: _show_teams,
+    Table.CLASSES: _show_classes,
+    Table.CONFIG: _show_config,
+    Table.STAGED: _show_staged,
+}
--- /dev/null
+++ b/libs/operators/dragonflybank/operators/grammar.py
@@ -0,0 +1,281 @@
+"""Grammar of the operators' query and command language.
+
+A text is one command. An error tells the line and column, what was found
+there and what would be accepted.
+"""
+
+__all__ = ["HELP", "TEXT_LENGTH_MAX", "parse"]
+
+import json
+import math
+
+import lark
+from lark.exceptions import (
+    UnexpectedCharacters,
+    UnexpectedInput,
+    VisitError,
+)
+from returns.result import Result, Success
+
+from dragonflybank.config.changes import Action, EditRequest
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.operators.commands import (
+    FIELD_TYPES,
+    LIMIT_DEFAULT,
+    LIMIT_MAX,
+    Apply,
+    Command,
+    Condition,
+    Diff,
+    ExplainJob,
+    ExplainLookup,
+    Help,
+    Listing,
+    Op,
+    ShowTable,
+    ShowWork,
+    Stage,
+    Table,
+    Withdraw,
+)
+
+# A change with some hundred edits fits; longer texts are not commands.
+TEXT_LENGTH_MAX = 16_384
+
+HELP = """\
+show running|waiting|refused|finished [where FIELD OP VALUE [and ...]]
+     [limit N]
+show workers|hosts|teams|classes|config|staged
+explain job TEAM/KEY
+explain lookup ID
+stage NAME: EDIT [, EDIT ...]
+  EDIT: set PATH = VALUE
+        add class NAME (FIELD = VALUE, ...)
+        add team NAME (region = REGION, FIELD = VALUE, ...)
+        add break HH:MM-HH:MM [(days = [mon, tue])]
+        remove class|team NAME, remove break HH:MM-HH:MM
+  PATH: class.NAME.FIELD, class.NAME.size.FIELD, team.NAME.FIELD,
+        limits.FIELD, break.HH:MM-HH:MM.days
+diff NAME
+apply NAME
+withdraw NAME
+help
+OP is one of = != < <= > >= ~ (contains). FIELD after "where" is one of
+""" + ", ".join(FIELD_TYPES)
+
+_ACCEPTED = {
+    "LISTING": " ".join(Listing),
+    "TABLE": " ".join(Table),
+    "ROW": "class team",
+    "FIELD": f"a field ({', '.join(FIELD_TYPES)})",
+    "OP": " ".join(Op),
+    "PATH": "a path as class.NAME.FIELD",
+    "FIELD_PATH": "a field",
+    "WINDOW": "a window as 22:00-22:30",
+    "TEAM_KEY": "TEAM/KEY",
+    "ID": "the identity of a lookup",
+    "COUNT": "a number",
+    "NUMBER": "a number",
+    "BOOLEAN": "true false",
+    "STRING": "text in double quotes",
+    "WORD": "a word",
+    "NAME": "a name of a-z, 0-9, '_', '-'",
+    "$END": "the end of the command",
+}
+
+
+def parse(text: str) -> Result[Command, Problem]:
+    """Returns the command of a text.
+
+    Args:
+        text: One command.
+
+    Returns:
+        The command, or ``BAD_COMMAND`` whose field is ``LINE:COLUMN``.
+
+    Example:
+        >>> parse("show runing").failure().field
+        '1:6'
+    """
+    if len(text) > TEXT_LENGTH_MAX:
+        return problem(
+            Code.BAD_COMMAND,
+            f"a text of {len(text)} characters",
+            accepted=f"at most {TEXT_LENGTH_MAX} characters",
+        )
+    try:
+        return Success(_Commands().transform(_PARSER.parse(text)))
+    except UnexpectedInput as exc:
+        return _unexpected(text, exc)
+    except VisitError as exc:
+        if not isinstance(exc.orig_exc, _BadValueError):
+            raise
+        bad = exc.orig_exc
+        return _at(bad.token.line, bad.token.column, bad.token, bad.accepted)
+
+
+class _BadValueError(Exception):
+    """A token whose text matches but whose value is not accepted."""
+
+    def __init__(self, token: lark.Token, accepted: str):
+        super().__init__(token, accepted)
+        self.token = token
+        self.accepted = accepted
+
+
+@lark.v_args(inline=True)
+class _Commands(lark.Transformer):
+    def show_work(self, which, *parts):
+        conditions = next((p for p in parts if isinstance(p, tuple)), ())
+        limits = [p for p in parts if isinstance(p, int)] or [LIMIT_DEFAULT]
+        return ShowWork(Listing(which), conditions, limits[0])
+
+    def show_table(self, table):
+        return ShowTable(Table(table))
+
+    def explain_job(self, team_key):
+        team, _, key = team_key.partition("/")
+        return ExplainJob(team, key)
+
+    def explain_lookup(self, request_id):
+        return ExplainLookup(str(request_id))
+
+    def stage(self, name, *edits):
+        return Stage(str(name), edits)
+
+    def diff(self, name):
+        return Diff(str(name))
+
+    def apply(self, name):
+        return Apply(str(name))
+
+    def withdraw(self, name):
+        return Withdraw(str(name))
+
+    def help(self):
+        return Help()
+
+    def where(self, *conditions):
+        return conditions
+
+    def condition(self, field, op, scalar):
+        token, value = scalar
+        if field not in FIELD_TYPES:
+            raise _BadValueError(field, _ACCEPTED["FIELD"])
+        kind = FIELD_TYPES[field]
+        if kind is str:
+            value = value if isinstance(value, str) else str(token)
+            return Condition(str(field), Op(op), value)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise _BadValueError(token, f"a number, because {field} is one")
+        if op == Op.CONTAINS:
+            raise _BadValueError(op, f"= != < <= > >= for the number {field}")
+        return Condition(str(field), Op(op), value)
+
+    def limit(self, count):
+        if not 1 <= int(count[:9]) <= LIMIT_MAX or len(count) > 9:
+            raise _BadValueError(count, f"a number from 1 to {LIMIT_MAX}")
+        return int(count)
+
+    def set_path(self, path, value):
+        return EditRequest(Action.SET, str(path), _plain(value))
+
+    def add(self, row, name, fields=None):
+        return EditRequest(Action.ADD, f"{row}.{name}", fields or {})
+
+    def add_break(self, window, fields=None):
+        return EditRequest(Action.ADD, f"break.{window}", fields or {})
+
+    def remove(self, row, name):
+        return EditRequest(Action.REMOVE, f"{row}.{name}")
+
+    def remove_break(self, window):
+        return EditRequest(Action.REMOVE, f"break.{window}")
+
+    def fields(self, *pairs):
+        made = {}
+        for name, value in pairs:
+            parent, _, leaf = str(name).rpartition(".")
+            target = made.setdefault(parent, {}) if parent else made
+            if not isinstance(target, dict) or leaf in target:
+                raise _BadValueError(name, "each field once")
+            target[leaf] = value
+        return made
+
+    def field(self, name, value):
+        return name, _plain(value)
+
+    def list(self, *scalars):
+        return [value for _, value in filter(None, scalars)]
+
+    def scalar(self, token):
+        return token, _READ[token.type](token)
+
+
+def _plain(value):
+    return value[1] if isinstance(value, tuple) else value
+
+
+def _number(token: lark.Token) -> int | float:
+    # The length bounds the digits that Python converts to an integer.
+    if len(token) <= 20:
+        value = float(token)
+        if math.isfinite(value):
+            return int(token) if token.lstrip("+-").isdigit() else value
+    raise _BadValueError(token, "a finite number of at most 20 characters")
+
+
+def _text(token: lark.Token) -> str:
+    try:
+        text = json.loads(token)
+        text.encode()
+    except ValueError as exc:
+        raise _BadValueError(token, "text with JSON's escapes") from exc
+    return text
+
+
+_READ = {
+    "NUMBER": _number,
+    "STRING": _text,
+    "BOOLEAN": lambda token: token == "true",
+    "WORD": str,
+}
+
+
+def _unexpected(text: str, exc: UnexpectedInput) -> Result:
+    if isinstance(exc, UnexpectedCharacters):
+        return _at(exc.line, exc.column, _word_at(text, exc), exc.allowed)
+    token = exc.token
+    expected = exc.accepts or exc.expected
+    if token.type != "$END":
+        return _at(token.line, token.column, str(token), expected)
+    lines = text.split("\n")
+    return _at(len(lines), len(lines[-1]) + 1, "the end", expected)
+
+
+def _at(line: int, column: int, found: str, expected) -> Result:
+    accepted = expected
+    if not isinstance(expected, str):
+        accepted = ", ".join(sorted({_shown(name) for name in expected or ()}))
+    return problem(
+        Code.BAD_COMMAND,
+        f"line {line} column {column}: found {found}, accepted is {accepted}",
+        field=f"{line}:{column}",
+        accepted=accepted,
+    )
+
+
+def _word_at(text: str, exc: UnexpectedCharacters) -> str:
+    return text[exc.pos_in_stream :].split(maxsplit=1)[0][:40]
+
+
+def _shown(name: str) -> str:
+    if name.startswith("_"):
+        return name[1:].lower()
+    return _ACCEPTED.get(name) or _SYMBOLS[name]
+
+
+_PARSER = lark.Lark.open(
+    "language.lark", rel_to=__file__, parser="lalr", maybe_placeholders=False
+)
+_SYMBOLS = {each.name: each.pattern.value for each in _PARSER.terminals}
--- /dev/null
+++ b/libs/operators/dragonflybank/operators/render.py
@@ -0,0 +1,118 @@
+"""Reports as tables for people and as JSON."""
+
+__all__ = ["Report", "as_json", "as_text", "failed_as_json", "rows_report"]
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+from dragonflybank.model.codes import Code, Problem
+
+CELL_WIDTH_MAX = 60
+
+
+@attrs.frozen
+class Report:
+    """The answer to a command.
+
+    Attributes:
+        columns: Names of the columns; empty if there is no table.
+        rows: Cells in the order of the columns.
+        text: Text for people, before the table.
+        notes: Remarks, as hosts that did not answer.
+    """
+
+    columns: tuple[str, ...] = ()
+    rows: tuple[tuple[Any, ...], ...] = ()
+    text: str = ""
+    notes: tuple[str, ...] = ()
+
+
+def rows_report(
+    values: Iterable[Any],
+    kind: type,
+    *,
+    text: str = "",
+    notes: Iterable[str] = (),
+) -> Report:
+    """Returns the report of attrs values of one class.
+
+    Args:
+        values: The values, one for each row.
+        kind: Their class; its fields are the columns.
+        text: Text before the table.
+        notes: Remarks.
+    """
+    columns = tuple(field.name for field in attrs.fields(kind))
+    rows = tuple(
+        tuple(getattr(value, name) for name in columns) for value in values
+    )
+    return Report(columns, rows, text, tuple(notes))
+
+
+def as_text(report: Report) -> str:
+    """Returns a report as text with an aligned table.
+
+    Example:
+        >>> print(as_text(Report(("team", "tasks"), (("courts", 12),))))
+        team    tasks
+        courts     12
+    """
+    parts = [report.text] if report.text else []
+    if report.columns:
+        parts.append(_table(report) if report.rows else "nothing found")
+    parts.extend(f"note: {note}" for note in report.notes)
+    return "\n".join(parts)
+
+
+def as_json(report: Report) -> dict:
+    """Returns a report as the JSON object of ``POST /v1/query``."""
+    named = [dict(zip(report.columns, row, strict=True)) for row in report.rows]
+    return {
+        "code": int(Code.OK),
+        "text": report.text,
+        "rows": json.loads(json.dumps(named, default=str)),
+        "notes": list(report.notes),
+    }
+
+
+def failed_as_json(failed: Problem) -> dict:
+    """Returns a problem as the JSON object of ``POST /v1/query``."""
+    return {
+        "code": int(failed.code),
+        "detail": failed.detail,
+        "field": failed.field,
+        "accepted": failed.accepted,
+        "retry_after_s": failed.retry_after_s,
+    }
+
+
+def _table(report: Report) -> str:
+    cells = [[_cell(value) for value in row] for row in report.rows]
+    widths = [
+        max(map(len, column))
+        for column in zip(report.columns, *cells, strict=True)
+    ]
+    is_number = [
+        all(isinstance(value, int | float) for value in column)
+        for column in zip(*report.rows, strict=True)
+    ]
+    return "\n".join(
+        "  ".join(
+            text.rjust(width) if right else text.ljust(width)
+            for text, width, right in zip(row, widths, is_number, strict=True)
+        ).rstrip()
+        for row in (report.columns, *cells)
+    )
+
+
+def _cell(value: Any) -> str:
+    if isinstance(value, float):
+        return f"{value:.3f}".rstrip("0").rstrip(".")
+    # Control characters of a caller's text would reach the terminal.
+    text = "".join(c if c.isprintable() else "?" for c in str(value))
+    if len(text) <= CELL_WIDTH_MAX:
+        return text
+    return text[: CELL_WIDTH_MAX - 3] + "..."
--- /dev/null
+++ b/libs/operators/dragonflybank/operators/view.py
@@ -0,0 +1,174 @@
+"""What the commands of operators need from a scheduler host."""
+
+__all__ = [
+    "ClassUse",
+    "HostRow",
+    "OperatorView",
+    "TeamUse",
+    "WorkPage",
+    "WorkerRow",
+]
+
+import abc
+
+import attrs
+from returns.result import Result
+
+from dragonflybank.config.editor import ConfigEditor
+from dragonflybank.config.operator import OperatorConfig
+from dragonflybank.model.codes import Problem
+from dragonflybank.model.decisions import Decision
+from dragonflybank.operators.commands import Condition, Listing, WorkRow
+
+
+@attrs.frozen
+class WorkPage:
+    """Rows of a listing that was gathered from several hosts.
+
+    Attributes:
+        rows: Rows found.
+        more: Number of rows that were found but left out.
+        silent_hosts: Hosts that did not answer; their rows are missing.
+    """
+
+    rows: tuple[WorkRow, ...] = ()
+    more: int = 0
+    silent_hosts: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class WorkerRow:
+    """A worker as its owner or the asked host sees it.
+
+    Attributes:
+        name: Name.
+        region: Region.
+        rack: Rack.
+        owner: Owning scheduler host, empty if unknown.
+        epoch: Ownership epoch.
+        state: ``live``, ``leaving`` or ``quarantined``.
+        tasks: Running tasks.
+        free_cores: Processors not granted.
+        free_memory_mb: Memory not granted, in MiB.
+        free_slots: Free slots of its executor.
+    """
+
+    name: str
+    region: str
+    rack: str = ""
+    owner: str = ""
+    epoch: int = 0
+    state: str = "live"
+    tasks: int = 0
+    free_cores: float = 0.0
+    free_memory_mb: float = 0.0
+    free_slots: int = 0
+
+
+@attrs.frozen
+class HostRow:
+    """A scheduler host in the membership table of the asked host.
+
+    Attributes:
+        name: Name.
+        region: Region.
+        status: ``live``, ``leaving`` or ``dead``.
+        silent_s: Seconds since its counter last grew.
+        generation: Generation of its configuration.
+        free_lookup_slots: Free slots that lookups may take.
+        queue_s: Expected wait of a new lookup in seconds.
+    """
+
+    name: str
+    region: str
+    status: str = "live"
+    silent_s: float = 0.0
+    generation: int = 0
+    free_lookup_slots: int = 0
+    queue_s: float = 0.0
+
+
+@attrs.frozen
+class TeamUse:
+    """Present use of a team's quota as far as the asked host knows it.
+
+    Attributes:
+        team: Name of the team.
+        running: Running tasks of patient work.
+        waiting: Waiting jobs.
+    """
+
+    team: str
+    running: int = 0
+    waiting: int = 0
+
+
+@attrs.frozen
+class ClassUse:
+    """Measured run times of a work class.
+
+    Attributes:
+        work_class: Name of the class.
+        median_s: Median run time in seconds, 0 while none was measured.
+        p95_s: 95th percentile of the run time in seconds.
+        measured: Number of measured runs.
+    """
+
+    work_class: str
+    median_s: float = 0.0
+    p95_s: float = 0.0
+    measured: int = 0
+
+
+class OperatorView(abc.ABC):
+    """Queries and the configuration of a scheduler host."""
+
+    @property
+    @abc.abstractmethod
+    def editor(self) -> ConfigEditor:
+        """The editor of the configuration in the store."""
+
+    @abc.abstractmethod
+    async def work(
+        self,
+        which: Listing,
+        conditions: tuple[Condition, ...],
+        *,
+        limit: int,
+        now: float,
+    ) -> Result[WorkPage, Problem]:
+        """Returns work that meets all conditions, of all regions."""
+
+    @abc.abstractmethod
+    async def job(
+        self, team: str, key: str, *, now: float
+    ) -> Result[WorkRow, Problem]:
+        """Returns a job, or ``UNKNOWN_JOB``."""
+
+    @abc.abstractmethod
+    async def decisions(
+        self, subject: str
+    ) -> Result[tuple[Decision, ...], Problem]:
+        """Returns the kept decisions about a job or lookup."""
+
+    @abc.abstractmethod
+    async def workers(
+        self, now: float
+    ) -> Result[tuple[WorkerRow, ...], Problem]:
+        """Returns the workers of all regions."""
+
+    @abc.abstractmethod
+    async def hosts(self, now: float) -> Result[tuple[HostRow, ...], Problem]:
+        """Returns the scheduler hosts of all regions."""
+
+    @abc.abstractmethod
+    async def config(self) -> Result[OperatorConfig, Problem]:
+        """Returns the configuration in force on this host."""
+
+    @abc.abstractmethod
+    async def team_use(self) -> Result[tuple[TeamUse, ...], Problem]:
+        """Returns the present use of the teams' quotas."""
+
+    @abc.abstractmethod
+    async def class_use(self) -> Result[tuple[ClassUse, ...], Problem]:
+        """Returns the measured run times of the work classes."""
