Add the command line client

Cause: callers and operators need a client that keeps the system's promises on their side: the same key is the same work, and nothing untrue is reported.

Change: `dragonflybank` submits, looks up, waits, cancels, asks for a state, runs operators' commands and checks files. It tries the next host when a call was certainly not received. Length and digest of results are verified. The exit status follows from the outcome. The decoder of the config library now decodes numeric enums as well.

Ruled out: sending a lookup again after a lost answer by default, because the client does not know whether its class is repeatable; `--repeatable` says so.

Conclusion: failover does not turn an accepted job into a refused one.

--- /dev/null
+++ b/libs/cli/dragonflybank/cli/answers.py
@@ -0,0 +1,122 @@
+"""Answers of scheduler hosts: decoding, verification, exit status.
+
+The exit status follows from the outcome: 0 done (also a job accepted by
+``submit`` without ``--wait-s``), 10 pending, 11 refused, 12 not run,
+13 unknown, 14 failed. Wrong arguments end with 2.
+"""
+
+__all__ = [
+    "EXIT_STATUS",
+    "answer_as_text",
+    "decode_answer",
+    "exit_status",
+    "keeps_doubt",
+    "verified",
+]
+
+from typing import Any
+
+import attrs
+from returns.result import Result, Success
+
+from dragonflybank.config.decode import combined, decode
+from dragonflybank.config.rules import Rules
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.model.hashing import digest
+from dragonflybank.model.work import Answer, Outcome, answer_for
+
+EXIT_STATUS = {
+    Outcome.DONE: 0,
+    Outcome.PENDING: 10,
+    Outcome.REFUSED: 11,
+    Outcome.NOT_RUN: 12,
+    Outcome.UNKNOWN: 13,
+    Outcome.FAILED: 14,
+}
+_FIELDS = {field.name for field in attrs.fields(Answer)}
+# Codes by which the journal of a job proves its state, whatever became of an
+# earlier call.
+_FROM_JOURNAL = (Code.CANCELLED_BEFORE_START, Code.KEY_REUSED)
+
+
+def decode_answer(document: Any) -> Result[Answer, Problem]:
+    """Returns the verified answer in a response.
+
+    Args:
+        document: Parsed JSON body; unknown fields are ignored.
+
+    Returns:
+        The answer, or ``ANSWER_LOST`` if it is malformed or incomplete.
+    """
+    if isinstance(document, dict):
+        document = {k: v for k, v in document.items() if k in _FIELDS}
+    decoded = decode(document, Answer, Rules({}, {}), code=Code.ANSWER_LOST)
+    return decoded.alt(combined).bind(verified)
+
+
+def verified(answer: Answer) -> Result[Answer, Problem]:
+    """Returns an answer whose result has its length and digest."""
+    if answer.outcome is not Outcome.DONE:
+        return Success(answer)
+    body = answer.result.encode(errors="surrogatepass")
+    if len(body) != answer.length:
+        return problem(
+            Code.ANSWER_LOST,
+            f"the result has {len(body)} bytes, {answer.length} were announced",
+            field="length",
+        )
+    if digest(body) != answer.digest:
+        return problem(
+            Code.ANSWER_LOST,
+            "the digest of the result differs from the one announced",
+            field="digest",
+        )
+    return Success(answer)
+
+
+def keeps_doubt(answer: Answer, lost: Problem) -> Answer:
+    """Returns an answer that claims no more than is proved.
+
+    A refusal by one host does not prove that the work did not run, if an
+    earlier call to another host may have been accepted.
+
+    Args:
+        answer: Answer to the last call.
+        lost: Why the answer to an earlier call is missing.
+    """
+    if answer.outcome not in (Outcome.REFUSED, Outcome.NOT_RUN):
+        return answer
+    if answer.code in _FROM_JOURNAL:
+        return answer
+    detail = (
+        f"an earlier call may have been accepted ({lost.detail});"
+        f" the last one was refused: {answer.detail}"
+    )
+    return answer_for(
+        Problem(Code.ANSWER_LOST, detail, retry_after_s=answer.retry_after_s),
+        ask=answer.ask,
+    )
+
+
+def exit_status(answer: Answer) -> int:
+    """Returns the exit status for an answer.
+
+    Example:
+        >>> exit_status(Answer(Outcome.UNKNOWN, Code.ANSWER_LOST))
+        13
+    """
+    return EXIT_STATUS[answer.outcome]
+
+
+def answer_as_text(answer: Answer) -> str:
+    """Returns an answer for people; the result alone if it is done."""
+    if answer.outcome is Outcome.DONE:
+        return answer.result
+    parts = [f"{answer.outcome} (code {int(answer.code)} {answer.code.name})"]
+    parts += [f"state {answer.state}"] if answer.state else []
+    parts += [answer.detail] if answer.detail else []
+    parts += [f"field {answer.field}"] if answer.field else []
+    parts += [f"accepted is {answer.accepted}"] if answer.accepted else []
+    if answer.retry_after_s:
+        parts.append(f"retry after {answer.retry_after_s:g} s")
+    return "; ".join(parts)
--- /dev/null
+++ b/libs/cli/dragonflybank/cli/commands.py
@@ -0,0 +1,186 @@
+"""Command line of ``dragonflybank``."""
+
+__all__ = [
+    "Cancel",
+    "Check",
+    "Codes",
+    "Dragonflybank",
+    "Lookup",
+    "Query",
+    "Status",
+    "Submit",
+    "Version",
+    "Wait",
+]
+
+from typing import Annotated
+
+import attrs
+import cappa
+
+from dragonflybank.cli.checks import FileKind
+
+DEFAULT_HOST = "http://127.0.0.1:8080"
+_JOB = cappa.Arg(help="Job as TEAM/KEY; the same key is the same work.")
+_PAYLOAD = cappa.Arg(
+    long="--payload",
+    default="",
+    help="Text, @FILE, or - for the standard input.",
+)
+
+
+@attrs.frozen
+class Submit:
+    """Submits a job; repeating it with the same key is harmless."""
+
+    job: Annotated[str, _JOB]
+    work_class: Annotated[str, cappa.Arg(long="--class", help="Work class.")]
+    payload: Annotated[str, _PAYLOAD]
+    tasks: Annotated[
+        int, cappa.Arg(long=True, default=1, help="Number of tasks.")
+    ]
+    gang: Annotated[
+        bool,
+        cappa.Arg(long=True, default=False, help="All tasks start at once."),
+    ]
+    cores: Annotated[
+        float | None,
+        cappa.Arg(long=True, default=None, help="Processors of a task."),
+    ]
+    memory_mb: Annotated[
+        float | None,
+        cappa.Arg(long=True, default=None, help="Memory of a task in MiB."),
+    ]
+    accelerators: Annotated[
+        int | None,
+        cappa.Arg(long=True, default=None, help="Accelerators of a task."),
+    ]
+    expected_s: Annotated[
+        float | None,
+        cappa.Arg(long=True, default=None, help="Run time in seconds."),
+    ]
+    wait_s: Annotated[
+        float,
+        cappa.Arg(long=True, default=0.0, help="Wait for the end, seconds."),
+    ]
+
+
+@attrs.frozen
+class Lookup:
+    """Sends an urgent lookup and prints its result."""
+
+    team: Annotated[str, cappa.Arg(help="Team.")]
+    work_class: Annotated[str, cappa.Arg(long="--class", help="Work class.")]
+    payload: Annotated[str, _PAYLOAD]
+    timeout_ms: Annotated[
+        int, cappa.Arg(long=True, default=1200, help="Time for the answer.")
+    ]
+    repeatable: Annotated[
+        bool,
+        cappa.Arg(
+            long=True,
+            default=False,
+            help="Ask the next host after a lost answer; it may run twice.",
+        ),
+    ]
+
+
+@attrs.frozen
+class Wait:
+    """Waits for the end of a job and prints its result."""
+
+    job: Annotated[str, _JOB]
+    wait_s: Annotated[
+        float, cappa.Arg(long=True, default=60.0, help="Seconds at most.")
+    ]
+
+
+@attrs.frozen
+class Status:
+    """Prints the present state of a job."""
+
+    job: Annotated[str, _JOB]
+
+
+@attrs.frozen
+class Cancel:
+    """Cancels a job."""
+
+    job: Annotated[str, _JOB]
+
+
+@attrs.frozen
+class Query:
+    """Runs a command of the operators' language; "help" explains it."""
+
+    text: Annotated[
+        list[str], cappa.Arg(num_args=-1, help="Command, as: show running")
+    ]
+    operator: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            default="",
+            help="Name recorded with changes; by default the user's.",
+            show_default=False,
+        ),
+    ]
+
+
+@attrs.frozen
+class Check:
+    """Checks a file without starting anything and prints all faults."""
+
+    path: Annotated[str, cappa.Arg(help="JSON file.")]
+    kind: Annotated[
+        FileKind | None,
+        cappa.Arg(long=True, default=None, help="Told from its fields."),
+    ]
+
+
+@attrs.frozen
+class Codes:
+    """Prints the numbered result codes."""
+
+
+@attrs.frozen
+class Version:
+    """Prints the version."""
+
+
+@cappa.command(name="dragonflybank")
+@attrs.frozen
+class Dragonflybank:
+    """Client of the dragonflybank cluster scheduler.
+
+    Exit status: 0 done or accepted, 2 wrong arguments, 10 pending,
+    11 refused, 12 not run, 13 unknown, 14 failed.
+    """
+
+    command: cappa.Subcommands[
+        Submit
+        | Lookup
+        | Wait
+        | Cancel
+        | Status
+        | Query
+        | Check
+        | Codes
+        | Version
+    ]
+    host: Annotated[
+        list[str],
+        cappa.Arg(
+            long="--host",
+            default=(),
+            propagate=True,
+            show_default=False,
+            help=f"URL of a scheduler host, repeatable ({DEFAULT_HOST}).",
+        ),
+    ]
+    json: Annotated[
+        bool,
+        cappa.Arg(
+            long="--json", default=False, propagate=True, help="Print JSON."
+        ),
+    ]
--- a/libs/config/dragonflybank/config/decode.py
+++ b/libs/config/dragonflybank/config/decode.py
@@ -103,8 +103,9 @@
     conv = cattrs.Converter(detailed_validation=False)
     for kind, (text, holds) in _PRIMITIVES.items():
         conv.register_structure_hook(kind, _primitive_hook(kind, text, holds))
-    # Without a hook of its own a StrEnum is decoded by the hook for text.
+    # Without a hook of its own an enum is decoded as text or whole number.
     conv.register_structure_hook(enum.StrEnum, _structure_enum)
+    conv.register_structure_hook(enum.IntEnum, _structure_enum)
     conv.register_structure_hook(Any, lambda value, _: value)
     conv.register_structure_hook_func(
         _is_tuple, lambda value, kind: _structure_tuple(conv, value, kind)
@@ -145,11 +146,10 @@
 
 
 def _structure_enum(value, kind):
-    names = [member.value for member in kind]
-    if value not in names:
-        raise _InvalidError(
-            [Fault("", _shown(value), f"one of {', '.join(names)}")]
-        )
+    values = [member.value for member in kind]
+    if isinstance(value, bool) or value not in values:
+        text = ", ".join(map(str, values))
+        raise _InvalidError([Fault("", _shown(value), f"one of {text}")])
     return kind(value)
 
 
