--- /dev/null
+++ b/libs/host/dragonflybank/host/daemon.py
@@ -0,0 +1,281 @@
+"""The scheduler host as a service.
+
+The parts do the work; this module connects them, starts them in order and
+drains them.
+"""
+
+__all__ = ["SchedulerHost"]
+
+import asyncio
+import logging
+import random
+import zlib
+from collections.abc import Callable
+
+import mode
+from returns.result import Failure, Success
+
+from dragonflybank.cluster import messages
+from dragonflybank.cluster.clock import Clock, SystemClock
+from dragonflybank.cluster.gossip import Gossiper
+from dragonflybank.cluster.links import PeerServer
+from dragonflybank.cluster.membership import Membership
+from dragonflybank.cluster.ownership import Ownership, OwnershipConfig
+from dragonflybank.config.editor import ConfigEditor
+from dragonflybank.config.settings import Settings, one_way_s
+from dragonflybank.host.active import ActiveConfig
+from dragonflybank.host.config_sync import ConfigSync
+from dragonflybank.host.dispatch import handlers
+from dragonflybank.host.fleet import Fleet
+from dragonflybank.host.http import HttpFront
+from dragonflybank.host.jobs_front import JobsFront
+from dragonflybank.host.learned import Health, Learned
+from dragonflybank.host.links import HostLinks
+from dragonflybank.host.lookups import LookupRouter
+from dragonflybank.host.metrics import Metrics
+from dragonflybank.host.owner import OwnerSide
+from dragonflybank.host.rules import HostRules
+from dragonflybank.host.runner import HostTaskRunner
+from dragonflybank.host.shards import ShardTable
+from dragonflybank.host.view import HostView
+from dragonflybank.jobs.home import ShardHome
+from dragonflybank.jobs.results import ResultStore
+from dragonflybank.model.codes import Problem
+from dragonflybank.model.decisions import DecisionLog
+from dragonflybank.model.leases import TaskEvent
+from dragonflybank.model.topology import CapacitySummary, VmInfo
+from dragonflybank.model.work import JobSpec
+from dragonflybank.operators.execute import execute
+from dragonflybank.platform.store import HttpConfigStore
+from dragonflybank.platform.vmlist import HttpVmList
+from dragonflybank.platform.worker import HttpWorkerClient
+from dragonflybank.policy.placement import BestFitPolicy
+
+_log = logging.getLogger(__name__)
+
+STEP_S = 0.5
+DRAIN_POLL_S = 0.05
+# Ownership moves at the other hosts' pace; lookups are bounded by 30 s.
+HANDOVER_LIMIT_S = 10.0
+
+
+class SchedulerHost(mode.Service):
+    """One scheduler host.
+
+    Attributes:
+        settings: Its settings.
+        draining: Whether it is leaving.
+        lookups_running: Number of lookups that run at its workers.
+
+    Args:
+        settings: Settings of the process.
+        clock: Clock of the loops.
+        on_ports: Called with the ports of the HTTP and the peer socket.
+    """
+
+    shutdown_timeout = 60.0
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        clock: Clock | None = None,
+        on_ports: Callable[[int, int], None] = lambda http, peer: None,
+        **kwargs,
+    ):
+        super().__init__(**kwargs)
+        self.settings = settings
+        self._on_ports = on_ports
+        self.name = settings.name
+        self.draining = False
+        self.lookups_running = 0
+        self.loop_clock = clock or SystemClock()
+        self.clock = self.loop_clock.now
+        self.decisions = DecisionLog()
+        self.metrics = Metrics()
+        self.active = ActiveConfig(self._config_changed)
+        self.learned = Learned()
+        self.health = Health(self)
+        self.policy = BestFitPolicy()
+        self.owner = OwnerSide(self)
+        self.store = HttpConfigStore(settings.store_url)
+        self._vmlist = HttpVmList(settings.vmlist_url)
+        self.fleet = Fleet(self._vmlist)
+        self.links = HostLinks(
+            self.name,
+            self._address_of,
+            metrics=self.metrics,
+            latency_to=self._latency_to,
+        )
+        self.lookups = LookupRouter(self)
+        self.shards = ShardTable(self)
+        self.jobs = JobsFront(self, self.shards)
+        self.runner = HostTaskRunner(self, self.policy)
+        self.results = ResultStore(self.store)
+        self.http = HttpFront(self)
+        self.view = HostView(self, ConfigEditor(self.store))
+        self.config_sync = ConfigSync(self)
+        self.server = PeerServer(settings.peer.address, settings.peer.port)
+        self.membership: Membership | None = None
+        self.gossiper: Gossiper | None = None
+        self.ownership: Ownership | None = None
+
+    async def on_start(self) -> None:
+        """Opens the sockets and starts the loops."""
+        self.server.serve(handlers(self))
+        address = f"{self.settings.peer.address}:{self.server.port}"
+        now = self.clock()
+        self.membership = Membership(
+            self.name, self.settings.region, address, now=now
+        )
+        rng = random.Random(f"{self.name}/{now}")
+        self.gossiper = Gossiper(
+            self.membership, self.links, rng=rng, summary=self.capacity
+        )
+        self.ownership = Ownership(
+            OwnershipConfig(
+                self.name,
+                self.settings.region,
+                self.settings.lookup_reserve,
+            ),
+            self.membership,
+            _client_of,
+            on_finished=self.jobs.finished,
+            peers=self.links,
+            rng=rng,
+        )
+        self._set_candidates()
+        await self._read_fleet()
+        await self.http.start(
+            self.settings.http.address, self.settings.http.port
+        )
+        for loop in (
+            self.gossiper.run(self.loop_clock),
+            self.ownership.run(self.loop_clock),
+            self.config_sync.run(),
+            self._read_fleet_always(),
+            self._step_shards(),
+        ):
+            self.add_future(loop)
+        _log.info(
+            "host %s serves http on port %d and peers on %s",
+            self.name,
+            self.http.port,
+            address,
+        )
+        self._on_ports(self.http.port, self.server.port)
+
+    async def on_stop(self) -> None:
+        """Drains: hands over workers and shards, finishes requests."""
+        self.draining = True
+        await self.gossiper.announce_leaving(self.loop_clock)
+        self.lookups.drain()
+        await self.shards.close()
+        try:
+            async with asyncio.timeout(self.settings.intervals.drain_s):
+                while self.http.in_progress or self.lookups_running:
+                    await self.loop_clock.sleep(DRAIN_POLL_S)
+        except TimeoutError:
+            _log.error("%d requests are cut off", self.http.in_progress)
+        try:
+            async with asyncio.timeout(HANDOVER_LIMIT_S):
+                await self.ownership.drain(self.loop_clock)
+        except TimeoutError:
+            _log.warning("not all workers were handed over")
+
+    async def on_shutdown(self) -> None:
+        """Closes the sockets after the loops have ended."""
+        await self.http.stop()
+        await self.server.close()
+        await self.links.close()
+        await self.store.close()
+        await self._vmlist.close()
+
+    def capacity(self, now: float) -> CapacitySummary:
+        """Returns the free capacity of the owned workers."""
+        return self.ownership.summary(now, self.lookups.wait_s())
+
+    def not_ready(self) -> str:
+        """Returns why the balancer should not send requests here."""
+        if self.draining:
+            return "the host is leaving"
+        return self.config_sync.not_ready()
+
+    def new_shard_home(self, shard: str) -> ShardHome:
+        """Returns a home for a shard, not opened yet."""
+        return ShardHome(
+            shard,
+            self.name,
+            store=self.store,
+            runner=self.runner,
+            rules=HostRules(self, shard),
+            results=self.results,
+            seed=zlib.crc32(shard.encode()),
+            clock=self.clock,
+            log=self.decisions.add,
+        )
+
+    def learn(self, spec: JobSpec, event: TaskEvent, now: float) -> None:
+        """Takes over the measurements of an ended task."""
+        self.learned.note(spec.work_class, event)
+        self.health.note_task(spec.team, spec.work_class, event, now)
+
+    def config_value(self, req: messages.FetchConfig) -> messages.ConfigValue:
+        """Returns the configuration in force to a host that may be behind."""
+        return self.config_sync.value_for(req)
+
+    async def query(self, text: str, *, operator: str) -> dict:
+        """Runs an operator's command and returns its JSON reply."""
+        report = await execute(
+            self.view, text, operator=operator, now=self.clock()
+        )
+        match report:
+            case Success(found):
+                return {"code": 0, **found.to_json()}
+            case Failure(Problem() as failed):
+                return {
+                    "code": int(failed.code),
+                    "detail": failed.detail,
+                    "field": failed.field,
+                    "accepted": failed.accepted,
+                    "retry_after_s": failed.retry_after_s,
+                }
+
+    async def _read_fleet_always(self) -> None:
+        while True:
+            await self.loop_clock.sleep(self.settings.intervals.vmlist_s)
+            await self._read_fleet()
+            self._set_candidates()
+
+    async def _read_fleet(self) -> None:
+        if isinstance(await self.fleet.read(), Success):
+            self.ownership.update_workers(self.fleet.workers, self.clock())
+
+    async def _step_shards(self) -> None:
+        while True:
+            if self.active.generation and not self.draining:
+                await self.shards.step(self.clock())
+            self.metrics.owned_workers.set(len(self.ownership.owned()))
+            self.metrics.open_shards.set(len(self.shards.open_homes()))
+            await self.loop_clock.sleep(STEP_S)
+
+    def _set_candidates(self) -> None:
+        seeds = {s.name: f"{s.address}:{s.port}" for s in self.settings.seeds}
+        self.membership.set_candidates({**seeds, **self.fleet.host_addresses()})
+
+    def _address_of(self, host: str) -> str | None:
+        return self.membership.address(host)
+
+    def _latency_to(self, address: str) -> float:
+        entries = self.membership.peers(self.clock())
+        region = next((e.region for e in entries if e.address == address), "")
+        return one_way_s(self.settings, region)
+
+    def _config_changed(self, generation: int) -> None:
+        self.metrics.generation.set(generation)
+        self.membership.update_own(generation=generation)
+        _log.info("configuration generation %d is in force", generation)
+
+
+def _client_of(vm: VmInfo) -> HttpWorkerClient:
+    return HttpWorkerClient(vm.name, vm.url)
--- /dev/null
+++ b/libs/host/dragonflybank/host/dispatch.py
@@ -0,0 +1,136 @@
+"""Handlers of the requests of other hosts."""
+
+__all__ = ["handlers"]
+
+import collections
+from collections.abc import Mapping
+
+from returns.result import Result, Success
+
+from dragonflybank.cluster import messages
+from dragonflybank.cluster.links import Handler, typed
+from dragonflybank.cluster.messages import Kind
+from dragonflybank.host.lookups import LookupRequest
+from dragonflybank.host.runner import reserve_here
+from dragonflybank.model.codes import Problem
+from dragonflybank.model.leases import Reservation
+
+# Requests whose reservations are remembered, so that a request that is
+# delivered twice holds room once.
+REMEMBERED_RESERVES = 1024
+
+
+def handlers(host) -> Mapping[str, Handler]:
+    """Returns the handler of each kind of request.
+
+    Args:
+        host: The scheduler host.
+    """
+    owner = _OwnerCalls(host)
+
+    async def gossip(sender, req):
+        return await host.gossiper.answer(req, host.clock())
+
+    async def fetch_config(sender, req):
+        return Success(host.config_value(req))
+
+    async def handover(sender, req):
+        return await host.ownership.answer_handover(req, host.clock())
+
+    async def lookup(sender, req):
+        return await _lookup(host, req)
+
+    async def job(sender, req):
+        found = await host.jobs.at_this_host(req)
+        return found.map(messages.JobReply)
+
+    async def task_finished(sender, req):
+        kept = await host.jobs.finished_here(req.event)
+        return Success(messages.FinishedReply(kept))
+
+    async def list_work(sender, req):
+        return Success(host.view.rows_here(req.table, req.limit))
+
+    return {
+        Kind.GOSSIP: typed(messages.Gossip, gossip),
+        Kind.FETCH_CONFIG: typed(messages.FetchConfig, fetch_config),
+        Kind.HANDOVER: typed(messages.Handover, handover),
+        Kind.LOOKUP: typed(messages.LookupRequest, lookup),
+        Kind.JOB_SUBMIT: typed(messages.SubmitJob, job),
+        Kind.JOB_QUERY: typed(messages.QueryJob, job),
+        Kind.JOB_CANCEL: typed(messages.CancelJob, job),
+        Kind.RESERVE: typed(messages.ReserveRequest, owner.reserve),
+        Kind.RELEASE: typed(messages.ReleaseRequest, owner.release),
+        Kind.START: typed(messages.StartRequest, owner.start),
+        Kind.STOP: typed(messages.StopRequest, owner.stop),
+        Kind.RESOLVE: typed(messages.ResolveRequest, owner.resolve),
+        Kind.TASK_FINISHED: typed(messages.TaskFinished, task_finished),
+        Kind.LIST_WORK: typed(messages.ListWork, list_work),
+    }
+
+
+class _OwnerCalls:
+    """Calls of shard homes to this host as the owner of workers."""
+
+    def __init__(self, host):
+        self._host = host
+        self._reserved: collections.OrderedDict[
+            str, tuple[Reservation, ...]
+        ] = collections.OrderedDict()
+
+    async def reserve(self, sender, req) -> Result:
+        """Holds room once for each request identity."""
+        held = self._reserved.get(req.request_id)
+        if held is None:
+            held = tuple(
+                reserve_here(
+                    self._host,
+                    req.need,
+                    req.count,
+                    avoid=req.avoid,
+                    now=self._host.clock(),
+                    policy=self._host.policy,
+                    subject=f"{sender}/{req.request_id}",
+                    hold_s=req.hold_s,
+                )
+            )
+            self._reserved[req.request_id] = held
+            if len(self._reserved) > REMEMBERED_RESERVES:
+                self._reserved.popitem(last=False)
+        return Success(messages.ReserveReply(held))
+
+    async def release(self, sender, req) -> Result:
+        """Frees reservations."""
+        self._host.owner.release(req.reservations)
+        return Success(messages.Empty())
+
+    async def start(self, sender, req) -> Result:
+        """Passes a start on to its worker."""
+        reply = await self._host.owner.start(req)
+        return reply.map(messages.StartAnswer)
+
+    async def stop(self, sender, req) -> Result:
+        """Stops tasks."""
+        stopped = await self._host.owner.stop(req.starts)
+        return stopped.map(lambda _: messages.Empty())
+
+    async def resolve(self, sender, req) -> Result:
+        """Decides what became of a start."""
+        return await self._host.owner.resolve(req.start)
+
+
+async def _lookup(host, req) -> Result[messages.LookupReply, Problem]:
+    now = host.clock()
+    forwarded = LookupRequest(
+        req.team,
+        req.work_class,
+        req.payload,
+        req.timeout_s,
+        req.request_id,
+        req.hops,
+    )
+    found = host.active.work_class(req.work_class)
+    if not isinstance(found, Success):
+        return found
+    reply = await host.lookups.serve(forwarded, found.unwrap(), now=now)
+    return reply.map(lambda text: messages.LookupReply(req.request_id, text))
--- /dev/null
+++ b/libs/host/dragonflybank/host/http.py
@@ -0,0 +1,277 @@
+"""HTTP interface of a scheduler host for callers and operators.
+
+Each handler answers with status 200 and an `Answer`, whose outcome and code
+tell what happened; 400 is used for bad requests and 503 for a host that
+takes no new work, so that the platform's balancer can try another one.
+"""
+
+__all__ = ["HttpFront"]
+
+import contextlib
+import json
+
+import attrs
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from dragonflybank.host.lookups import LookupRequest
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.model.resources import Resources
+from dragonflybank.model.work import Answer, JobSpec, Outcome, answer_for
+
+MAX_BODY_BYTES = 900_000
+# A caller may wait for a job this long in one request, in seconds.
+MAX_WAIT_S = 30.0
+JOB_PATH = "/v1/jobs/{team}/{key}"
+
+
+class HttpFront:
+    """Serves callers and operators, and counts requests in progress."""
+
+    def __init__(self, host):
+        self._host = host
+        self._runner: web.AppRunner | None = None
+        self.in_progress = 0
+        self.port = 0
+
+    async def start(self, address: str, port: int) -> None:
+        """Listens on an address; port 0 lets the kernel choose."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.add_routes(
+            [
+                web.post("/v1/lookups", self._lookup),
+                web.put(JOB_PATH, self._submit),
+                web.get(JOB_PATH, self._job),
+                web.delete(JOB_PATH, self._cancel),
+                web.post("/v1/query", self._query),
+                web.get("/healthz", self._healthz),
+                web.get("/readyz", self._readyz),
+                web.get("/metrics", self._metrics),
+            ]
+        )
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, address, port)
+        await site.start()
+        self.port = site._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Closes the listening socket and the connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _lookup(self, request: web.Request) -> web.Response:
+        with self._counted():
+            body = await _json_body(request)
+            req = body.bind(_lookup_request)
+            match req:
+                case Success(lookup):
+                    answer = await self._host.lookups.answer(
+                        lookup, now=self._host.clock()
+                    )
+                case Failure(failed):
+                    answer = answer_for(failed)
+            self._count("lookup", answer)
+            return _answered(answer)
+
+    async def _submit(self, request: web.Request) -> web.Response:
+        with self._counted():
+            body = await _json_body(request)
+            spec = body.bind(lambda b: self._spec(request, b))
+            match spec:
+                case Success(job):
+                    answer = await self._host.jobs.submit(job)
+                case Failure(failed):
+                    answer = answer_for(failed)
+            self._count("submit", answer)
+            return _answered(answer)
+
+    async def _job(self, request: web.Request) -> web.Response:
+        with self._counted():
+            wait_s = _wait_s(request.query.get("wait_s", "0"))
+            match wait_s:
+                case Success(limit_s):
+                    answer = await self._host.jobs.ask(
+                        request.match_info["team"],
+                        request.match_info["key"],
+                        wait_s=limit_s,
+                    )
+                case Failure(failed):
+                    answer = answer_for(failed)
+            self._count("ask", answer)
+            return _answered(answer)
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        with self._counted():
+            answer = await self._host.jobs.cancel(
+                request.match_info["team"], request.match_info["key"]
+            )
+            self._count("cancel", answer)
+            return _answered(answer)
+
+    async def _query(self, request: web.Request) -> web.Response:
+        with self._counted():
+            body = await _json_body(request)
+            match body:
+                case Success({"text": str(text)} as fields):
+                    reply = await self._host.query(
+                        text, operator=str(fields.get("operator", ""))
+                    )
+                    return web.json_response(reply)
+                case Success(_):
+                    failed = Problem(
+                        Code.BAD_REQUEST, "no text", "text", "a command"
+                    )
+                case Failure(failed):
+                    pass
+            return _answered(answer_for(failed))
+
+    async def _healthz(self, request: web.Request) -> web.Response:
+        return web.json_response({"host": self._host.name})
+
+    async def _readyz(self, request: web.Request) -> web.Response:
+        reason = self._host.not_ready()
+        return web.json_response(
+            {"ready": not reason, "reason": reason},
+            status=503 if reason else 200,
+        )
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=self._host.metrics.exposition(), content_type="text/plain"
+        )
+
+    def _spec(self, request, body: dict) -> Result[JobSpec, Problem]:
+        known = self._host.active.work_class(str(body.get("work_class", "")))
+        return known.bind(lambda wc: _job_spec(request.match_info, body, wc))
+
+    def _count(self, kind: str, answer: Answer) -> None:
+        self._host.metrics.answers.labels(kind, answer.outcome.value).inc()
+
+    @contextlib.contextmanager
+    def _counted(self):
+        self.in_progress += 1
+        try:
+            yield
+        finally:
+            self.in_progress -= 1
+
+
+async def _json_body(request: web.Request) -> Result[dict, Problem]:
+    try:
+        body = json.loads(await request.text())
+    except ValueError as exc:
+        return problem(Code.BAD_REQUEST, str(exc), accepted="a JSON object")
+    if not isinstance(body, dict):
+        return problem(
+            Code.BAD_REQUEST, "not an object", accepted="a JSON object"
+        )
+    return Success(body)
+
+
+def _lookup_request(body: dict) -> Result[LookupRequest, Problem]:
+    checks = (
+        ("team", str, "a team's name"),
+        ("work_class", str, "a lookup class"),
+        ("payload", str, "text"),
+    )
+    for name, kind, accepted in checks:
+        if not isinstance(body.get(name), kind):
+            return problem(
+                Code.BAD_REQUEST,
+                f"found {body.get(name)!r}",
+                field=name,
+                accepted=accepted,
+            )
+    timeout_ms = body.get("timeout_ms", 0)
+    if not isinstance(timeout_ms, int | float) or timeout_ms < 0:
+        return problem(
+            Code.BAD_REQUEST,
+            f"found {timeout_ms!r}",
+            field="timeout_ms",
+            accepted="milliseconds, 0 for the class's time-out",
+        )
+    return Success(
+        LookupRequest(
+            body["team"], body["work_class"], body["payload"], timeout_ms / 1e3
+        )
+    )
+
+
+def _job_spec(path, body: dict, wc) -> Result[JobSpec, Problem]:
+    tasks = body.get("tasks", 1)
+    if not isinstance(tasks, int) or not 1 <= tasks <= 1000:
+        return problem(
+            Code.BAD_REQUEST,
+            f"found {tasks!r}",
+            field="tasks",
+            accepted="1 to 1000",
+        )
+    if not isinstance(body.get("payload", ""), str):
+        return problem(Code.BAD_REQUEST, field="payload", accepted="text")
+    size = _size(body.get("resources"), wc.size)
+    return size.map(
+        lambda amounts: JobSpec(
+            path["team"],
+            path["key"],
+            wc.name,
+            body.get("payload", ""),
+            tasks,
+            amounts,
+            float(body.get("expected_s", wc.expected_s)),
+        )
+    )
+
+
+def _size(declared, default: Resources) -> Result[Resources, Problem]:
+    if declared is None:
+        return Success(default)
+    names = {field.name for field in attrs.fields(Resources)}
+    valid = isinstance(declared, dict) and all(
+        name in names
+        and isinstance(amount, int | float)
+        and not isinstance(amount, bool)
+        and amount >= 0
+        for name, amount in declared.items()
+    )
+    if not valid:
+        return problem(
+            Code.BAD_REQUEST,
+            f"found {declared!r}",
+            field="resources",
+            accepted=f"amounts of {', '.join(sorted(names))}",
+        )
+    return Success(attrs.evolve(default, **declared))
+
+
+def _wait_s(text: str) -> Result[float, Problem]:
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value <= MAX_WAIT_S:
+        return problem(
+            Code.BAD_REQUEST,
+            f"found {text!r}",
+            field="wait_s",
+            accepted=f"0 to {MAX_WAIT_S:g} seconds",
+        )
+    return Success(value)
+
+
+def _answered(answer: Answer) -> web.Response:
+    return web.json_response(
+        attrs.asdict(answer), status=_status(answer), dumps=_dumps
+    )
+
+
+def _status(answer: Answer) -> int:
+    if Code.BAD_SETTINGS <= answer.code <= Code.BAD_CONFIGURATION:
+        return 400
+    if answer.code is Code.DRAINING:
+        return 503
+    return 202 if answer.outcome is Outcome.PENDING else 200
+
+
+def _dumps(value) -> str:
+    return json.dumps(value, separators=(",", ":"))
--- /dev/null
+++ b/libs/host/dragonflybank/host/learned.py
@@ -0,0 +1,72 @@
+"""What a host learns from ended work: sizes, run times, sick workers."""
+
+__all__ = ["Health", "Learned"]
+
+from returns.result import Failure, Result, Success
+
+from dragonflybank.model.codes import Code, Problem
+from dragonflybank.model.leases import TaskEvent, TaskState
+from dragonflybank.policy.health import WorkerHealth
+from dragonflybank.policy.sizes import SizeLearner
+from dragonflybank.policy.stragglers import RunTimes
+
+SIZE_EXCEEDED = "size_exceeded"
+
+
+class Learned:
+    """Measured sizes and run times by class.
+
+    Attributes:
+        sizes: Learned sizes.
+        run_times: Learned run times.
+    """
+
+    def __init__(self):
+        self.sizes = SizeLearner()
+        self.run_times = RunTimes()
+
+    def note(self, work_class: str, event: TaskEvent) -> None:
+        """Takes over the measurements of an ended task."""
+        if event.state is TaskState.DONE:
+            self.sizes.add(work_class, event.peak)
+            self.run_times.add(work_class, event.run_s)
+
+
+class Health:
+    """Evidence of sick workers from tasks and lookups."""
+
+    def __init__(self, host):
+        self._host = host
+        self._workers = WorkerHealth()
+
+    @property
+    def quarantined(self) -> frozenset[str]:
+        """Names of the workers in quarantine."""
+        return self._workers.quarantined
+
+    def note_task(
+        self, team: str, work_class: str, event: TaskEvent, now: float
+    ) -> None:
+        """Takes over the end of a task."""
+        if event.state is TaskState.DONE:
+            self._workers.succeeded(event.worker)
+        # A task that outgrew its grant says nothing about its worker.
+        if event.state is TaskState.FAILED and event.reason != SIZE_EXCEEDED:
+            self._failed(event.worker, team, work_class, now)
+
+    def note_lookup(self, worker: str, req, reply: Result) -> None:
+        """Takes over the end of a lookup."""
+        match reply:
+            case Success(_):
+                self._workers.succeeded(worker)
+            case Failure(Problem(code=Code.TASK_FAILED)):
+                self._failed(
+                    worker, req.team, req.work_class, self._host.clock()
+                )
+
+    def _failed(self, worker, team, work_class, now) -> None:
+        region = self._host.settings.region
+        rows = [vm for vm in self._host.fleet.workers if vm.region == region]
+        self._workers.failed(
+            worker, team, work_class, now, region_workers=len(rows)
+        )
--- /dev/null
+++ b/libs/host/dragonflybank/host/links.py
@@ -0,0 +1,50 @@
+"""Links to other hosts with metrics and injected latency."""
+
+__all__ = ["HostLinks"]
+
+import asyncio
+from collections.abc import Callable
+
+from returns.result import Failure, Result
+
+from dragonflybank.cluster.messages import MESSAGES
+from dragonflybank.cluster.peers import PeerLinks
+from dragonflybank.host.metrics import Metrics
+from dragonflybank.model.codes import Code
+
+
+class HostLinks(PeerLinks):
+    """Links of one scheduler host.
+
+    Args:
+        host: Name of this host.
+        address_of: Returns the peer address of a host, None if unknown.
+        metrics: Metrics of this host.
+        latency_to: Returns the one-way latency to inject towards an address,
+            in seconds; only loopback runs inject any.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        address_of: Callable[[str], str | None],
+        *,
+        metrics: Metrics,
+        latency_to: Callable[[str], float] = lambda address: 0.0,
+    ):
+        super().__init__(host, address_of)
+        self._metrics = metrics
+        self._latency_to = latency_to
+
+    async def ask_at(self, address, request, *, timeout_s) -> Result:
+        """See `PeerLinks.ask_at`."""
+        one_way_s = self._latency_to(address)
+        if one_way_s:
+            await asyncio.sleep(one_way_s)
+        reply = await super().ask_at(address, request, timeout_s=timeout_s)
+        if one_way_s:
+            await asyncio.sleep(one_way_s)
+        kind = MESSAGES[type(request)][0].value
+        code = reply.failure().code if isinstance(reply, Failure) else Code.OK
+        self._metrics.peer_calls.labels(kind, code.name).inc()
+        return reply
--- /dev/null
+++ b/libs/host/dragonflybank/host/lookups.py
@@ -0,0 +1,395 @@
+"""Lookups: admission, choice of an executor, retries and forwarding."""
+
+__all__ = ["LookupRequest", "LookupRouter"]
+
+import asyncio
+import itertools
+import random
+import secrets
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from dragonflybank.cluster import messages
+from dragonflybank.model.codes import Code, Problem, problem, proves_not_run
+from dragonflybank.model.decisions import Decision
+from dragonflybank.model.resources import Resources
+from dragonflybank.model.work import (
+    Answer,
+    WorkClass,
+    WorkKind,
+    answer_for,
+)
+from dragonflybank.policy.admission import EdfQueue, ServiceTimes, Waiting
+from dragonflybank.policy.placement import LookupPolicy
+from dragonflybank.policy.quotas import LookupQuota
+from dragonflybank.policy.retries import RetryBudget
+from dragonflybank.policy.spill import (
+    LinkPrice,
+    Request,
+    RouteKind,
+    route_lookup,
+)
+
+LOOKUP_NEED = Resources(slots=1, connections=1)
+# A first attempt may use this part of the time left, so that a silent
+# executor leaves time for another one.
+FIRST_ATTEMPT_PART = 0.5
+# A shorter rest of the time-out is not worth an attempt.
+MIN_ATTEMPT_S = 0.01
+# A lookup that fails on two executors is at fault itself.
+ATTEMPTS_THAT_FAIL = 2
+BYTES_PER_MB = 1e6
+
+
+@attrs.frozen
+class LookupRequest:
+    """A lookup as it arrives at a host.
+
+    Attributes:
+        team: Team of the caller.
+        work_class: Name of the work class.
+        payload: Request body, UTF-8 text.
+        timeout_s: Time for the answer in seconds; 0 for the class's.
+        request_id: Identity; empty for a new request.
+        hops: Number of times that it was forwarded.
+    """
+
+    team: str
+    work_class: str
+    payload: str
+    timeout_s: float = 0.0
+    request_id: str = ""
+    hops: int = 0
+
+
+@attrs.define
+class _Attempts:
+    """What happened to a lookup so far.
+
+    Attributes:
+        tried: Workers and hosts that were tried.
+        may_have_run: Whether some attempt may have run without an answer.
+        failures: Number of attempts that ran and failed.
+    """
+
+    tried: set[str] = attrs.field(factory=set)
+    may_have_run: bool = False
+    failures: int = 0
+
+
+class LookupRouter:
+    """Serves lookups at the own workers and forwards what they cannot take."""
+
+    def __init__(self, host):
+        self._host = host
+        self._rng = random.Random(host.name)
+        self._policy = LookupPolicy(seed=self._rng.randrange(1 << 30))
+        self._times = ServiceTimes()
+        self._queue = EdfQueue(0, self._times)
+        self._granted: dict[str, asyncio.Future] = {}
+        self._quotas: dict[str, LookupQuota] = {}
+        self._budget = RetryBudget()
+        self._numbers = itertools.count()
+
+    @property
+    def waiting(self) -> int:
+        """Number of lookups that wait for a slot."""
+        return len(self._queue)
+
+    def wait_s(self) -> float:
+        """Returns the expected wait of a new lookup in seconds."""
+        self._count_slots()
+        return min(self._queue.wait_s(), 60.0)
+
+    async def answer(self, req: LookupRequest, *, now: float) -> Answer:
+        """Serves a caller's lookup and returns the answer."""
+        found = self._host.active.work_class(req.work_class).bind(_only_lookup)
+        if isinstance(found, Failure):
+            return answer_for(found.failure())
+        admitted = self._admit(req, now)
+        if isinstance(admitted, Failure):
+            return answer_for(admitted.failure())
+        wc = found.unwrap()
+        req = attrs.evolve(
+            req,
+            request_id=f"{self._host.name}-{next(self._numbers)}-"
+            f"{secrets.token_hex(4)}",
+            timeout_s=_timeout_s(req, wc),
+        )
+        self._budget.on_request()
+        reply = await self.serve(req, wc, now=now)
+        self._host.metrics.lookup_seconds.observe(self._host.clock() - now)
+        if isinstance(reply, Failure):
+            self._log("refuse", req, "", reply.failure().detail, reply)
+            return answer_for(reply.failure())
+        return Answer.done(reply.unwrap())
+
+    async def serve(
+        self, req: LookupRequest, wc: WorkClass, *, now: float
+    ) -> Result[str, Problem]:
+        """Serves a lookup within its time-out, here or at another host.
+
+        Args:
+            req: The lookup with its identity and its time-out.
+            wc: Its class.
+            now: Time of arrival, seconds since 1970.
+
+        Returns:
+            The result; a problem that proves that it did not run; or
+            ``ANSWER_LOST`` if it may have run.
+        """
+        deadline = now + req.timeout_s
+        done = _Attempts()
+        last = problem(Code.NO_WORKER, "no worker is free", retry_after_s=0.5)
+        while (left_s := deadline - self._host.clock()) > MIN_ATTEMPT_S:
+            reply = await self._attempt(req, wc, done, deadline, left_s)
+            if isinstance(reply, Success):
+                return reply
+            last = reply
+            if not self._may_try_again(reply.failure(), wc, done):
+                break
+        if done.may_have_run and proves_not_run(last.failure().code):
+            return problem(
+                Code.ANSWER_LOST,
+                "an attempt may have run",
+                retry_after_s=last.failure().retry_after_s,
+            )
+        return last
+
+    async def _attempt(
+        self, req, wc, done, deadline, left_s
+    ) -> Result[str, Problem]:
+        now = self._host.clock()
+        route = route_lookup(
+            Request(
+                bytes=2 * len(req.payload),
+                time_left_s=left_s,
+                value=wc.value,
+                hops_in_region=min(req.hops, 1),
+                hops_between=max(0, req.hops - 1),
+            ),
+            self._host.capacity(now),
+            self._host.membership.summaries(now, 3.0) if req.hops < 2 else (),
+            now,
+            self._rng,
+            price=LinkPrice(
+                per_byte=self._host.settings.price_per_mb / BYTES_PER_MB
+            ),
+            avoid=done.tried,
+        )
+        can_forward = wc.repeatable and route.host
+        if route.kind in (RouteKind.PEER, RouteKind.REGION) and can_forward:
+            self._log("forward", req, route.host, route.reason, route=route)
+            return await self._forward(req, route, done, left_s)
+        return await self._run_here(req, wc, done, deadline)
+
+    async def _forward(self, req, route, done, left_s) -> Result[str, Problem]:
+        done.tried.add(route.host)
+        self._host.metrics.forwards.labels(route.kind.value).inc()
+        timeout_s = left_s * FIRST_ATTEMPT_PART
+        reply = await self._host.links.ask(
+            route.host,
+            messages.LookupRequest(
+                req.request_id,
+                req.team,
+                req.work_class,
+                req.payload,
+                timeout_s,
+                1 if route.kind is RouteKind.PEER else 2,
+            ),
+            timeout_s=timeout_s,
+        )
+        return reply.lash(_refused_there).bind(
+            lambda found: _own_reply(found, req.request_id)
+        )
+
+    async def _run_here(self, req, wc, done, deadline) -> Result[str, Problem]:
+        granted = await self._wait_for_slot(req, wc, deadline)
+        if isinstance(granted, Failure):
+            return granted
+        started = self._host.clock()
+        try:
+            return await self._execute(req, wc, done, deadline)
+        finally:
+            self._queue.finished(wc.name, self._host.clock() - started)
+            self.pump()
+
+    async def _wait_for_slot(self, req, wc, deadline) -> Result[None, Problem]:
+        self._count_slots()
+        key = f"{req.request_id}/{next(self._numbers)}"
+        now = self._host.clock()
+        offered = self._queue.offer(
+            Waiting(key, wc.name, deadline, wc.expected_s), now
+        )
+        if isinstance(offered, Failure):
+            return offered
+        fut = asyncio.get_running_loop().create_future()
+        self._granted[key] = fut
+        self.pump()
+        try:
+            async with asyncio.timeout(max(0.0, deadline - now)):
+                return await fut
+        except TimeoutError:
+            self._queue.remove(key)
+            return problem(
+                Code.OVERLOADED, "no slot in time", retry_after_s=1.0
+            )
+        finally:
+            self._granted.pop(key, None)
+
+    def pump(self) -> None:
+        """Gives free slots to waiting lookups, earliest deadline first."""
+        self._count_slots()
+        while len(self._queue) and self._queue.running < self._queue.slots:
+            taken = self._queue.take(self._host.clock())
+            for late in taken.late:
+                self._settle(
+                    late.id,
+                    problem(
+                        Code.OVERLOADED, "would be late", retry_after_s=0.5
+                    ),
+                )
+            if taken.request is None:
+                return
+            if not self._settle(taken.request.id, Success(None)):
+                self._queue.running -= 1
+
+    def drain(self) -> None:
+        """Lets waiting lookups look for room at other hosts."""
+        for key in list(self._granted):
+            self._queue.remove(key)
+            self._settle(key, problem(Code.FULL, "the host is leaving"))
+
+    def _settle(self, key: str, outcome: Result) -> bool:
+        fut = self._granted.get(key)
+        if fut is None or fut.done():
+            return False
+        fut.set_result(outcome)
+        return True
+
+    def _count_slots(self) -> None:
+        now = self._host.clock()
+        self._queue.slots = (
+            sum(
+                session.free_for_lookups.slots
+                for session in self._host.owner.ready_sessions(now)
+            )
+            + self._host.lookups_running
+        )
+
+    async def _execute(self, req, wc, done, deadline) -> Result[str, Problem]:
+        now = self._host.clock()
+        chosen = self._policy.choose(
+            LOOKUP_NEED,
+            self._host.owner.lookup_candidates(now),
+            now,
+            avoid=done.tried,
+        )
+        if isinstance(chosen, Failure):
+            return chosen
+        choice = chosen.unwrap()
+        self._log("place", req, choice.name, choice.reason, route=choice)
+        done.tried.add(choice.name)
+        left_s = deadline - now
+        first = wc.repeatable and not done.may_have_run
+        timeout_s = left_s * FIRST_ATTEMPT_PART if first else left_s
+        session = self._host.owner.session(choice.name)
+        self._host.lookups_running += 1
+        try:
+            reply = await session.execute(
+                req.request_id,
+                work_class=wc.name,
+                payload=req.payload,
+                timeout_s=timeout_s,
+                now=now,
+            )
+        finally:
+            self._host.lookups_running -= 1
+        self._host.health.note_lookup(choice.name, req, reply)
+        return reply
+
+    def _may_try_again(self, failed, wc, done) -> bool:
+        """Returns whether another attempt is allowed after a failure."""
+        match failed.code:
+            case Code.FULL | Code.STALE_EPOCH | Code.NOT_OWNER | Code.DRAINING:
+                return True
+            case Code.UNREACHABLE:
+                pass
+            case Code.TASK_FAILED:
+                done.failures += 1
+                if not wc.repeatable or done.failures >= ATTEMPTS_THAT_FAIL:
+                    return False
+            case code if proves_not_run(code):
+                return False
+            case _:
+                done.may_have_run = True
+        if not wc.repeatable and done.may_have_run:
+            return False
+        granted = self._budget.try_retry()
+        self._host.metrics.retries.labels(str(granted).lower()).inc()
+        return granted
+
+    def _admit(self, req: LookupRequest, now: float) -> Result[None, Problem]:
+        team = self._host.active.team(req.team)
+        if team is None:
+            return problem(
+                Code.BAD_REQUEST,
+                f"found {req.team!r}",
+                field="team",
+                accepted="a team of the configuration",
+            )
+        if self._host.draining:
+            return problem(
+                Code.DRAINING, "the host is leaving", retry_after_s=0.1
+            )
+        hosts = self._host.membership.live(self._host.settings.region, now)
+        rate = int(team.lookups_per_s)
+        quota = self._quotas.get(team.name)
+        if quota is None:
+            quota = LookupQuota(self._host.name, rate, hosts, now)
+            self._quotas[team.name] = quota
+        quota.update(rate, hosts, now)
+        return quota.admit(now)
+
+    def _log(self, kind, req, chosen, reason, failed=None, *, route=None):
+        self._host.decisions.add(
+            Decision(
+                self._host.clock(),
+                kind,
+                req.request_id or f"{req.team}/{req.work_class}",
+                chosen,
+                reason,
+                route.passed_over if route else (),
+                int(failed.failure().code) if failed else 0,
+            )
+        )
+
+
+def _only_lookup(wc: WorkClass) -> Result[WorkClass, Problem]:
+    if wc.kind is WorkKind.LOOKUP:
+        return Success(wc)
+    return problem(
+        Code.BAD_REQUEST,
+        f"{wc.name} is not a lookup class",
+        field="work_class",
+        accepted="a class of kind lookup; other work goes to /v1/jobs",
+    )
+
+
+def _timeout_s(req: LookupRequest, wc: WorkClass) -> float:
+    wanted = req.timeout_s or wc.timeout_s
+    return min(wanted, wc.timeout_s)
+
+
+def _refused_there(failed: Problem) -> Result:
+    """Returns ``FULL`` if the other host proves that the lookup did not run."""
+    if proves_not_run(failed.code):
+        return problem(Code.FULL, failed.detail)
+    return Failure(failed)
+
+
+def _own_reply(reply, request_id: str) -> Result[str, Problem]:
+    if reply.request_id != request_id:
+        return problem(Code.TIMED_OUT, "answer to another request")
+    return Success(reply.result)
--- /dev/null
+++ b/libs/host/dragonflybank/host/metrics.py
@@ -0,0 +1,52 @@
+"""Prometheus metrics of a scheduler host."""
+
+__all__ = ["Metrics"]
+
+import prometheus_client
+
+LOOKUP_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.2, 5.0)
+
+
+class Metrics:
+    """The metrics of one scheduler host, in a registry of its own."""
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.answers = self._counter(
+            "answers", "Answers to callers", "kind", "outcome"
+        )
+        self.lookup_seconds = prometheus_client.Histogram(
+            "dragonflybank_lookup_seconds",
+            "Time from the arrival of a lookup to its answer",
+            buckets=LOOKUP_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.forwards = self._counter(
+            "forwards", "Lookups forwarded to another host", "scope"
+        )
+        self.retries = self._counter("retries", "Lookups sent again", "granted")
+        self.peer_calls = self._counter(
+            "peer_calls", "Calls to other hosts", "kind", "code"
+        )
+        self.peer_bytes = self._counter(
+            "peer_bytes", "Bytes sent to and received from hosts", "scope"
+        )
+        self.owned_workers = self._gauge("owned_workers", "Workers owned")
+        self.open_shards = self._gauge("open_shards", "Job shards kept here")
+        self.generation = self._gauge(
+            "config_generation", "Generation of the configuration in force"
+        )
+
+    def exposition(self) -> bytes:
+        """Returns the metrics in Prometheus' text format."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def _counter(self, name: str, text: str, *labels: str):
+        return prometheus_client.Counter(
+            f"dragonflybank_{name}", text, labels, registry=self.registry
+        )
+
+    def _gauge(self, name: str, text: str):
+        return prometheus_client.Gauge(
+            f"dragonflybank_{name}", text, registry=self.registry
+        )
--- /dev/null
+++ b/libs/host/dragonflybank/host/owner.py
@@ -0,0 +1,125 @@
+"""The owner's side of placement: the workers that this host owns."""
+
+__all__ = ["OwnerSide"]
+
+from collections.abc import Iterable, Sequence
+
+from returns.result import Failure, Result, Success
+
+from dragonflybank.cluster.messages import StartRequest
+from dragonflybank.cluster.sessions import WorkerSession
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.model.decisions import Decision
+from dragonflybank.model.leases import Reservation, Resolution, StartReply
+from dragonflybank.model.work import StartRecord
+from dragonflybank.policy.placement import Candidate
+
+
+class OwnerSide:
+    """Placement and tasks at the workers that this host owns."""
+
+    def __init__(self, host):
+        self._host = host
+
+    def session(self, worker: str) -> WorkerSession | None:
+        """Returns the session of a worker, None if it is not known."""
+        return self._host.ownership.sessions.get(worker)
+
+    def ready_sessions(self, now: float) -> list[WorkerSession]:
+        """Returns the sessions that take new work."""
+        return [
+            session
+            for session in self._host.ownership.owned()
+            if session.refusal(now) is None
+        ]
+
+    def lookup_candidates(self, now: float) -> list[Candidate]:
+        """Returns the executors that may take a lookup."""
+        return [
+            self._candidate(session, session.free_for_lookups, now)
+            for session in self.ready_sessions(now)
+        ]
+
+    def task_candidates(self, now: float) -> list[Candidate]:
+        """Returns the workers that may take a task."""
+        return [
+            self._candidate(session, session.free, now)
+            for session in self.ready_sessions(now)
+        ]
+
+    def release(self, reservations: Iterable[Reservation]) -> None:
+        """Frees reservations."""
+        for held in reservations:
+            session = self.session(held.worker)
+            if session is not None:
+                session.release(held.id)
+
+    async def start(self, req: StartRequest) -> Result[StartReply, Problem]:
+        """Passes a start on to its worker."""
+        start = req.start
+        session = self.session(start.worker)
+        if session is None:
+            return problem(Code.NOT_OWNER, f"{start.worker} is not known")
+        now = self._host.clock()
+        reply = await session.start(
+            start, work_class=req.work_class, payload=req.payload, now=now
+        )
+        code = reply.failure().code if isinstance(reply, Failure) else Code.OK
+        self._host.decisions.add(
+            Decision(
+                now,
+                "start",
+                start.task_id.rsplit("/", 2)[0],
+                start.worker,
+                f"{start.task_id} at epoch {start.epoch}",
+                code=int(code),
+            )
+        )
+        return reply
+
+    async def stop(
+        self, starts: Sequence[StartRecord]
+    ) -> Result[None, Problem]:
+        """Stops tasks with one call for each worker."""
+        by_worker: dict[str, list[str]] = {}
+        for start in starts:
+            by_worker.setdefault(start.worker, []).append(start.task_id)
+        for worker, task_ids in by_worker.items():
+            session = self.session(worker)
+            if session is None:
+                return problem(Code.NOT_OWNER, f"{worker} is not known")
+            stopped = await session.stop(task_ids)
+            if isinstance(stopped, Failure):
+                return stopped
+        return Success(None)
+
+    async def resolve(self, start: StartRecord) -> Result[Resolution, Problem]:
+        """Decides what became of a start."""
+        session = self.session(start.worker)
+        if session is None:
+            return problem(Code.NOT_OWNER, f"{start.worker} is not known")
+        return await session.resolve(start, now=self._host.clock())
+
+    def _candidate(self, session, free, now) -> Candidate:
+        return Candidate(
+            session.name,
+            session.size,
+            free,
+            rack=session.info.rack,
+            long_running=self._long_running(session, now),
+            quarantined=session.name in self._host.health.quarantined,
+            failure_domain=session.info.failure_domain,
+        )
+
+    def _long_running(self, session, now) -> int:
+        run_times = self._host.learned.run_times
+        found = (
+            (self._host.active.work_class(t.work_class), now - t.started_at)
+            for t in session.tasks.values()
+        )
+        return sum(
+            1
+            for wc, age_s in found
+            if isinstance(wc, Success)
+            and run_times.is_long(wc.unwrap(), age_s=age_s)
+        )
--- /dev/null
+++ b/libs/host/dragonflybank/host/rules.py
@@ -0,0 +1,59 @@
+"""The operator configuration and the cell as shard homes see them."""
+
+__all__ = ["HostRules"]
+
+from dragonflybank.jobs.home import HomeRules
+from dragonflybank.model.hashing import shards_of_team
+from dragonflybank.model.resources import Resources
+from dragonflybank.model.work import JobSpec, WorkClass
+from dragonflybank.policy.quotas import shard_share
+
+
+class HostRules(HomeRules):
+    """Rules for one shard of this host."""
+
+    def __init__(self, host, shard: str):
+        self._host = host
+        self._number = int(shard.rsplit("/", 1)[1])
+
+    def work_class(self, name: str) -> WorkClass | None:
+        """See `HomeRules.work_class`."""
+        return self._host.active.work_class(name).value_or(None)
+
+    def max_running(self, team: str) -> int | None:
+        """See `HomeRules.max_running`."""
+        found = self._host.active.team(team)
+        if found is None:
+            return 0
+        shards = shards_of_team(
+            team, self._host.settings.shards_per_region, found.shards
+        )
+        return shard_share(found.max_running, self._number, shards)
+
+    def largest(self) -> Resources | None:
+        """See `HomeRules.largest`."""
+        sizes = [vm.size for vm in self._host.fleet.workers]
+        if not sizes:
+            return None
+        return max(sizes, key=lambda s: (s.memory_mb, s.cores))
+
+    def grant_size(self, spec: JobSpec, wc: WorkClass) -> Resources:
+        """See `HomeRules.grant_size`."""
+        sizes = {vm.size for vm in self._host.fleet.workers}
+        grant = self._host.learned.sizes.grant(wc.name, spec.size, sizes)
+        return grant.value_or(spec.size)
+
+    def is_quarantined(self, worker: str) -> bool:
+        """See `HomeRules.is_quarantined`."""
+        return worker in self._host.health.quarantined
+
+    def rack_of(self, worker: str) -> str:
+        """See `HomeRules.rack_of`."""
+        row = self._host.fleet.worker(worker)
+        return row.rack if row else ""
+
+    def rack_count(self) -> int:
+        """See `HomeRules.rack_count`."""
+        region = self._host.settings.region
+        rows = self._host.fleet.workers
+        return len({vm.rack for vm in rows if vm.region == region}) or 1
