Add ownership of workers: claims, sessions, leases, handover

Cause: each worker needs exactly one owner that counts its capacity and decides starts whose answer was lost (D1, D2, D4, D11, D12, D16).

Ruled out: the worker's own epoch number as the fence in journals. A replaced VM counts from the start again, so a task that ran on the old VM would be resolved as not started; the epoch now carries a tag of the incarnation. Renewing while earlier renewals are unanswered was ruled out, since each one may have reached the worker and the worst case would never end.

--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/claims.py
@@ -0,0 +1,168 @@
+"""Claims of a worker and what they decide about earlier starts (D1, D2, D4)."""
+
+__all__ = ["claim", "reclaim", "resolve"]
+
+from returns.result import Failure, Result, Success
+
+from dragonflybank.cluster.epochs import is_same_incarnation, worker_epoch
+from dragonflybank.cluster.owned import DropReason, OwnedWorker, is_problem
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.model.leases import Resolution, ResolutionKind
+from dragonflybank.model.work import StartRecord
+from dragonflybank.platform.worker import Claimed, WorkerState
+
+
+async def claim(
+    worker: OwnedWorker, seen: WorkerState
+) -> Result[bool, Problem]:
+    """Claims a worker at the epoch that was seen.
+
+    Returns:
+        Whether this host is the owner now; or the problem of the call, after
+        which the claim may still have taken effect.
+    """
+    async with worker.lock:
+        reply = await worker.client.claim(worker.host, epoch=seen.epoch)
+        if isinstance(reply, Failure):
+            return reply
+        claimed = reply.unwrap()
+        if claimed.won:
+            worker.adopt(claimed.state)
+        return Success(claimed.won)
+
+
+async def reclaim(worker: OwnedWorker) -> Result[None, Problem]:
+    """Raises the epoch of an owned worker; its lock must be held.
+
+    The worker's list is final with respect to every earlier epoch then, which
+    settles all starts without an answer.
+    """
+    reply = await _claim_again(worker)
+    if isinstance(reply, Failure):
+        worker.contact.failed()
+        return reply
+    claimed = reply.unwrap()
+    if not claimed.won:
+        worker.drop(DropReason.STALE)
+        return problem(Code.NOT_OWNER, f"{worker.name} has another owner")
+    worker.contact.answered()
+    worker.adopt(claimed.state)
+    return Success(None)
+
+
+async def resolve(
+    worker: OwnedWorker, start: StartRecord, now: float
+) -> Result[Resolution, Problem]:
+    """Decides what became of a start; the worker's lock must be held.
+
+    Args:
+        worker: The worker of the start.
+        start: The journalled start.
+        now: Present time.
+
+    Returns:
+        The resolution; ``NOT_OWNER`` if another host must decide.
+    """
+    known = _known(worker, start)
+    if known is not None:
+        return Success(known)
+    if not worker.owned:
+        return _by_lease(worker, now)
+    fenced = await _fence(worker, start)
+    if is_problem(fenced, Code.NOT_OWNER):
+        return fenced
+    if isinstance(fenced, Failure):
+        return _by_lease(worker, now)
+    known = _known(worker, start)
+    return Success(known or Resolution(_absent(worker, start)))
+
+
+async def _fence(
+    worker: OwnedWorker, start: StartRecord
+) -> Result[None, Problem]:
+    """Makes sure that the start can no longer succeed."""
+    if not _is_comparable(worker, start):
+        return await _confirm(worker)
+    if start.epoch < worker.epoch:
+        return Success(None)
+    return await reclaim(worker)
+
+
+async def _confirm(worker: OwnedWorker) -> Result[None, Problem]:
+    """Makes sure that the worker is still the VM that this host owns."""
+    look = await worker.client.state()
+    if isinstance(look, Failure):
+        worker.contact.failed()
+        return look
+    if look.unwrap().incarnation == worker.incarnation:
+        return Success(None)
+    worker.lose_tasks("worker replaced")
+    worker.drop(DropReason.REPLACED)
+    return problem(Code.NOT_OWNER, f"{worker.name} was replaced")
+
+
+def _absent(worker: OwnedWorker, start: StartRecord) -> ResolutionKind:
+    if not _is_comparable(worker, start):
+        # The VM on which it may have run is gone, and the task with it.
+        return ResolutionKind.LEASE_LAPSED
+    if start.epoch >= worker.epoch:
+        return ResolutionKind.UNDECIDED
+    return ResolutionKind.NOT_STARTED
+
+
+def _is_comparable(worker: OwnedWorker, start: StartRecord) -> bool:
+    return is_same_incarnation(worker.epoch, start.epoch)
+
+
+def _known(worker: OwnedWorker, start: StartRecord) -> Resolution | None:
+    if start.task_id in worker.ended:
+        event = worker.ended.event(start.task_id)
+        # The event of an acknowledged end is in its home's journal already.
+        kind = (
+            ResolutionKind.UNDECIDED
+            if event is None
+            else ResolutionKind.FINISHED
+        )
+        return Resolution(kind, event)
+    if start.task_id in worker.tasks or start.task_id in worker.unreported:
+        worker.unexplained.discard(start.task_id)
+        return Resolution(ResolutionKind.ADOPTED)
+    return None
+
+
+def _by_lease(worker: OwnedWorker, now: float) -> Result[Resolution, Problem]:
+    if worker.contact.has_lapsed(now, owned=worker.owned):
+        return Success(Resolution(ResolutionKind.LEASE_LAPSED))
+    if worker.owned or worker.contact.taken_over_at is not None:
+        return Success(Resolution(ResolutionKind.UNDECIDED))
+    return problem(
+        Code.NOT_OWNER, f"{worker.name} is not owned here", retry_after_s=1.0
+    )
+
+
+async def _claim_again(worker: OwnedWorker) -> Result[Claimed, Problem]:
+    reply = await worker.client.claim(
+        worker.host, epoch=worker_epoch(worker.epoch)
+    )
+    if is_problem(reply, Code.TIMED_OUT):
+        return await _claim_seen(worker, await worker.client.state())
+    lost = reply.map(lambda claimed: not claimed.won).value_or(False)
+    if lost:
+        return await _claim_seen(worker, reply.map(lambda c: c.state))
+    return reply
+
+
+async def _claim_seen(
+    worker: OwnedWorker, look: Result[WorkerState, Problem]
+) -> Result[Claimed, Problem]:
+    """Claims at the epoch of an earlier claim whose answer was lost.
+
+    The worker names this host as its owner then, and its present list is as
+    good as the lost one, since starts wait for the lock.
+    """
+    if isinstance(look, Failure):
+        return look
+    seen = look.unwrap()
+    if seen.owner != worker.host or seen.incarnation != worker.incarnation:
+        return Success(Claimed(False, seen))
+    return await worker.client.claim(worker.host, epoch=seen.epoch)
--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/contact.py
@@ -0,0 +1,82 @@
+"""What a host knows of the contact with a worker and of its leases."""
+
+__all__ = ["Contact"]
+
+import attrs
+
+from dragonflybank.cluster.membership import PAUSE_S
+from dragonflybank.model.leases import LEASE_MARGIN_S, LEASE_S
+
+# One lost answer is often a silent connection, which is replaced at once.
+FAILURES_BEFORE_UNREACHABLE = 2
+
+
+@attrs.define
+class Contact:
+    """Bookkeeping of answered and unanswered calls to one worker.
+
+    Attributes:
+        failures: Consecutive calls without an answer.
+        is_unconfirmed: Whether the last renewal has no answer. No renewal is
+            sent then before the worker has answered a probe, so that the
+            latest possible renewal does not move while it is unreachable.
+        lease_from: Latest time at which a renewal or start that may have
+            reached the worker was sent, seconds since 1970.
+        taken_over_at: Time since which this host alone is responsible for a
+            worker that it could not claim, or None.
+        attended_at: Time of the last ownership step.
+    """
+
+    failures: int = 0
+    is_unconfirmed: bool = False
+    lease_from: float = 0.0
+    taken_over_at: float | None = None
+    attended_at: float = 0.0
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether calls are answered."""
+        return self.failures < FAILURES_BEFORE_UNREACHABLE
+
+    def answered(self) -> None:
+        """Notes an answer of the worker."""
+        self.failures = 0
+        self.is_unconfirmed = False
+        self.taken_over_at = None
+
+    def failed(self) -> None:
+        """Notes a call without an answer."""
+        self.failures += 1
+
+    def suspect(self) -> None:
+        """Treats the worker as unreachable until it answers a probe."""
+        self.failures = max(self.failures, FAILURES_BEFORE_UNREACHABLE)
+        self.is_unconfirmed = True
+
+    def lease_sent(self, at: float) -> None:
+        """Notes a renewal or a start that may reach the worker."""
+        self.lease_from = max(self.lease_from, at)
+
+    def take_over(self, now: float) -> None:
+        """Starts the worst case of the former owner's last renewal."""
+        if self.taken_over_at is None:
+            self.taken_over_at = now
+
+    def restart(self, now: float) -> None:
+        """Counts again from now, after this process was paused."""
+        self.lease_from = max(self.lease_from, now)
+        if self.taken_over_at is not None:
+            self.taken_over_at = now
+
+    def has_lapsed(self, now: float, *, owned: bool) -> bool:
+        """Returns whether every lease of the worker has surely ended.
+
+        Args:
+            now: Present time.
+            owned: Whether this host is the owner; otherwise the time counts
+                from its takeover.
+        """
+        start = self.lease_from if owned else self.taken_over_at
+        if start is None or now - self.attended_at > PAUSE_S:
+            return False
+        return now >= start + LEASE_S + LEASE_MARGIN_S
--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/events.py
@@ -0,0 +1,86 @@
+"""Ends of tasks, from the worker to the shard home that journals them."""
+
+__all__ = ["OnFinished", "poll", "report_lost"]
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Iterable
+
+from returns.result import Failure, Success
+
+from dragonflybank.cluster.owned import OwnedWorker
+from dragonflybank.model.leases import TaskEvent
+
+_log = logging.getLogger(__name__)
+
+# Returns True once the end of the task is journalled.
+OnFinished = Callable[[TaskEvent, OwnedWorker], Awaitable[bool]]
+
+# Bounds the wait on a connection that went silent.
+EVENT_WAIT_S = 10.0
+# A journal that does not answer in this time must not hold back the ends of
+# other jobs' tasks on the same worker.
+JOURNAL_LIMIT_S = 5.0
+
+
+async def poll(
+    worker: OwnedWorker, on_finished: OnFinished, now: Callable[[], float]
+) -> bool:
+    """Waits for ends of tasks and hands them on.
+
+    The worker is told to forget an end only after ``on_finished`` returned
+    True for it; otherwise it reports it again.
+
+    Returns:
+        Whether everything that came was journalled and acknowledged; if not,
+        the caller should wait before it polls again.
+    """
+    epoch = worker.epoch
+    reply = await worker.fenced(
+        lambda number: worker.client.events(epoch=number, wait_s=EVENT_WAIT_S)
+    )
+    if isinstance(reply, Failure) or worker.epoch != epoch:
+        return False
+    events = reply.unwrap()
+    for event in events:
+        worker.end(event)
+    journalled = await _journalled(events, worker, on_finished)
+    if not journalled:
+        return not events
+    acknowledged = await worker.fenced(
+        lambda number: worker.client.ack(journalled, epoch=number)
+    )
+    if isinstance(acknowledged, Success):
+        worker.ended.acknowledge(journalled, now())
+    return isinstance(acknowledged, Success) and len(journalled) == len(events)
+
+
+async def report_lost(worker: OwnedWorker, on_finished: OnFinished) -> None:
+    """Hands on the ends of tasks that the worker can no longer report."""
+    for task_id in await _journalled(
+        tuple(worker.lost.values()), worker, on_finished
+    ):
+        worker.lost.pop(task_id, None)
+
+
+async def _journalled(
+    events: Iterable[TaskEvent], worker: OwnedWorker, on_finished: OnFinished
+) -> list[str]:
+    events = tuple(events)
+    done = await asyncio.gather(
+        *(_journal(event, worker, on_finished) for event in events)
+    )
+    return [e.task_id for e, ok in zip(events, done, strict=True) if ok]
+
+
+async def _journal(
+    event: TaskEvent, worker: OwnedWorker, on_finished: OnFinished
+) -> bool:
+    try:
+        async with asyncio.timeout(JOURNAL_LIMIT_S):
+            return await on_finished(event, worker)
+    except TimeoutError:
+        return False
+    except Exception:
+        _log.exception("end of %s was not taken", event.task_id)
+        return False
--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/ledger.py
@@ -0,0 +1,206 @@
+"""Capacity of one worker: what is promised, running and free."""
+
+__all__ = ["LOOKUP_NEED", "Ledger"]
+
+from collections.abc import Hashable, Iterable
+
+import attrs
+
+from dragonflybank.model.leases import Reservation, TaskState
+from dragonflybank.model.resources import (
+    Resources,
+    fits,
+    minus,
+    plus,
+    total,
+)
+from dragonflybank.platform.worker import RunningTask
+
+# What a lookup takes of its executor while it runs.
+LOOKUP_NEED = Resources(slots=1, connections=1)
+
+
+@attrs.frozen
+class _Unsettled:
+    grant: Resources
+    sent_at: float
+
+
+class Ledger:
+    """Counts everything that takes room of a worker.
+
+    The sum of tasks, starts without a known answer, reservations, lookups
+    and the former owner's lookups never exceeds the size, unless the worker
+    reports more than it can hold.
+
+    Attributes:
+        size: What the worker can hold.
+        tasks: Running tasks by id, in the worker's own list.
+    """
+
+    def __init__(self, size: Resources, *, lookup_reserve: int):
+        self.size = size
+        self.tasks: dict[str, RunningTask] = {}
+        self._lookup_reserve = lookup_reserve
+        self._unsettled: dict[str, _Unsettled] = {}
+        self._reservations: dict[str, Reservation] = {}
+        self._lookups: dict[Hashable, Resources] = {}
+        self._lookup_ends: dict[Hashable, float] = {}
+        self._foreign = Resources()
+        self._used: tuple[Resources, Resources] | None = None
+
+    @property
+    def free(self) -> Resources:
+        """What is neither used nor promised."""
+        patient, lookups = self._sums()
+        return minus(self.size, plus(patient, lookups))
+
+    @property
+    def free_for_tasks(self) -> Resources:
+        """What patient work may take, without the slots kept for lookups."""
+        patient, _ = self._sums()
+        free = self.free
+        kept = self._lookup_reserve
+        return attrs.evolve(
+            free,
+            slots=min(free.slots, self.size.slots - kept - patient.slots),
+            connections=min(
+                free.connections,
+                self.size.connections - kept - patient.connections,
+            ),
+        )
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no lookup and no reservation is open."""
+        return not (self._lookups or self._reservations)
+
+    def expire(self, now: float) -> None:
+        """Frees reservations and unanswered lookups that are past their end."""
+        late = [k for k, r in self._reservations.items() if r.expires_at <= now]
+        for key in late:
+            self.release(key)
+        ended = [k for k, end in self._lookup_ends.items() if end <= now]
+        for key in ended:
+            self.leave(key)
+
+    def reserve(self, reservation: Reservation) -> bool:
+        """Holds room for a task if there is enough."""
+        if not fits(reservation.grant, self.free_for_tasks):
+            return False
+        self._reservations[reservation.id] = reservation
+        self._used = None
+        return True
+
+    def release(self, reservation_id: str) -> None:
+        """Frees a reservation; an unknown one is ignored."""
+        self._reservations.pop(reservation_id, None)
+        self._used = None
+
+    def send(self, task_id: str, grant: Resources, now: float) -> bool:
+        """Counts a start that is about to be sent.
+
+        A reservation of equal size is used up; without one the room must be
+        free. A start that was sent before is counted once.
+        """
+        if task_id in self._unsettled:
+            return True
+        held = [k for k, r in self._reservations.items() if r.grant == grant]
+        if held:
+            self.release(held[0])
+        elif not fits(grant, self.free_for_tasks):
+            return False
+        self._unsettled[task_id] = _Unsettled(grant, now)
+        self._used = None
+        return True
+
+    def is_unsettled(self, task_id: str) -> bool:
+        """Returns whether the answer to a start is not known."""
+        return task_id in self._unsettled
+
+    def unsettled_before(self, at: float) -> bool:
+        """Returns whether a start that was sent before has no answer."""
+        return any(u.sent_at < at for u in self._unsettled.values())
+
+    def start(self, task: RunningTask) -> None:
+        """Counts a task as running."""
+        self._unsettled.pop(task.task_id, None)
+        self.tasks[task.task_id] = task
+        self._used = None
+
+    def end(self, task_id: str) -> None:
+        """Frees a task that ended or never started."""
+        self._unsettled.pop(task_id, None)
+        self.tasks.pop(task_id, None)
+        self._used = None
+
+    def enter(self, key: Hashable, need: Resources) -> bool:
+        """Counts a lookup if there is room for it."""
+        if not fits(need, self.free):
+            return False
+        self._lookups[key] = need
+        self._used = None
+        return True
+
+    def leave(self, key: Hashable) -> None:
+        """Frees a lookup."""
+        self._lookups.pop(key, None)
+        self._lookup_ends.pop(key, None)
+        self._used = None
+
+    def leave_at(self, key: Hashable, end: float) -> None:
+        """Frees a lookup without an answer once it is surely over."""
+        self._lookup_ends[key] = end
+
+    def replace(self, size: Resources, tasks: Iterable[RunningTask]) -> None:
+        """Takes over the list of a claim, which settles all earlier starts.
+
+        Reservations of the earlier epoch can no longer be used and are freed;
+        lookups in progress stay counted.
+        """
+        self.size = size
+        self.tasks = {
+            t.task_id: t for t in tasks if t.state is TaskState.RUNNING
+        }
+        self._unsettled = {}
+        self._reservations = {}
+        self._used = None
+
+    def set_foreign(self, usage: Resources) -> None:
+        """Counts slots that the worker uses beyond the listed tasks.
+
+        They are lookups of the former owner.
+        """
+        listed = total(t.grant for t in self.tasks.values())
+        self._foreign = Resources(
+            slots=max(0, usage.slots - listed.slots),
+            connections=max(0, usage.connections - listed.connections),
+        )
+        self._used = None
+
+    def shrink_foreign(self, usage: Resources) -> None:
+        """Lowers the former owner's lookups to what can still be running."""
+        before = self._foreign
+        self.set_foreign(usage)
+        self._foreign = Resources(
+            slots=min(before.slots, self._foreign.slots),
+            connections=min(before.connections, self._foreign.connections),
+        )
+
+    def clear_foreign(self) -> None:
+        """Forgets the former owner's lookups, which are over."""
+        self._foreign = Resources()
+        self._used = None
+
+    def _sums(self) -> tuple[Resources, Resources]:
+        # Recomputed after a change: running differences of fractions of
+        # cores would drift.
+        if self._used is None:
+            patient = total(
+                [t.grant for t in self.tasks.values()]
+                + [u.grant for u in self._unsettled.values()]
+                + [r.grant for r in self._reservations.values()]
+            )
+            lookups = total([*self._lookups.values(), self._foreign])
+            self._used = (patient, lookups)
+        return self._used
--- a/libs/cluster/dragonflybank/cluster/membership.py
+++ b/libs/cluster/dragonflybank/cluster/membership.py
@@ -138,7 +138,7 @@
             return self._lapsed(known, now)
         if host in self._floors:
             return True
-        return self._seen_until(now) - self._started_at > REMOTE_DEAD_AFTER_S
+        return self.listening_s(now) > REMOTE_DEAD_AFTER_S
 
     def region_silent_s(self, region: str, now: float) -> float:
         """Returns the seconds since a live host of a region was in view."""
@@ -147,6 +147,10 @@
         seen_at = self._region_seen.get(region, self._started_at)
         return self._seen_until(now) - seen_at
 
+    def listening_s(self, now: float) -> float:
+        """Returns the seconds since the start or the end of a pause."""
+        return self._seen_until(now) - self._started_at
+
     def summaries(
         self, now: float, max_age_s: float, *, region: str | None = None
     ) -> tuple[CapacitySummary, ...]:
--- a/libs/cluster/dragonflybank/cluster/owner_messages.py
+++ b/libs/cluster/dragonflybank/cluster/owner_messages.py
@@ -117,9 +117,11 @@
 
     Attributes:
         workers: Names of the workers.
+        query: Only ask which of them the host owns, and release none.
     """
 
     workers: tuple[str, ...]
+    query: bool = False
 
 
 @attrs.frozen
@@ -128,7 +130,8 @@
 
     Attributes:
         released: Workers that the host does not own, or no longer.
-        waiting: Workers that are released once calls in progress have ended.
+        waiting: Workers that the host still owns; they are released once the
+            calls in progress have ended, unless it was a query.
     """
 
     released: tuple[str, ...]
--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/ownership.py
@@ -0,0 +1,298 @@
+"""Which workers this host owns: claims, handover, sessions (D1, D16)."""
+
+__all__ = ["Ownership", "OwnershipConfig"]
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Iterable
+
+import attrs
+from returns.result import Result, Success
+
+from dragonflybank.cluster.clock import Clock
+from dragonflybank.cluster.events import OnFinished, report_lost
+from dragonflybank.cluster.membership import PAUSE_S, Membership
+from dragonflybank.cluster.messages import Handover, HandoverReply
+from dragonflybank.cluster.owned import DropReason
+from dragonflybank.cluster.ranking import candidates, first_host, may_receive
+from dragonflybank.cluster.renewals import serve
+from dragonflybank.cluster.roster import Roster, Seat
+from dragonflybank.cluster.sessions import WorkerSession
+from dragonflybank.cluster.summaries import summarise
+from dragonflybank.cluster.takeover import Peers, Taken, take
+from dragonflybank.cluster.unlisted import Unlisted
+from dragonflybank.model.codes import Problem
+from dragonflybank.model.leases import Resolution
+from dragonflybank.model.topology import CapacitySummary, VmInfo
+from dragonflybank.model.work import StartRecord
+from dragonflybank.platform.worker import WorkerClient
+
+_log = logging.getLogger(__name__)
+
+STEP_S = 0.5
+# A host that has just started or was paused first listens for some gossip
+# rounds, since it ranks first for everything while it knows nobody.
+LISTEN_S = 2.0
+# A worker that does not answer is tried more often than one that was lost to
+# another host, since it has no owner meanwhile.
+UNREACHABLE_RETRY_S = 10.0
+
+
+@attrs.frozen
+class OwnershipConfig:
+    """What ownership needs of the host's settings.
+
+    Attributes:
+        host: Name of the own host.
+        region: Its region.
+        lookup_reserve: Slots of each worker that patient work cannot take.
+        claims_at_once: Largest number of claims in progress.
+    """
+
+    host: str
+    region: str
+    lookup_reserve: int = 2
+    claims_at_once: int = 16
+
+
+class Ownership:
+    """The sessions of all workers that this host may own.
+
+    Attributes:
+        sessions: Sessions by worker name, owned or not.
+    """
+
+    def __init__(
+        self,
+        cfg: OwnershipConfig,
+        membership: Membership,
+        clients: Callable[[VmInfo], WorkerClient],
+        *,
+        on_finished: OnFinished,
+        peers: Peers,
+        rng: random.Random | None = None,
+    ):
+        self._cfg = cfg
+        self._membership = membership
+        self._on_finished = on_finished
+        self._peers = peers
+        self._rng = rng or random.Random()
+        self._roster = Roster(
+            cfg.region,
+            clients,
+            host=cfg.host,
+            lookup_reserve=cfg.lookup_reserve,
+        )
+        self.sessions = self._roster.sessions
+        self._claims = asyncio.Semaphore(cfg.claims_at_once)
+        self._unlisted = Unlisted(self._roster, membership, peers)
+        self._stepped_at: float | None = None
+        self._wakes = membership.wakes
+
+    def update_workers(self, vms: Iterable[VmInfo], now: float) -> None:
+        """Takes over the rows of the VM list; see `Roster.update`."""
+        self._roster.update(vms, now)
+
+    def step(self, now: float) -> tuple[str, ...]:
+        """Decides which workers to claim now.
+
+        A worker is claimed if this host ranks first for it, does not own it
+        and is not backing off from it.
+
+        Args:
+            now: Present time; expected every half second.
+
+        Returns:
+            Names of the workers to claim.
+        """
+        self._check_pause(now)
+        self._check_regions(now)
+        is_listening = self._membership.listening_s(now) < LISTEN_S
+        seats = self._roster.seats.items()
+        views = {
+            region: candidates(self._membership, region, now)
+            for region in {s.session.info.region for _, s in seats}
+        }
+        return tuple(
+            name
+            for name, seat in seats
+            if self._attend(seat, views[seat.session.info.region], now)
+            and not is_listening
+        )
+
+    async def take(self, name: str, clock: Clock) -> Taken:
+        """Tries to become the owner of one worker and notes the back-off."""
+        seat = self._roster.seats[name]
+        async with self._claims:
+            taken = await take(
+                seat.session, self._membership, self._peers, clock
+            )
+        now = clock.now()
+        _log.info("claim of %s: %s", name, taken)
+        if taken is Taken.WAITING:
+            seat.backoff.wait(now)
+        elif taken is Taken.UNREACHABLE:
+            seat.backoff.fail(now, self._rng, longest_s=UNREACHABLE_RETRY_S)
+        elif taken is not Taken.WON:
+            seat.backoff.fail(now, self._rng)
+        return taken
+
+    async def resolve(
+        self, start: StartRecord, *, now: float
+    ) -> Result[Resolution, Problem]:
+        """Decides what became of a start on any worker (D4)."""
+        session = self.sessions.get(start.worker)
+        if session is not None:
+            return await session.resolve(start, now=now)
+        return await self._unlisted.resolve(start, now)
+
+    async def answer_handover(
+        self, sender: str, request: Handover, now: float
+    ) -> Result[HandoverReply, Problem]:
+        """Releases workers to a host that ranks first for them.
+
+        The handler of kind ``handover``. A worker that is neither released
+        nor waiting stays with this host.
+        """
+        held = [w for w in request.workers if self._owns(w)]
+        if not request.query:
+            for name in held:
+                self._hand_over(name, sender, now)
+        released = tuple(w for w in request.workers if not self._owns(w))
+        waiting = tuple(w for w in held if self._is_closing(w, now))
+        return Success(HandoverReply(released, waiting))
+
+    def summary(self, now: float, queue_s: float = 0.0) -> CapacitySummary:
+        """Returns the free capacity of the owned workers for gossip.
+
+        Args:
+            now: Present time.
+            queue_s: Expected wait of a new lookup in seconds.
+        """
+        return summarise(
+            self.sessions.values(),
+            now,
+            host=self._cfg.host,
+            region=self._cfg.region,
+            queue_s=queue_s,
+        )
+
+    def owned(self) -> tuple[WorkerSession, ...]:
+        """Returns the sessions of the workers that this host owns."""
+        return tuple(s for s in self.sessions.values() if s.owned)
+
+    def owner_hint(self, worker: str, now: float) -> str | None:
+        """Returns the host that most likely owns a worker."""
+        session = self.sessions.get(worker)
+        if session is None:
+            return None
+        if session.owned:
+            return self._cfg.host
+        view = candidates(self._membership, session.info.region, now)
+        return first_host(worker, view)
+
+    async def run(self, clock: Clock) -> None:
+        """Claims workers, renews leases and hands on events until cancelled."""
+        lost = asyncio.create_task(self._report_lost(clock))
+        seats = self._roster.seats
+        try:
+            while True:
+                for name in self.step(clock.now()):
+                    seats[name].task = asyncio.create_task(
+                        self._hold(name, seats[name], clock)
+                    )
+                await self._roster.close_unused()
+                await clock.sleep(STEP_S)
+        finally:
+            tasks = [lost, *(s.task for s in seats.values() if s.task)]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await self._roster.close()
+
+    async def drain(self, clock: Clock) -> None:
+        """Waits until no worker is owned; the own status must be leaving.
+
+        The next hosts in rank ask for the workers as they learn the status.
+        It returns at once when no host is left that could ask.
+        """
+        while any(
+            candidates(self._membership, s.info.region, clock.now())
+            for s in self.owned()
+        ):
+            await clock.sleep(STEP_S)
+
+    async def _hold(self, name: str, seat: Seat, clock: Clock) -> None:
+        """Takes one worker and serves it until the ownership is lost."""
+        session = seat.session
+        try:
+            if await self.take(name, clock) is not Taken.WON:
+                return
+            await serve(session, self._on_finished, clock)
+            _log.info("%s is no longer owned: %s", name, session.drop_reason)
+            if session.drop_reason is DropReason.STALE:
+                seat.backoff.fail(clock.now(), self._rng)
+        except Exception:
+            _log.exception("session of %s failed", name)
+            session.drop(DropReason.FAILED)
+            seat.backoff.fail(clock.now(), self._rng)
+        finally:
+            seat.task = None
+
+    async def _report_lost(self, clock: Clock) -> None:
+        while True:
+            waiting = [s for s in self.sessions.values() if s.lost]
+            await asyncio.gather(
+                *(report_lost(s, self._on_finished) for s in waiting)
+            )
+            await clock.sleep(STEP_S)
+
+    def _attend(self, seat: Seat, view: tuple[str, ...], now: float) -> bool:
+        """Keeps a seat up to date; returns whether to claim its worker."""
+        session = seat.session
+        session.contact.attended_at = now
+        session.ledger.expire(now)
+        if session.owned:
+            seat.backoff.settle(now - session.claimed_at)
+            return False
+        if first_host(session.name, view) != self._cfg.host:
+            session.contact.taken_over_at = None
+            return False
+        return seat.task is None and seat.backoff.not_before <= now
+
+    def _owns(self, worker: str) -> bool:
+        session = self.sessions.get(worker)
+        return session is not None and session.owned
+
+    def _is_closing(self, worker: str, now: float) -> bool:
+        return self._owns(worker) and now < self.sessions[worker].closing_until
+
+    def _hand_over(self, worker: str, asker: str, now: float) -> None:
+        session = self.sessions[worker]
+        view = candidates(self._membership, session.info.region, now)
+        if may_receive(worker, asker, view):
+            session.hand_over(now)
+
+    def _check_pause(self, now: float) -> None:
+        last, self._stepped_at = self._stepped_at, now
+        is_woken = last is not None and now - last > PAUSE_S
+        if not is_woken and self._membership.wakes == self._wakes:
+            return
+        # Another host may have taken over meanwhile; each worker is probed
+        # before anything is placed on it or taken for lapsed.
+        self._wakes = self._membership.wakes
+        for session in self.sessions.values():
+            session.contact.restart(now)
+            if session.owned:
+                session.contact.suspect()
+
+    def _check_regions(self, now: float) -> None:
+        for region in self._roster.regions():
+            is_open = self._cfg.host in candidates(
+                self._membership, region, now
+            )
+            if is_open:
+                self._roster.include(region)
+            else:
+                self._roster.exclude(region)
--- a/libs/cluster/dragonflybank/cluster/peers.py
+++ b/libs/cluster/dragonflybank/cluster/peers.py
@@ -8,10 +8,11 @@
 from returns.result import Result
 
 from dragonflybank.cluster.links import PeerLink, ask
+from dragonflybank.cluster.takeover import Peers
 from dragonflybank.model.codes import Code, problem
 
 
-class PeerLinks:
+class PeerLinks(Peers):
     """One link for each peer, opened when it is first used.
 
     Attributes:
--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/summaries.py
@@ -0,0 +1,49 @@
+"""Free capacity of a host's workers, as gossip carries it."""
+
+__all__ = ["summarise"]
+
+from collections.abc import Iterable
+
+import attrs
+
+from dragonflybank.cluster.owned import OwnedWorker
+from dragonflybank.model.resources import Resources, total
+from dragonflybank.model.topology import CapacitySummary
+
+
+def summarise(
+    workers: Iterable[OwnedWorker],
+    now: float,
+    *,
+    host: str,
+    region: str,
+    queue_s: float = 0.0,
+) -> CapacitySummary:
+    """Returns the summary of the workers that take new work.
+
+    Args:
+        workers: Workers, owned or not.
+        now: Present time.
+        host: Name of the own host.
+        region: Its region.
+        queue_s: Expected wait of a new lookup in seconds.
+    """
+    usable = [w for w in workers if w.refusal(now) is None]
+    free = [w.free for w in usable]
+    lookups = [w.free_for_lookups for w in usable]
+    return CapacitySummary(
+        host,
+        region,
+        now,
+        sum(max(0, min(r.slots, r.connections)) for r in lookups),
+        total(free),
+        _largest(free),
+        queue_s,
+    )
+
+
+def _largest(free: list[Resources]) -> Resources:
+    if not free:
+        return Resources()
+    columns = zip(*(attrs.astuple(r) for r in free), strict=True)
+    return Resources(*(max(column) for column in columns))
--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/unlisted.py
@@ -0,0 +1,50 @@
+"""Starts on workers that the VM list no longer has."""
+
+__all__ = ["Unlisted"]
+
+from returns.result import Result, Success
+
+from dragonflybank.cluster.membership import Membership
+from dragonflybank.cluster.roster import Roster
+from dragonflybank.cluster.takeover import Peers, is_denied
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.model.leases import (
+    LEASE_MARGIN_S,
+    LEASE_S,
+    Resolution,
+    ResolutionKind,
+)
+from dragonflybank.model.work import StartRecord
+
+
+class Unlisted:
+    """Decides what became of starts on workers without a session."""
+
+    def __init__(self, roster: Roster, membership: Membership, peers: Peers):
+        self._roster = roster
+        self._membership = membership
+        self._peers = peers
+        self._asked_at: dict[str, float] = {}
+
+    async def resolve(
+        self, start: StartRecord, now: float
+    ) -> Result[Resolution, Problem]:
+        """Returns ``LEASE_LAPSED`` once the worker is surely gone.
+
+        That is so when a VM list, received a worst-case lease after the first
+        question, still lacks it and no host in view owns it.
+        """
+        missing = problem(
+            Code.NOT_OWNER, f"{start.worker} is not listed", retry_after_s=1.0
+        )
+        listed_at = self._roster.listed_at
+        if listed_at is None or self._roster.is_listed(start.worker):
+            return missing
+        asked_at = self._asked_at.setdefault(start.worker, now)
+        if listed_at < asked_at + LEASE_S + LEASE_MARGIN_S:
+            return missing
+        if not await is_denied(
+            start.worker, self._membership, self._peers, now
+        ):
+            return missing
+        return Success(Resolution(ResolutionKind.LEASE_LAPSED))
