--- a/libs/platform/dragonflybank/platform/connection.py
+++ b/libs/platform/dragonflybank/platform/connection.py
@@ -105,7 +105,9 @@
             connector = aiohttp.TCPConnector(
                 limit=CONNECTIONS_PER_PEER, ttl_dns_cache=None
             )
-            self._session = aiohttp.ClientSession(connector=connector)
+            self._session = aiohttp.ClientSession(
+                connector=connector, middlewares=(_send_once,)
+            )
         return self._session
 
     async def _count_timeout(self, session: aiohttp.ClientSession) -> None:
@@ -118,6 +120,22 @@
             await self.close()
 
 
+class _ConnectionLostError(aiohttp.ClientError):
+    """The connection was closed after the request may have been received."""
+
+
+# aiohttp repeats GET, PUT and DELETE by itself when a connection that was in
+# use before is closed. After a store write that took effect, the repetition
+# would be answered with a conflict with the caller's own write.
+async def _send_once(req, handler) -> aiohttp.ClientResponse:
+    try:
+        return await handler(req)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
+        raise _ConnectionLostError(str(exc)) from exc
+
+
 async def _exchange(session, method, url, kwargs) -> Reply:
     async with session.request(method, url, **kwargs) as resp:
         return Reply(resp.status, resp.headers, await resp.read())
--- a/libs/standins/dragonflybank/standins/program.py
+++ b/libs/standins/dragonflybank/standins/program.py
@@ -58,11 +58,13 @@
             raise web.HTTPNotFound(text=f"no server {name}")
         return self.servers[name]
 
-    async def _control_faults(self, request: web.Request) -> web.Response:
-        return await self._named(request)._control_faults(request)
+    async def control_faults(self, request: web.Request) -> web.Response:
+        """See `StandinServer.control_faults`."""
+        return await self._named(request).control_faults(request)
 
-    async def _control_calls(self, request: web.Request) -> web.Response:
-        return await self._named(request)._control_calls(request)
+    async def control_calls(self, request: web.Request) -> web.Response:
+        """See `StandinServer.control_calls`."""
+        return await self._named(request).control_calls(request)
 
 
 async def _serve(args: argparse.Namespace, make_servers) -> None:
--- a/libs/standins/dragonflybank/standins/store_server.py
+++ b/libs/standins/dragonflybank/standins/store_server.py
@@ -191,7 +191,8 @@
             if entry.lease == lease_id:
                 self.write(key, None)
 
-    async def _control_calls(self, request: web.Request) -> web.Response:
+    async def control_calls(self, request: web.Request) -> web.Response:
+        """See `StandinServer.control_calls`."""
         return web.json_response(
             {"calls": dict(self.calls), "waiting_watches": self.waiting_watches}
         )
--- /dev/null
+++ b/libs/standins/dragonflybank/standins/tests/test_invariants.py
@@ -0,0 +1,193 @@
+"""Tests that each check reports records made to break its invariant."""
+
+import json
+
+import attrs
+import testtools
+from testtools.matchers import Equals
+
+from dragonflybank.model.hashing import digest
+from dragonflybank.model.leases import TaskState
+from dragonflybank.model.resources import Resources
+from dragonflybank.model.work import Outcome
+from dragonflybank.standins import records as rec
+from dragonflybank.standins.answers import CallerAnswer
+from dragonflybank.standins.invariants import check_all
+from dragonflybank.standins.simulation import expected_result
+
+PAYLOAD = json.dumps({"answer": "a"})
+PAYLOAD_DIGEST = digest(PAYLOAD.encode())
+SIZE = Resources(cores=2, memory_mb=100, slots=2, connections=2)
+ONE = Resources(cores=1, memory_mb=50, slots=1, connections=1)
+UP = [rec.WorkerUp(0, w, w + "-1", SIZE) for w in ("w1", "w2")]
+
+
+def _start(at, task="t/k/1/0", worker="w1", work_class="sweep", grant=ONE):
+    return rec.TaskStarted(
+        at, worker, task, work_class, 1, grant, PAYLOAD_DIGEST
+    )
+
+
+def _end(at, task="t/k/1/0", worker="w1", state=TaskState.DONE):
+    return rec.TaskEnded(at, worker, task, state)
+
+
+def _lookup(at, request="r1", worker="w1"):
+    return rec.LookupStarted(
+        at, worker, request, "die_lookup", ONE, PAYLOAD_DIGEST
+    )
+
+
+def _answer(outcome, *, key="k", work_class="sweep", asked_at=1.0, at=3.0):
+    result = expected_result(work_class, PAYLOAD)
+    if outcome is not Outcome.DONE:
+        result = ""
+    body = result.encode()
+    return CallerAnswer(
+        "t",
+        key,
+        work_class,
+        PAYLOAD,
+        asked_at,
+        at,
+        outcome,
+        len(body),
+        digest(body),
+        result,
+        host="h1",
+    )
+
+
+def _written(at, version, generation):
+    return rec.StoreWritten(at, "config/active", version, 9, generation)
+
+
+class TestChecks(testtools.TestCase):
+    """Guards against a check that lets a violation pass."""
+
+    def assert_found(self, records, answers=(), *, expected):
+        found = check_all([*UP, *records], answers)
+        self.assertThat([v.invariant for v in found], Equals(expected))
+
+    def test_orderly_records_have_no_violation(self):
+        records = [
+            _written(0, 1, 1),
+            rec.LeavingAnnounced(1, "w2", "vmlist"),
+            _start(2),
+            _lookup(2),
+            _end(3),
+            rec.LookupEnded(3, "w1", "r1", TaskState.DONE),
+            _start(3, "t/k2/1/0", grant=SIZE),
+            _end(4, "t/k2/1/0", state=TaskState.FAILED),
+            _start(4, "t/k2/2/0", "w2"),
+            rec.HostDrained(5, "h1", 9),
+            rec.GenerationSeen(20, "h1", 1),
+        ]
+        answers = [
+            _answer(Outcome.DONE),
+            _answer(Outcome.DONE, key="", work_class="die_lookup"),
+            _answer(Outcome.UNKNOWN, key="k2"),
+        ]
+        self.assert_found(records, answers, expected=[])
+
+    def test_i1_grants_and_lookups_above_the_size(self):
+        records = [_start(1), _lookup(1), _start(2, "t/k2/1/0")]
+        self.assert_found(records, expected=["I1"])
+
+    def test_i2_two_runs_of_a_task_at_once(self):
+        records = [_start(1), _start(2, "t/k/2/0", "w2"), _end(3)]
+        self.assert_found(records, expected=["I2"])
+
+    def test_i3_answer_to_another_request(self):
+        records = [_start(1), _end(2)]
+        other = expected_result("sweep", "other")
+        wrong = attrs.evolve(
+            _answer(Outcome.DONE),
+            result=other,
+            length=len(other),
+            digest=digest(other.encode()),
+        )
+        self.assert_found(records, [wrong], expected=["I3", "I3"])
+
+    def test_i3_cut_answer(self):
+        records = [_start(1), _end(2)]
+        cut = attrs.evolve(_answer(Outcome.DONE), digest=digest(b"more"))
+        self.assert_found(records, [cut], expected=["I3"])
+
+    def test_i3_result_without_a_finished_run(self):
+        self.assert_found([], [_answer(Outcome.DONE)], expected=["I3"])
+
+    def test_i3_request_without_a_final_answer(self):
+        answers = [_answer(None), _answer(Outcome.PENDING, at=4)]
+        self.assert_found([], answers, expected=["I3"])
+
+    def test_i4_refused_work_that_ran_before_or_after(self):
+        for at in (1, 5):
+            for outcome in (Outcome.NOT_RUN, Outcome.REFUSED):
+                answers = [_answer(outcome)]
+                self.assert_found([_start(at)], answers, expected=["I4"])
+
+    def test_i4_refused_lookup_that_ran(self):
+        answers = [_answer(Outcome.REFUSED, key="", work_class="die_lookup")]
+        self.assert_found([_lookup(2)], answers, expected=["I4"])
+
+    def test_i4_only_a_later_request_excuses_a_start(self):
+        refused = _answer(Outcome.REFUSED)
+        later = _answer(Outcome.UNKNOWN, asked_at=4, at=9)
+        self.assert_found([_start(5)], [refused, later], expected=[])
+        earlier = attrs.evolve(later, asked_at=2)
+        self.assert_found([_start(5)], [refused, earlier], expected=["I4"])
+
+    def test_i5_second_attempt_of_billed_work(self):
+        records = [
+            _start(1, work_class="simulation"),
+            _end(2, state=TaskState.FAILED),
+            _start(3, "t/k/2/0", "w2", "simulation"),
+        ]
+        self.assert_found(records, expected=["I5"])
+
+    def test_i6_start_at_a_vm_that_leaves(self):
+        for source in ("vmlist", "worker"):
+            leaving = rec.LeavingAnnounced(1, "w1", source)
+            self.assert_found([leaving, _start(6)], expected=[])
+            self.assert_found([leaving, _start(6.1)], expected=["I6"])
+            self.assert_found([leaving, _lookup(6.1)], expected=["I6"])
+
+    def test_i6_ends_with_the_vm_that_left(self):
+        leaving = rec.LeavingAnnounced(1, "w1", "worker")
+        again = attrs.evolve(UP[0], at=4)
+        self.assert_found([leaving, again, _start(9)], expected=[])
+
+    def test_i7_answer_cut_off_by_a_drain(self):
+        drain = rec.HostDrained(2, "h1", 9)
+        cut = attrs.evolve(_answer(None), was_cut=True)
+        other = attrs.evolve(cut, host="h2")
+        self.assert_found([drain], [cut], expected=["I3", "I7"])
+        self.assert_found([drain], [other], expected=["I3"])
+
+    def test_i8_generation_that_goes_back(self):
+        self.assert_found(
+            [_written(1, 1, 2), _written(2, 2, 1)], expected=["I8"]
+        )
+        seen = [rec.GenerationSeen(at, "h1", 9 - at) for at in (1, 2)]
+        self.assert_found(seen, expected=["I8"])
+
+    def test_i8_generation_that_comes_late(self):
+        seen = [_written(1, 1, 2), rec.GenerationSeen(17.1, "h1", 1)]
+        self.assert_found(seen, expected=["I8"])
+
+    def test_i8_value_that_shows_no_generation(self):
+        self.assert_found([_written(1, 1, 0)], expected=["I8"])
+
+
+class TestRecords(testtools.TestCase):
+    """Guards against a record that changes on its way through JSON."""
+
+    def test_each_type_survives_json(self):
+        samples = {float: 1.5, int: 2, str: "k/ä", bool: True}
+        samples |= {Resources: SIZE, TaskState: TaskState.LAPSED}
+        for kind in rec.RECORD_TYPES:
+            values = [samples[f.type] for f in attrs.fields(kind)]
+            record = kind(*values)
+            row = json.loads(json.dumps(rec.encode_record(record)))
+            self.assertThat(rec.decode_record(row), Equals(record))
