Force the failures of a start and of the store on the shard home

Tests kill the home at every step of a start, wake a former home, lose each answer, cancel during each step and take the store away. Found and changed: a shard could not be taken over when the new host's clock was behind that of the former one; a repeated accept was answered "store unavailable", which means not run, while a change of its job that was accepted long before failed; a cancellation that could not be journalled had a code that means "not run" and now has ASK_AGAIN; a job whose size was exceeded ended too early when its processors, not its memory, were those of the largest worker; a result written for a start that was lost meanwhile was never deleted.

Ruled out: nothing.

Conclusion: next is the property test over drawn faults.

--- a/libs/jobs/dragonflybank/jobs/admission.py
+++ b/libs/jobs/dragonflybank/jobs/admission.py
@@ -72,12 +72,12 @@
 
 def check_room(spec: JobSpec, journal: Journal, now: float) -> Result | None:
     """Returns why a job is not accepted at present, or None."""
-    size = journal.projected_bytes() + _projected_bytes(spec)
+    size = journal.table.projected_bytes + _projected_bytes(spec)
     if size <= ACCEPT_LIMIT_BYTES:
         return None
     ended = [
         item.record.finished_at
-        for item in journal.items()
+        for item in journal.table.items()
         if isinstance(item, Entry) and item.final
     ]
     # The first record that is reduced to a tombstone makes room.
--- a/libs/jobs/dragonflybank/jobs/context.py
+++ b/libs/jobs/dragonflybank/jobs/context.py
@@ -8,7 +8,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from dragonflybank.jobs.entries import Entry
+from dragonflybank.jobs.entries import Entry, Key
 from dragonflybank.jobs.journal import Journal
 from dragonflybank.jobs.results import ResultStore
 from dragonflybank.jobs.runner import HomeRules, TaskRunner
@@ -78,6 +78,19 @@
             and now >= self.paused_until
         )
 
+    def note(
+        self,
+        now: float,
+        kind: str,
+        key: Key,
+        chosen: str,
+        reason: str,
+        code: Code = Code.OK,
+    ) -> None:
+        """Logs a decision about a job."""
+        subject = "/".join(key)
+        self.log(Decision(now, kind, subject, chosen, reason, code=int(code)))
+
     def work_class(self, entry: Entry) -> WorkClass:
         """Returns the class of a job, with the rules it was accepted by."""
         name = entry.record.spec.work_class
--- a/libs/jobs/dragonflybank/jobs/home.py
+++ b/libs/jobs/dragonflybank/jobs/home.py
@@ -15,7 +15,7 @@
 
 from dragonflybank.jobs.admission import check_room, check_spec
 from dragonflybank.jobs.context import HomeContext
-from dragonflybank.jobs.entries import Entry, Key, Tombstone, task_index
+from dragonflybank.jobs.entries import Entry, Key, Tombstone
 from dragonflybank.jobs.journal import Journal
 from dragonflybank.jobs.outcomes import Stopper, apply_event
 from dragonflybank.jobs.placement import Placement
@@ -29,7 +29,7 @@
 from dragonflybank.jobs.runner import HomeRules, TaskRunner
 from dragonflybank.jobs.transitions import accepted_entry, request_cancel
 from dragonflybank.jobs.value import Item
-from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.model.codes import Code, Problem, problem, proves_not_run
 from dragonflybank.model.decisions import Decision, log_decision
 from dragonflybank.model.leases import TaskEvent
 from dragonflybank.model.work import JobRecord, JobSpec, JobState, is_final
@@ -79,6 +79,7 @@
         self._journal = Journal(
             store, shard, host, sleep=sleep, on_settled=self._notify
         )
+        self._table = self._journal.table
         self._ctx = HomeContext(
             self._journal,
             runner,
@@ -132,7 +133,7 @@
             accepted, or why it is not.
         """
         key = spec.team, spec.key
-        present = self._journal.latest(key)
+        present = self._table.latest(key)
         if present is not None:
             return await self._accepted_before(present, spec)
         refused = check_spec(spec, self._ctx.rules) or check_room(
@@ -157,47 +158,42 @@
             The record after the request is journalled; ``UNKNOWN_JOB``, or
             why the request is not journalled.
         """
-        item = self._journal.latest((team, key))
+        item = self._table.latest((team, key))
         if item is None and self.is_open:
             return problem(Code.UNKNOWN_JOB, f"no job {team}/{key}")
         if isinstance(item, Entry) and not item.final:
             changed = request_cancel(item, now)
             outcome = await self._ctx.commit_changed(item, changed, now)
             if isinstance(outcome, Failure):
-                return outcome
+                return _not_cancelled(outcome.failure())
         outcome = await self._journal.settle((team, key))
         if isinstance(outcome, Failure):
-            return outcome
+            return _not_cancelled(outcome.failure())
+        record = self.record(team, key)
         await self._stopper.round(now)
-        return Success(self.record(team, key))
+        return Success(record)
 
     def record(self, team: str, key: str) -> JobRecord | None:
         """Returns a job as the store certainly holds it; None if unknown."""
-        item = self._journal.settled((team, key))
+        item = self._table.settled((team, key))
         return None if item is None else _record_of(item)
 
     def records(self) -> list[JobRecord]:
         """Returns the jobs of the shard, without those only remembered."""
-        settled = (self._journal.settled(i.key) for i in self._journal.items())
+        settled = (self._table.settled(i.key) for i in self._table.items())
         return [item.record for item in settled if isinstance(item, Entry)]
 
     async def results(
         self, team: str, key: str
     ) -> Result[tuple[str, ...], Problem]:
         """Returns the results of a finished job in the order of its tasks."""
-        item = self._journal.settled((team, key))
+        item = self._table.settled((team, key))
         if (
             not isinstance(item, Entry)
             or item.record.state is not JobState.DONE
         ):
             return problem(Code.ASK_AGAIN, f"{team}/{key} has no result here")
-        texts = dict(item.record.results)
-        for task, wanted in item.stored.items():
-            found = await self._ctx.results.read(task, wanted)
-            if isinstance(found, Failure):
-                return found
-            texts[task] = found.unwrap()
-        return Success(tuple(texts[t] for t in sorted(texts, key=task_index)))
+        return await self._ctx.results.texts(item)
 
     async def wait(
         self, team: str, key: str, *, timeout_s: float
@@ -210,7 +206,7 @@
         """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
-                while self._journal.latest((team, key)) is not None:
+                while self._table.latest((team, key)) is not None:
                     record = self.record(team, key)
                     if record is not None and is_final(record.state):
                         return record
@@ -286,10 +282,12 @@
                 f"{spec.team}/{spec.key} was used for something else",
                 field="key",
             )
-        outcome = await self._journal.settle(present.key)
-        if isinstance(outcome, Failure):
-            return outcome
-        return Success(self.record(spec.team, spec.key))
+        if self.record(*present.key) is None:
+            outcome = await self._journal.settle(present.key)
+            if isinstance(outcome, Failure):
+                return outcome
+        # A settled job is reported even if a later change of it fails.
+        return Success(self.record(*present.key))
 
     def _notify(self, keys: Iterable[Key]) -> None:
         for key in keys:
@@ -302,3 +300,11 @@
     if isinstance(item, Tombstone):
         return tombstone_record(item)
     return item.record
+
+
+def _not_cancelled(failed: Problem) -> Result[JobRecord, Problem]:
+    # A code that means "not run" would be taken to be about the job.
+    if not proves_not_run(failed.code):
+        return Failure(failed)
+    detail = f"the cancellation is not journalled: {failed.detail}"
+    return problem(Code.ASK_AGAIN, detail, retry_after_s=failed.retry_after_s)
--- a/libs/jobs/dragonflybank/jobs/journal.py
+++ b/libs/jobs/dragonflybank/jobs/journal.py
@@ -9,18 +9,19 @@
 __all__ = ["Journal"]
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable, Iterator
+from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
 import msgspec
 from returns.result import Failure, Result, Success
 
-from dragonflybank.jobs.entries import Entry, Key
+from dragonflybank.jobs.entries import Key
+from dragonflybank.jobs.table import ShardTable
 from dragonflybank.jobs.value import (
     Item,
     KeptItem,
-    ShardValue,
     decode_shard,
+    mark_of,
     shard_key,
 )
 from dragonflybank.model.codes import Code, Problem, problem
@@ -54,6 +55,7 @@
     Attributes:
         shard: Name of the shard.
         host: Name of this host.
+        table: Items of the shard.
         written_at: Time of the latest settled write, seconds since 1970.
         is_open: Whether this host is the home as far as it knows.
         is_stalled: Whether the outcome of the latest write is not known.
@@ -78,6 +80,7 @@
     ):
         self.shard = shard
         self.host = host
+        self.table = ShardTable()
         self.written_at = 0.0
         self.is_open = False
         self.is_stalled = False
@@ -87,8 +90,6 @@
         self._on_settled = on_settled
         self._version = 0
         self._closing = False
-        self._settled: dict[Key, KeptItem] = {}
-        self._latest: dict[Key, KeptItem] = {}
         self._in_flight: _Batch | None = None
         self._pending: _Batch | None = None
         self._flushing: asyncio.Task | None = None
@@ -119,54 +120,24 @@
         self._version = stored.version
         mark = writer_mark()
         outcome = await self._put(
-            self._encoded(now, mark, self.host),
+            self.table.encoded(self.shard, self.host, mark, now),
             mark,
             attempts=ATTEMPTS_BEFORE_ANSWER,
         )
         if isinstance(outcome, Failure):
+            self.table.clear()
             return outcome
         self.is_open = True
-        self._settled = dict(self._latest)
+        self.table.settle_all()
         self._version, self.written_at = outcome.unwrap(), now
         return Success(None)
 
-    def latest(self, key: Key) -> Item | None:
-        """Returns an item with the changes that are not yet settled."""
-        kept = self._latest.get(key)
-        return kept.item if kept is not None else None
-
-    def settled(self, key: Key) -> Item | None:
-        """Returns an item as the store certainly holds it."""
-        kept = self._settled.get(key)
-        return kept.item if kept is not None else None
-
-    def items(self) -> Iterator[Item]:
-        """Yields all items with the changes that are not yet settled."""
-        return (kept.item for kept in tuple(self._latest.values()))
-
-    def entries(self) -> Iterator[Entry]:
-        """Yields the entries of jobs that have not ended."""
-        return (
-            item
-            for item in self.items()
-            if isinstance(item, Entry) and not item.final
-        )
-
-    def size_bytes(self) -> int:
-        """Returns the approximate number of bytes of the value."""
-        return sum(len(kept.encoded) for kept in self._latest.values())
-
-    def projected_bytes(self) -> int:
-        """Returns the size once all accepted work has been started."""
-        growth = sum(kept.growth for kept in self._latest.values())
-        return self.size_bytes() + growth
-
     async def commit(
         self, *items: Item, now: float, drop: Iterable[Key] = ()
     ) -> Result[None, Problem]:
         """Changes items and waits until the change is settled.
 
-        The items are visible in `latest` before this waits. They are taken
+        The items are in the latest state before this waits. They are taken
         back if the write certainly had no effect. Without items it rewrites
         the shard.
 
@@ -185,7 +156,7 @@
         refused = self._refusal(changes)
         if refused is not None:
             return refused
-        self._restore(changes, changes)
+        self.table.change(changes)
         batch = self._pending = self._pending or _Batch()
         batch.items.update(changes)
         batch.at = max(batch.at, now)
@@ -195,11 +166,14 @@
         return batch.outcome
 
     async def settle(self, key: Key) -> Result[None, Problem]:
-        """Waits until the latest change of a key is settled."""
-        for batch in (self._pending, self._in_flight):
+        """Waits until the changes of a key are settled."""
+        # The write in flight comes first: a pending change of the same key
+        # is refused as not made while that write is not settled.
+        for batch in (self._in_flight, self._pending):
             if batch is not None and key in batch.items:
                 await batch.answered.wait()
-                return batch.outcome
+                if isinstance(batch.outcome, Failure):
+                    return batch.outcome
         if not self.is_open:
             return problem(Code.NOT_HOME, f"{self.shard} has another home")
         return Success(None)
@@ -212,7 +186,9 @@
                 await batch.answered.wait()
         if self.is_open and not self.is_stalled:
             mark = writer_mark()
-            await self._put(self._encoded(now, mark, ""), mark, attempts=1)
+            await self._put(
+                self.table.encoded(self.shard, "", mark, now), mark, attempts=1
+            )
         if self._flushing is not None:
             self._flushing.cancel()
         self._lose(Problem(Code.NOT_HOME, f"{self.shard} was released"))
@@ -223,11 +199,11 @@
         except msgspec.MsgspecError as exc:
             # The value is left alone: a newer version may have written it.
             return _unavailable(f"{self.shard} cannot be read: {exc}")
-        if value.home not in ("", self.host) and (
-            now - value.written_at < min_idle_s
-        ):
+        # Clocks differ between hosts, so the time may seem to be negative.
+        is_recent = min_idle_s > 0 and now - value.written_at < min_idle_s
+        if is_recent and value.home not in ("", self.host):
             return problem(Code.NOT_HOME, f"the home is {value.home}")
-        self._latest = {item.key: KeptItem.of(item) for item in items}
+        self.table.load(items)
         return None
 
     def _refusal(self, keys: Iterable[Key]) -> Result | None:
@@ -263,23 +239,26 @@
 
     async def _write(self, batch: _Batch) -> None:
         mark = writer_mark()
-        value = self._encoded(batch.at, mark, self.host)
+        value = self.table.encoded(self.shard, self.host, mark, batch.at)
         outcome = await self._put(value, mark, attempts=ATTEMPTS_BEFORE_ANSWER)
-        if _code(outcome) is Code.WRITE_UNSETTLED:
-            self._stall(outcome.failure())
-            outcome = await self._put(value, mark, resumed=True)
-            self.is_stalled = False
-        if isinstance(outcome, Success):
-            self._accept_write(batch, outcome.unwrap())
-        elif _code(outcome) in (Code.CAS_CONFLICT, Code.WRITE_UNSETTLED):
-            self._lose(outcome.failure())
-        else:
-            self._roll_back(outcome.failure())
+        match outcome:
+            case Failure(Problem(code=Code.WRITE_UNSETTLED) as failed):
+                self._stall(failed)
+                outcome = await self._put(value, mark, resumed=True)
+                self.is_stalled = False
+        match outcome:
+            case Success(version):
+                self._accept_write(batch, version)
+            case Failure(
+                Problem(code=Code.CAS_CONFLICT | Code.WRITE_UNSETTLED) as failed
+            ):
+                self._lose(failed)
+            case Failure(failed):
+                self._roll_back(failed)
 
     def _accept_write(self, batch: _Batch, version: int) -> None:
         self._version, self.written_at = version, batch.at
-        for key, kept in batch.items.items():
-            _set(self._settled, key, kept)
+        self.table.settle(batch.items)
         self._in_flight = None
         batch.answer(Success(None))
         self._on_settled(batch.items)
@@ -290,22 +269,18 @@
         self._in_flight.answer(Failure(failed))
         pending, self._pending = self._pending, None
         if pending is not None:
-            self._restore(
-                pending.items, {**self._settled, **self._in_flight.items}
-            )
+            self.table.revert(pending.items, self._in_flight.items)
             pending.answer(_unavailable(failed.detail))
 
     def _roll_back(self, failed: Problem) -> None:
         # Pending changes may be based on those of the failed write.
         for batch in self._take_batches():
-            self._restore(batch.items, self._settled)
+            self.table.revert(batch.items, {})
             batch.answer(_unavailable(failed.detail))
 
     def _lose(self, failed: Problem) -> None:
         self.is_open = self.is_stalled = False
-        keys = {**self._settled, **self._latest}
-        self._settled.clear()
-        self._latest.clear()
+        keys = self.table.clear()
         unsettled = failed.code is Code.WRITE_UNSETTLED
         code = Code.WRITE_UNSETTLED if unsettled else Code.NOT_HOME
         for batch in self._take_batches():
@@ -317,23 +292,6 @@
         self._in_flight = self._pending = None
         return [batch for batch in batches if batch is not None]
 
-    def _restore(self, keys, source) -> None:
-        for key in keys:
-            _set(self._latest, key, source.get(key))
-
-    def _encoded(self, now: float, mark: str, home: str) -> bytes:
-        kept = self._latest.values()
-        return msgspec.msgpack.encode(
-            ShardValue(
-                self.shard,
-                home,
-                mark,
-                now,
-                _raw(k for k in kept if isinstance(k.item, Entry)),
-                _raw(k for k in kept if not isinstance(k.item, Entry)),
-            )
-        )
-
     async def _put(
         self, value: bytes, mark: str, **how
     ) -> Result[int, Problem]:
@@ -341,36 +299,10 @@
             shard_key(self.shard),
             value,
             version=self._version,
-            has_mark=lambda raw: _mark_of(raw) == mark,
+            has_mark=lambda raw: mark_of(raw) == mark,
             **how,
         )
 
 
-@attrs.frozen
-class _Mark:
-    mark: str = ""
-
-
-def _mark_of(raw: bytes) -> str:
-    return msgspec.msgpack.decode(raw, type=_Mark).mark
-
-
-def _raw(kept: Iterable[KeptItem]) -> tuple[msgspec.Raw, ...]:
-    return tuple(msgspec.Raw(k.encoded) for k in kept)
-
-
-def _set(items: dict[Key, KeptItem], key: Key, kept: KeptItem | None) -> None:
-    if kept is None:
-        items.pop(key, None)
-    else:
-        items[key] = kept
-
-
-def _code(outcome: Result) -> Code:
-    if isinstance(outcome, Success):
-        return Code.OK
-    return outcome.failure().code
-
-
 def _unavailable(detail: str) -> Result:
     return problem(Code.STORE_UNAVAILABLE, detail, retry_after_s=RETRY_AFTER_S)
--- a/libs/jobs/dragonflybank/jobs/outcomes.py
+++ b/libs/jobs/dragonflybank/jobs/outcomes.py
@@ -2,6 +2,7 @@
 
 __all__ = ["Stopper", "apply_event"]
 
+import attrs
 from returns.result import Success
 
 from dragonflybank.jobs.context import HomeContext
@@ -41,7 +42,7 @@
     if event.state is TaskState.RUNNING:
         return False
     key = key_of(event.task_id)
-    entry = ctx.journal.latest(key)
+    entry = ctx.journal.table.latest(key)
     if entry is None:
         # No start is sent before its job is in the journal, so this event
         # belongs to another shard, or the job was forgotten.
@@ -52,10 +53,14 @@
         if stored is None:
             return False
         stored_digest, event = stored
-        entry = ctx.journal.latest(key)
-    if not _is_live(entry, event):
+        entry = ctx.journal.table.latest(key)
+    if _is_live(entry, event):
+        changed = _changed(ctx, entry, event, now, stored_digest)
+    elif entry is not None and stored_digest:
+        # The result is not needed; retention deletes it.
+        changed = attrs.evolve(entry, has_result_keys=True)
+    else:
         return isinstance(await ctx.journal.settle(key), Success)
-    changed = _changed(ctx, entry, event, now, stored_digest)
     return isinstance(await ctx.commit(changed, now=now), Success)
 
 
@@ -74,7 +79,7 @@
         """Stops the tasks of jobs whose end is settled in the journal."""
         starts = [
             start
-            for entry in self._ctx.journal.entries()
+            for entry in self._ctx.journal.table.unfinished()
             if self._is_settled(entry.key)
             for start in live_starts(entry)
             if start.task_id in entry.running
@@ -94,7 +99,7 @@
             await self._ctx.runner.stop(due)
 
     def _is_settled(self, key: Key) -> bool:
-        item = self._ctx.journal.settled(key)
+        item = self._ctx.journal.table.settled(key)
         return isinstance(item, Entry) and must_stop(item)
 
 
@@ -118,7 +123,7 @@
 ) -> tuple[str, TaskEvent] | None:
     # Returns the digest, empty if the result goes into the journal.
     length = len(event.result.encode())
-    inline = ctx.journal.size_bytes() < INLINE_LIMIT_BYTES
+    inline = ctx.journal.table.size_bytes < INLINE_LIMIT_BYTES
     if length <= INLINE_RESULT_BYTES and (inline or not length):
         return "", event
     if length > MAX_RESULT_BYTES:
--- a/libs/jobs/dragonflybank/jobs/resolve.py
+++ b/libs/jobs/dragonflybank/jobs/resolve.py
@@ -41,7 +41,7 @@
         self._tries.clear()
         self._next_at = {
             start.task_id: 0.0
-            for entry in self._ctx.journal.entries()
+            for entry in self._ctx.journal.table.unfinished()
             for start in live_starts(entry)
         }
 
@@ -55,7 +55,7 @@
     async def resolve(self, start: StartRecord, now: float) -> None:
         """Resolves one start and journals the outcome."""
         task = start.task_id
-        if task in self._busy:
+        if task in self._busy or not self._ctx.journal.is_open:
             return
         self._busy.add(task)
         try:
@@ -75,7 +75,7 @@
     def _due(self, now: float) -> list[StartRecord]:
         starts = [
             (entry, start)
-            for entry in self._ctx.journal.entries()
+            for entry in self._ctx.journal.table.unfinished()
             for start in live_starts(entry)
         ]
         live = {start.task_id for _, start in starts}
@@ -99,8 +99,11 @@
         if found.kind is ResolutionKind.UNDECIDED:
             return False
         if found.kind is ResolutionKind.FINISHED:
-            return await apply_event(self._ctx, found.event, now)
-        entry = self._ctx.journal.latest(key_of(start.task_id))
+            event = found.event
+            return event is not None and await apply_event(
+                self._ctx, event, now
+            )
+        entry = self._ctx.journal.table.latest(key_of(start.task_id))
         if not isinstance(entry, Entry):
             return True
         if live_start(entry, start.task_id) is None:
--- a/libs/jobs/dragonflybank/jobs/results.py
+++ b/libs/jobs/dragonflybank/jobs/results.py
@@ -13,7 +13,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from dragonflybank.jobs.entries import Key
+from dragonflybank.jobs.entries import Entry, Key, task_index
 from dragonflybank.model.codes import Code, Problem, problem
 from dragonflybank.model.hashing import digest
 from dragonflybank.platform.store import ConfigStore
@@ -123,6 +123,16 @@
             return problem(Code.ASK_AGAIN, "the result is no longer kept")
         return Success(_decode(value).text)
 
+    async def texts(self, entry: Entry) -> Result[tuple[str, ...], Problem]:
+        """Returns the results of a job in the order of its tasks."""
+        texts = dict(entry.record.results)
+        for task, wanted in entry.stored.items():
+            found = await self.read(task, wanted)
+            if isinstance(found, Failure):
+                return found
+            texts[task] = found.unwrap()
+        return Success(tuple(texts[t] for t in sorted(texts, key=task_index)))
+
     async def delete(self, key: Key, now: float) -> Result[None, Problem]:
         """Deletes all results of a job.
 
--- a/libs/jobs/dragonflybank/jobs/retention.py
+++ b/libs/jobs/dragonflybank/jobs/retention.py
@@ -43,7 +43,7 @@
             return
         reduced = [
             tombstone_of(item)
-            for item in journal.items()
+            for item in journal.table.items()
             if isinstance(item, Entry)
             and item.final
             and now - item.record.finished_at >= RECORD_KEPT_S
@@ -59,7 +59,7 @@
         journal = self._ctx.journal
         owed = [
             item
-            for item in journal.items()
+            for item in journal.table.items()
             if isinstance(item, Tombstone) and item.has_result_keys
         ]
         deleted = []
@@ -75,7 +75,7 @@
         kept_s = RECORD_KEPT_S + TOMBSTONE_KEPT_S
         old = [
             item.key
-            for item in self._ctx.journal.items()
+            for item in self._ctx.journal.table.items()
             if isinstance(item, Tombstone)
             and not item.has_result_keys
             and now - item.finished_at >= kept_s
--- a/libs/jobs/dragonflybank/jobs/tests/fakes.py
+++ b/libs/jobs/dragonflybank/jobs/tests/fakes.py
@@ -1,6 +1,16 @@
 """In-memory store and workers with faults, for the tests of this library."""
 
-__all__ = ["FakeRunner", "FakeStore", "Rules", "new_home", "spec_of"]
+__all__ = [
+    "FakeRunner",
+    "FakeStore",
+    "Rules",
+    "drive",
+    "kill_others",
+    "new_home",
+    "no_sleep",
+    "spec_of",
+    "until",
+]
 
 import asyncio
 import collections
@@ -33,6 +43,22 @@
 )
 
 
+class Steps:
+    """Counts the steps of a scenario and stops for good at one of them."""
+
+    def __init__(self):
+        self.stop_at = None
+        self.count = 0
+        self.stopped = asyncio.Event()
+
+    async def pass_one(self):
+        """Passes a step, or waits for ever if it is the last one."""
+        self.count += 1
+        if self.count == self.stop_at:
+            self.stopped.set()
+            await asyncio.Event().wait()
+
+
 class FakeStore(ConfigStore):
     """A store whose next writes follow ``faults``, and then ``mode``.
 
@@ -46,6 +72,7 @@
         self.faults = collections.deque()
         self.gate = asyncio.Event()
         self.writes = []
+        self.steps = Steps()
         self._values = {}
         self._late = []
 
@@ -57,6 +84,12 @@
 
     async def put(self, key, value, *, version):
         await asyncio.sleep(0)
+        await self.steps.pass_one()
+        outcome = await self._faulty_put(key, value, version)
+        await self.steps.pass_one()
+        return outcome
+
+    async def _faulty_put(self, key, value, version):
         fault = self.faults.popleft() if self.faults else self.mode
         self.writes.append(key)
         if fault == "down":
@@ -118,6 +151,7 @@
 
     name: str
     epoch: int = 1
+    incarnation: int = 1
     reachable: bool = True
     lapsed: bool = False
     tasks: dict[str, TaskEvent | None] = attrs.field(factory=dict)
@@ -141,17 +175,22 @@
         self.stops = []
         self.resolves = []
         self.refusal = None
+        self.steps = Steps()
         self._late = []
         self._ids = 0
 
     async def reserve(self, spec, wc, count, size, *, avoid, now):
         await asyncio.sleep(0)
+        await self.steps.pass_one()
         self.reserved.append((spec.key, count, size))
         if self.refusal is not None:
             return self.refusal
-        names = sorted(self.workers, key=lambda name: (name in avoid, name))
+        names = sorted(
+            (w.name for w in self.workers.values() if w.reachable),
+            key=lambda name: (name in avoid, name),
+        )
         count = min(count, self.room - len(self.live()))
-        if count < 1:
+        if count < 1 or not names:
             return problem(Code.FULL, "no room")
         return Success(
             tuple(
@@ -165,8 +204,14 @@
 
     async def start(self, start, spec, *, now):
         await asyncio.sleep(0)
+        await self.steps.pass_one()
         if self.before_start is not None:
             await self.before_start(start)
+        outcome = self._faulty_start(start)
+        await self.steps.pass_one()
+        return outcome
+
+    def _faulty_start(self, start):
         fault = self.faults.popleft() if self.faults else "ok"
         if fault == "late":
             self._late.append(start)
@@ -194,6 +239,8 @@
             return Success(Resolution(ResolutionKind.LEASE_LAPSED))
         if not worker.reachable:
             return Success(Resolution(ResolutionKind.UNDECIDED))
+        if start.incarnation != str(worker.incarnation):
+            return Success(Resolution(ResolutionKind.LEASE_LAPSED))
         worker.epoch = max(worker.epoch, start.epoch + 1)
         if start.task_id not in worker.tasks:
             return Success(Resolution(ResolutionKind.NOT_STARTED))
@@ -214,9 +261,34 @@
             task
             for worker in self.workers.values()
             for task, event in worker.tasks.items()
-            if event is None and not worker.lapsed
+            if event is None
         ]
 
+    def lose(self, name):
+        """Cuts a worker off; its tasks stop as their leases expire."""
+        worker = self.workers[name]
+        worker.reachable, worker.lapsed = False, True
+        for task in (t for t, event in worker.tasks.items() if event is None):
+            worker.tasks[task] = TaskEvent(task, name, TaskState.LAPSED)
+
+    def replace(self, name):
+        """Replaces a worker's VM, which forgets everything."""
+        incarnation = self.workers[name].incarnation + 1
+        self.workers[name] = Worker(name, incarnation=incarnation)
+
+    def rejoin(self, name):
+        """Makes a worker reachable again."""
+        worker = self.workers[name]
+        worker.reachable, worker.lapsed = True, False
+
+    async def report(self, home, now):
+        """Reports ended tasks; a worker forgets those that are journalled."""
+        for worker in self.workers.values():
+            events = [e for e in worker.tasks.values() if e is not None]
+            for event in events if worker.reachable else ():
+                if await home.finished(event, now):
+                    worker.tasks.pop(event.task_id, None)
+
     def end(self, task, state=TaskState.DONE, result="r", reason=""):
         """Ends a task at its worker and returns the event."""
         worker = next(w for w in self.workers.values() if task in w.tasks)
@@ -227,11 +299,19 @@
     def _hold(self, name, size, now):
         self._ids += 1
         epoch = self.workers[name].epoch
-        return Reservation(f"r{self._ids}", name, "h", epoch, size, now + 5)
+        incarnation = str(self.workers[name].incarnation)
+        return Reservation(
+            f"r{self._ids}", name, "h", epoch, size, now + 5, incarnation
+        )
 
     def _start(self, start):
         worker = self.workers[start.worker]
-        if start.epoch != worker.epoch:
+        if not worker.reachable:
+            return problem(Code.TIMED_OUT, "unreachable")
+        if (start.epoch, start.incarnation) != (
+            worker.epoch,
+            str(worker.incarnation),
+        ):
             return problem(Code.STALE_EPOCH, "stale epoch")
         if start.task_id in worker.tasks:
             return Success(StartReply.KNOWN)
@@ -291,3 +371,33 @@
 def spec_of(key, work_class="sweep", **fields):
     """Returns a job of the team ``courts``."""
     return JobSpec("courts", key, work_class, **fields)
+
+
+async def drive(home, runner, *, start=1000.0, rounds=40):
+    """Lets every task finish and runs rounds until no job is open."""
+    for count in range(rounds):
+        now = start + 30.0 * count
+        for _ in range(20):
+            await asyncio.sleep(0)
+        await home.resolve(now)
+        await home.schedule(now)
+        for task in runner.live():
+            runner.end(task)
+        await runner.report(home, now)
+
+
+async def until(condition):
+    """Lets other tasks go on until a condition holds."""
+    for _ in range(10_000):
+        if condition():
+            return
+        await asyncio.sleep(0)
+    raise AssertionError("the condition never held")
+
+
+async def kill_others():
+    """Ends all other tasks of the loop, as the death of a process does."""
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
--- a/libs/jobs/dragonflybank/jobs/transitions.py
+++ b/libs/jobs/dragonflybank/jobs/transitions.py
@@ -33,7 +33,7 @@
 )
 from dragonflybank.model.codes import Code, Problem
 from dragonflybank.model.leases import Reservation, TaskEvent, TaskState
-from dragonflybank.model.resources import Resources, fits, scaled
+from dragonflybank.model.resources import Resources
 from dragonflybank.model.work import (
     JobRecord,
     JobSpec,
@@ -135,7 +135,7 @@
     """Returns the entry after the lease of a start expired unobserved."""
     if live_start(entry, lost) is None:
         return entry
-    if not entry.repeatable:
+    if _ends_unknown(entry, lost):
         problem = Problem(Code.WORKER_LOST, "the worker was lost")
         entry = attrs.evolve(entry, ending=Ending(JobState.UNKNOWN, problem))
     entry = attrs.evolve(entry, ran=True)
@@ -196,11 +196,23 @@
     if entry.final or entry.ending is not None:
         return entry
     if entry.ran:
-        problem = attrs.evolve(problem, code=Code.TASK_FAILED)
+        grown = entry.record.grant_factor > 1.0
+        code = Code.SIZE_EXCEEDED if grown else Code.TASK_FAILED
+        problem = attrs.evolve(problem, code=code)
     ending = Ending(JobState.FAILED, problem)
     return _settled(attrs.evolve(entry, ending=ending), now)
 
 
+def _ends_unknown(entry: Entry, lost: str) -> bool:
+    if entry.ending is None:
+        return not entry.repeatable
+    # A cancelled job is known to have run only if a start was confirmed, and
+    # whether work that must not be repeated was completed matters.
+    return entry.ending.state is JobState.CANCELLED and (
+        not entry.repeatable or lost not in entry.running
+    )
+
+
 def _after_failure(entry, start, event, ctx) -> Entry:
     if event.reason == "size_exceeded":
         return _after_size_exceeded(entry, start, event, ctx)
@@ -219,12 +231,10 @@
 
 
 def _after_size_exceeded(entry, start, event, ctx) -> Entry:
-    doubled = scaled(start.grant, 2.0)
-    at_limit = ctx.largest is not None and (
-        start.grant.cores >= ctx.largest.cores
-        or start.grant.memory_mb >= ctx.largest.memory_mb
-    )
-    if not entry.repeatable or (at_limit and not fits(doubled, ctx.largest)):
+    # Only memory stops a task; processors are throttled.
+    granted_mb, largest = start.grant.memory_mb, ctx.largest
+    at_limit = largest is not None and granted_mb >= largest.memory_mb
+    if not entry.repeatable or at_limit or granted_mb <= 0:
         return _ends_failed(entry, Code.SIZE_EXCEEDED, event)
     return _evolve(entry, grant_factor=2 * entry.record.grant_factor)
 
--- a/libs/jobs/dragonflybank/jobs/value.py
+++ b/libs/jobs/dragonflybank/jobs/value.py
@@ -1,6 +1,13 @@
 """The value of a shard in the store and its encoding."""
 
-__all__ = ["Item", "KeptItem", "ShardValue", "decode_shard", "shard_key"]
+__all__ = [
+    "Item",
+    "KeptItem",
+    "ShardValue",
+    "decode_shard",
+    "mark_of",
+    "shard_key",
+]
 
 import attrs
 import msgspec
@@ -71,6 +78,16 @@
     return value, [*entries, *stones]
 
 
+def mark_of(raw: bytes) -> str:
+    """Returns the writer's mark of an encoded shard value."""
+    return msgspec.msgpack.decode(raw, type=_Mark).mark
+
+
 def shard_key(shard: str) -> str:
     """Returns the store key of a shard."""
     return f"shards/{shard}"
+
+
+@attrs.frozen
+class _Mark:
+    mark: str = ""
