Add the property test of fault sequences

Cause: hand-written faults cover one at a time.

Change: a property test draws up to 40 steps over three jobs, three workers, several homes and the store's faults, and checks that no task runs twice at once, non-repeatable tasks start once, no work told as not run ran, and all accepted work ends.

--- /dev/null
+++ b/libs/jobs/dragonflybank/jobs/tests/test_properties.py
@@ -0,0 +1,203 @@
+"""Property test of a shard home under drawn sequences of faults."""
+
+import asyncio
+import collections
+
+import attrs
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+from testtools.matchers import Equals
+
+from dragonflybank.jobs.entries import key_of, task_index
+from dragonflybank.jobs.home import ShardHome
+from dragonflybank.jobs.tests.fakes import (
+    FakeRunner,
+    FakeStore,
+    drive,
+    kill_others,
+    new_home,
+    spec_of,
+)
+from dragonflybank.model.codes import Code, proves_not_run
+from dragonflybank.model.leases import TaskState
+from dragonflybank.model.work import is_final
+
+KEYS = ("a", "b", "c")
+# The class and the number of tasks are fixed for a key, so that a repeated
+# accept asks for the same work.
+SPECS = {
+    "a": spec_of("a", "simulation"),
+    "b": spec_of("b", "sweep", tasks=2),
+    "c": spec_of("c", "billed_ring", tasks=2),
+}
+WORKERS = ("w1", "w2", "w3")
+STORE_FAULTS = ("down", "effect", "lost", "late")
+START_FAULTS = ("lost", "answer", "late")
+
+steps = st.one_of(
+    st.tuples(st.just("accept"), st.sampled_from(KEYS)),
+    st.tuples(st.just("cancel"), st.sampled_from(KEYS)),
+    st.tuples(st.just("store"), st.sampled_from(STORE_FAULTS)),
+    st.tuples(st.just("outage"), st.sampled_from(("ok", *STORE_FAULTS))),
+    st.tuples(st.just("starts"), st.sampled_from(START_FAULTS)),
+    st.tuples(st.just("lose"), st.sampled_from(WORKERS)),
+    st.tuples(st.just("replace"), st.sampled_from(WORKERS)),
+    st.tuples(st.just("rejoin"), st.sampled_from(WORKERS)),
+    st.tuples(
+        st.just("end"), st.sampled_from([TaskState.DONE, TaskState.FAILED])
+    ),
+    st.tuples(
+        st.sampled_from(
+            ("schedule", "resolve", "report", "deliver", "kill", "take_over")
+        ),
+        st.integers(0, 20),
+    ),
+)
+
+
+@attrs.define
+class Scenario:
+    """A shard, its homes past and present, and what callers were told."""
+
+    store: FakeStore = attrs.field(factory=FakeStore)
+    runner: FakeRunner = attrs.field(factory=lambda: FakeRunner(*WORKERS))
+    homes: list[ShardHome] = attrs.field(factory=list)
+    accepted: set[str] = attrs.field(factory=set)
+    cancelled: set[str] = attrs.field(factory=set)
+    now: float = 0.0
+
+    async def step(self, kind, choice):
+        """Takes one step with every home, the former ones included."""
+        self.now += 10.0
+        match kind:
+            case "accept" | "cancel":
+                for home in self.homes:
+                    await self.ask(home, kind, choice)
+            case "schedule" | "resolve":
+                for home in self.homes:
+                    asyncio.create_task(getattr(home, kind)(self.now))
+                await yields(choice)
+            case "report":
+                for home in self.homes:
+                    await self.runner.report(home, self.now)
+            case "store":
+                self.store.faults.append(choice)
+            case "outage":
+                self.store.mode = choice
+            case "starts":
+                self.runner.faults.append(choice)
+            case "end":
+                for task in self.runner.live()[:1]:
+                    self.runner.end(task, choice)
+            case "deliver":
+                self.store.deliver()
+                self.runner.deliver()
+            case "kill":
+                await yields(choice)
+                await kill_others()
+                self.homes.clear()
+            case "take_over":
+                await self.open_another()
+            case "lose" | "replace" | "rejoin":
+                getattr(self.runner, kind)(choice)
+
+    async def ask(self, home, kind, key):
+        """Lets a caller ask and checks the answer against what ran."""
+        if kind == "accept":
+            outcome = await home.accept(SPECS[key], self.now)
+        else:
+            outcome = await home.cancel("courts", key, self.now)
+        match outcome:
+            case Failure(failed):
+                refused = proves_not_run(failed.code)
+                assert not (refused and key in self.accepted), failed
+                assert not (refused and self.runs(key)), failed
+            case Success(_) if kind == "accept":
+                self.accepted.add(key)
+        assert (
+            kind != "cancel"
+            or key not in self.accepted
+            or (
+                isinstance(outcome, Success)
+                or not proves_not_run(outcome.failure().code)
+            )
+        )
+
+    async def open_another(self):
+        """Opens a new home; the former ones do not notice."""
+        home = new_home(self.store, self.runner, host=f"h{self.now}")
+        if isinstance(await home.open(self.now), Success):
+            self.homes.append(home)
+
+    async def heal(self):
+        """Ends all faults and lets the accepted work end."""
+        self.store.mode = "ok"
+        self.store.faults.clear()
+        self.runner.faults.clear()
+        for name in WORKERS:
+            self.runner.rejoin(name)
+        await self.open_another()
+        await yields(200)
+        await drive(self.homes[-1], self.runner, start=self.now + 1000.0)
+
+    def runs(self, key):
+        """Returns how often each task of a job ran, by index."""
+        return collections.Counter(
+            task_index(task)
+            for task in self.runner.ran
+            if key_of(task)[1] == key
+        )
+
+    def check_running(self):
+        """Checks that no task runs in two places."""
+        running = collections.Counter(
+            (key_of(task), task_index(task)) for task in self.runner.live()
+        )
+        assert max(running.values(), default=0) <= 1, running
+
+    def check_ended(self):
+        """Checks the outcome of each accepted job."""
+        for key in KEYS:
+            record = self.homes[-1].record("courts", key)
+            assert record is not None or key not in self.accepted
+            if record is None:
+                continue
+            assert is_final(record.state), record
+            told_not_run = (
+                record.problem is not None
+                and record.problem.code
+                in (
+                    Code.CANCELLED_BEFORE_START,
+                    Code.CAN_NEVER_RUN,
+                )
+            )
+            assert not (told_not_run and self.runs(key)), record
+        for key in ("a", "c"):
+            assert max(self.runs(key).values(), default=0) <= 1, key
+
+
+async def yields(count):
+    """Lets other tasks take some steps."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+async def play(drawn):
+    scenario = Scenario()
+    await scenario.open_another()
+    for kind, choice in drawn:
+        await scenario.step(kind, choice)
+        scenario.check_running()
+    await scenario.heal()
+    scenario.check_ended()
+
+
+class TestFaultSequences(testtools.TestCase):
+    """Guards I2, I4 and I5, and that all accepted work ends."""
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.lists(steps, max_size=40))
+    def test_promises_hold(self, drawn):
+        self.assertThat(asyncio.run(play(drawn)), Equals(None))
