--- a/libs/bench/dragonflybank/bench/deployment.py
+++ b/libs/bench/dragonflybank/bench/deployment.py
@@ -1,6 +1,6 @@
 """A deployment on loopback: stand-ins and scheduler hosts as processes."""
 
-__all__ = ["HostProcess", "LoopbackDeployment", "Program"]
+__all__ = ["HostProcess", "LoopbackDeployment", "Program", "wait_until"]
 
 import asyncio
 import json
@@ -8,6 +8,7 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 import attrs
@@ -182,9 +183,7 @@
         path = self.folder / f"{place.name}.json"
         path.write_text(encode_settings(settings))
         log = self.folder / f"{place.name}.log"
-        program = await Program.start(
-            "dragonflybank.host", str(path), log=log
-        )
+        program = await Program.start("dragonflybank.host", str(path), log=log)
         host = HostProcess(place, program, log)
         self.hosts[place.name] = host
         await self.put_vms([_host_vm(place, program.ports["peer_port"])])
@@ -226,9 +225,7 @@
 
     async def wait_ready(self) -> None:
         """Waits until each running host is ready and owns workers."""
-        async with asyncio.timeout(START_LIMIT_S):
-            while not await self.all_owned():
-                await asyncio.sleep(0.1)
+        await wait_until(self.all_owned, limit_s=START_LIMIT_S)
 
     async def all_owned(self) -> bool:
         """Returns whether all hosts are ready and all workers owned."""
@@ -290,6 +287,29 @@
         return f"http://127.0.0.1:{port}"
 
 
+async def wait_until(
+    condition: Callable[[], Awaitable[bool]],
+    *,
+    limit_s: float,
+    interval_s: float = 0.05,
+) -> None:
+    """Waits until a condition holds.
+
+    Args:
+        condition: Asked again after each interval.
+        limit_s: Longest wait in seconds.
+        interval_s: Time between two questions in seconds.
+
+    Raises:
+        TimeoutError: It did not hold in time.
+    """
+    async with asyncio.timeout(limit_s):
+        is_met = await condition()
+        while not is_met:
+            await asyncio.sleep(interval_s)
+            is_met = await condition()
+
+
 def _host_vm(place: HostPlace, port: int) -> VmInfo:
     return VmInfo(
         place.name,
--- a/libs/host/dragonflybank/host/daemon.py
+++ b/libs/host/dragonflybank/host/daemon.py
@@ -46,6 +46,7 @@
 from dragonflybank.model.topology import CapacitySummary, VmInfo
 from dragonflybank.model.work import JobSpec
 from dragonflybank.operators.execute import execute
+from dragonflybank.operators.render import as_json, failed_as_json
 from dragonflybank.platform.store import HttpConfigStore
 from dragonflybank.platform.vmlist import HttpVmList
 from dragonflybank.platform.worker import HttpWorkerClient
@@ -231,15 +232,9 @@
         )
         match report:
             case Success(found):
-                return {"code": 0, **found.to_json()}
+                return as_json(found)
             case Failure(Problem() as failed):
-                return {
-                    "code": int(failed.code),
-                    "detail": failed.detail,
-                    "field": failed.field,
-                    "accepted": failed.accepted,
-                    "retry_after_s": failed.retry_after_s,
-                }
+                return failed_as_json(failed)
 
     async def _read_fleet_always(self) -> None:
         while True:
--- a/libs/host/dragonflybank/host/dispatch.py
+++ b/libs/host/dragonflybank/host/dispatch.py
@@ -35,7 +35,7 @@
         return Success(host.config_value(req))
 
     async def handover(sender, req):
-        return await host.ownership.answer_handover(req, host.clock())
+        return await host.ownership.answer_handover(sender, req, host.clock())
 
     async def lookup(sender, req):
         return await _lookup(host, req)
--- a/libs/host/dragonflybank/host/rules.py
+++ b/libs/host/dragonflybank/host/rules.py
@@ -26,7 +26,9 @@
         if found is None:
             return 0
         shards = shards_of_team(
-            team, self._host.settings.shards_per_region, found.shards
+            team,
+            self._host.settings.shards_per_region,
+            team_shards=found.shards,
         )
         return shard_share(found.max_running, self._number, shards)
 
--- a/libs/host/dragonflybank/host/shards.py
+++ b/libs/host/dragonflybank/host/shards.py
@@ -9,7 +9,7 @@
 from returns.result import Failure
 
 from dragonflybank.jobs.home import ShardHome
-from dragonflybank.model.codes import Code
+from dragonflybank.model.codes import Code, Problem
 from dragonflybank.model.hashing import ranked, shard_of
 
 _log = logging.getLogger(__name__)
@@ -19,6 +19,9 @@
 REGION_ABSENT_S = 60.0
 RETRY_OPEN_MIN_S = 1.0
 RETRY_OPEN_MAX_S = 30.0
+# Three gossip rounds: a host that starts learns of the others before it
+# takes shards that they keep.
+SETTLE_S = 1.5
 
 
 class ShardTable:
@@ -29,6 +32,7 @@
         self._open: dict[str, ShardHome] = {}
         self._tasks: dict[str, asyncio.Task] = {}
         self._opening: dict[str, asyncio.Task] = {}
+        self._started_at = host.clock()
         self._retry_at: dict[str, float] = {}
         self._delay_s: dict[str, float] = {}
 
@@ -67,6 +71,8 @@
 
     async def step(self, now: float) -> None:
         """Opens and closes shards after a change of the membership."""
+        if now - self._started_at < SETTLE_S:
+            return
         wanted = {s for s in self._shards() if self._first(s, now) == self.name}
         for shard in self._open.keys() - wanted:
             await self._close(shard)
@@ -110,20 +116,29 @@
         is_far = shard.rsplit("/", 1)[0] != self._host.settings.region
         min_idle_s = REGION_ABSENT_S if is_far else 0.0
         try:
-            opened = await home.open(now, min_idle_s=min_idle_s)
+            opened = await home.open(
+                now,
+                min_idle_s=min_idle_s,
+                is_dead=lambda name: self._host.membership.is_dead(name, now),
+            )
         finally:
             self._opening.pop(shard, None)
         if isinstance(opened, Failure):
-            self._delay(shard, now)
-            _log.warning(
-                "shard %s did not open: %s", shard, opened.failure().code.name
-            )
+            self._not_opened(shard, opened.failure(), now)
             return
         self._delay_s.pop(shard, None)
         self._open[shard] = home
         self._tasks[shard] = asyncio.create_task(self._run(shard, home))
         _log.info("shard %s is open", shard)
 
+    def _not_opened(self, shard: str, failed: Problem, now: float) -> None:
+        if failed.code is Code.NOT_HOME:
+            # Its home lives; it releases the shard or is found to be dead.
+            self._retry_at[shard] = now + RETRY_OPEN_MIN_S
+            return
+        self._delay(shard, now)
+        _log.warning("shard %s did not open: %s", shard, failed.code.name)
+
     async def _run(self, shard: str, home: ShardHome) -> None:
         """Runs a home until it is closed or loses its shard."""
         try:
--- a/libs/jobs/dragonflybank/jobs/home.py
+++ b/libs/jobs/dragonflybank/jobs/home.py
@@ -102,7 +102,11 @@
         return self._journal.is_open
 
     async def open(
-        self, now: float, *, min_idle_s: float = 0.0
+        self,
+        now: float,
+        *,
+        min_idle_s: float = 0.0,
+        is_dead: Callable[[str], bool] = lambda host: True,
     ) -> Result[None, Problem]:
         """Takes the shard over and resolves its started work.
 
@@ -110,12 +114,16 @@
             now: Present time, seconds since 1970.
             min_idle_s: Time since the latest write of another home below
                 which the shard is not taken, in seconds.
+            is_dead: Whether a host is dead; the shard of a home that is not
+                dead is taken only after the home released it.
 
         Returns:
             ``NOT_HOME`` or ``CAS_CONFLICT`` if another host is the home, or
             the problem of the store.
         """
-        opened = await self._journal.open(now, min_idle_s=min_idle_s)
+        opened = await self._journal.open(
+            now, min_idle_s=min_idle_s, is_dead=is_dead
+        )
         if isinstance(opened, Success):
             self._resolver.distrust_all()
             await self._resolver.round(now)
--- a/libs/jobs/dragonflybank/jobs/journal.py
+++ b/libs/jobs/dragonflybank/jobs/journal.py
@@ -95,7 +95,11 @@
         self._flushing: asyncio.Task | None = None
 
     async def open(
-        self, now: float, *, min_idle_s: float = 0.0
+        self,
+        now: float,
+        *,
+        min_idle_s: float = 0.0,
+        is_dead: Callable[[str], bool] = lambda host: True,
     ) -> Result[None, Problem]:
         """Reads the shard and takes it over.
 
@@ -103,9 +107,11 @@
             now: Present time, seconds since 1970.
             min_idle_s: Time since the latest write of another home below
                 which the shard is not taken, in seconds.
+            is_dead: Whether a host is dead; the shard of a home that is not
+                dead is taken only after the home released it.
 
         Returns:
-            ``NOT_HOME`` if another home wrote too recently, ``CAS_CONFLICT``
+            ``NOT_HOME`` if another home lives, ``CAS_CONFLICT``
             if another host took the shard over at the same time, or the
             problem of the store.
         """
@@ -114,7 +120,7 @@
             return found
         stored = found.unwrap()
         if stored.value is not None:
-            refused = self._load(stored.value, now, min_idle_s)
+            refused = self._load(stored.value, now, min_idle_s, is_dead)
             if refused is not None:
                 return refused
         self._version = stored.version
@@ -193,7 +199,13 @@
             self._flushing.cancel()
         self._lose(Problem(Code.NOT_HOME, f"{self.shard} was released"))
 
-    def _load(self, raw: bytes, now: float, min_idle_s: float) -> Result | None:
+    def _load(
+        self,
+        raw: bytes,
+        now: float,
+        min_idle_s: float,
+        is_dead: Callable[[str], bool],
+    ) -> Result | None:
         try:
             value, items = decode_shard(raw)
         except msgspec.MsgspecError as exc:
@@ -201,7 +213,8 @@
             return _unavailable(f"{self.shard} cannot be read: {exc}")
         # Clocks differ between hosts, so the time may seem to be negative.
         is_recent = min_idle_s > 0 and now - value.written_at < min_idle_s
-        if is_recent and value.home not in ("", self.host):
+        has_other = value.home not in ("", self.host)
+        if has_other and (is_recent or not is_dead(value.home)):
             return problem(Code.NOT_HOME, f"the home is {value.home}")
         self.table.load(items)
         return None
