--- /dev/null
+++ b/libs/bench/dragonflybank/bench/demo.py
@@ -0,0 +1,194 @@
+"""The demonstration: both deployments, a killed and a drained host.
+
+Stand-ins and six scheduler hosts run as processes on loopback for each
+deployment. Lookups and jobs go through them while one host is killed and one
+is drained. The answers are judged by what the stand-in workers recorded.
+"""
+
+__all__ = ["main", "run_demo"]
+
+import asyncio
+import itertools
+import pathlib
+import signal
+import sys
+import time
+
+from dragonflybank.bench.callers import Callers
+from dragonflybank.bench.deployment import LoopbackDeployment, wait_until
+from dragonflybank.model.work import Outcome, WorkKind
+from dragonflybank.operators.render import Report, as_text
+from dragonflybank.standins.invariants import check_all
+from dragonflybank.standins.records import HostDrained
+
+DEPLOYMENTS = ("saarinen-koivisto", "vandenbroucke")
+LOOKUPS = 400
+LOOKUPS_AT_ONCE = 20
+JOBS_OF_EACH_CLASS = 12
+LOOKUP_RUN_S = 0.02
+JOB_RUN_S = 0.8
+RECOVERY_LIMIT_S = 30.0
+QUERIES = (
+    "show finished limit 5",
+    "explain job {team}/{key}",
+    "stage calmer: set class.{lookup}.priority = 90",
+    "diff calmer",
+    "apply calmer",
+    "show hosts",
+)
+
+
+def main() -> None:
+    """Runs the demonstration; exits with 1 if any answer is wrong."""
+    wrong = [asyncio.run(run_demo(name)) for name in DEPLOYMENTS]
+    total = sum(wrong)
+    print(f"\ndemo: {total} violations, {'failed' if total else 'passed'}")
+    sys.exit(1 if total else 0)
+
+
+async def run_demo(name: str) -> int:
+    """Runs one deployment and returns the number of violations."""
+    print(f"\n=== {name}")
+    deployment = LoopbackDeployment(pathlib.Path("deployments") / name)
+    callers = Callers(lambda: _served_urls(deployment), seed=1)
+    try:
+        await deployment.start()
+        await deployment.wait_ready()
+        print(
+            f"{len(deployment.hosts)} hosts are ready,"
+            f" {len(deployment.topology.workers)} workers are owned"
+        )
+        drained = await _drive(deployment, callers)
+        await _show_session(deployment, callers)
+        return await _judge(deployment, callers, drained)
+    finally:
+        await callers.close()
+        await deployment.stop()
+
+
+async def _drive(deployment, callers) -> HostDrained:
+    """Sends lookups and jobs while a host is killed and one is drained."""
+    jobs = asyncio.gather(*_jobs(deployment, callers))
+    lookups = asyncio.gather(*_lookups(deployment, callers))
+    names = list(deployment.hosts)
+    await wait_until(_answered(callers, LOOKUPS // 4), limit_s=RECOVERY_LIMIT_S)
+    print(f"killing {names[0]}")
+    deployment.hosts[names[0]].program.signal(signal.SIGKILL)
+    await wait_until(_answered(callers, LOOKUPS // 2), limit_s=RECOVERY_LIMIT_S)
+    print(f"draining {names[3]}")
+    drained = await _drain(deployment, names[3])
+    print(f"{names[3]} exited {drained.exited_at - drained.at:.1f} s later")
+    await lookups
+    await jobs
+    await wait_until(deployment.all_owned, limit_s=RECOVERY_LIMIT_S)
+    return drained
+
+
+async def _drain(deployment, name: str) -> HostDrained:
+    host = deployment.hosts[name]
+    began_at = time.time()
+    # The balancer sees the readiness fail; the callers here are told at once.
+    host.is_served = False
+    host.program.signal(signal.SIGTERM)
+    await host.program.wait()
+    return HostDrained(began_at, host.url, time.time())
+
+
+async def _show_session(deployment, callers) -> None:
+    """Prints the answers to some commands of an operator."""
+    job = next(a for a in callers.answers if a.key)
+    lookup = _classes(deployment, lookups=True)[0]
+    for query in QUERIES:
+        text = query.format(team=job.team, key=job.key, lookup=lookup.name)
+        reply = await callers.query(text)
+        print(f"\n> {text}")
+        print(_as_text(reply))
+
+
+async def _judge(deployment, callers, drained) -> int:
+    records = [
+        record
+        for program in ("workers", "store", "vmlist")
+        for record in await deployment.records(program)
+    ]
+    records.append(drained)
+    found = check_all(records, callers.answers)
+    outcomes = {
+        outcome: sum(1 for a in callers.answers if a.outcome is outcome)
+        for outcome in (*Outcome, None)
+    }
+    told = ", ".join(
+        f"{outcome.value if outcome else 'no answer'} {count}"
+        for outcome, count in outcomes.items()
+        if count
+    )
+    print(f"\nanswers: {told}")
+    for violation in found:
+        print(f"VIOLATION {violation}")
+    print(f"{name_of(deployment)}: {len(found)} violations")
+    return len(found)
+
+
+def name_of(deployment: LoopbackDeployment) -> str:
+    """Returns the name of a deployment."""
+    return deployment.topology.name
+
+
+def _jobs(deployment, callers):
+    teams = [team.name for team in deployment.config.teams]
+    for wc in _classes(deployment, lookups=False):
+        for number in range(JOBS_OF_EACH_CLASS):
+            yield callers.job(
+                teams[number % len(teams)],
+                f"{wc.name}-{number}",
+                wc.name,
+                run_s=JOB_RUN_S,
+            )
+
+
+def _lookups(deployment, callers):
+    teams = itertools.cycle(team.name for team in deployment.config.teams)
+    lookup = _classes(deployment, lookups=True)[0]
+    gate = asyncio.Semaphore(LOOKUPS_AT_ONCE)
+
+    async def one(team: str) -> None:
+        async with gate:
+            await callers.lookup(team, lookup.name, run_s=LOOKUP_RUN_S)
+
+    return [one(team) for team in itertools.islice(teams, LOOKUPS)]
+
+
+def _classes(deployment, *, lookups: bool):
+    return [
+        wc
+        for wc in deployment.config.classes
+        if (wc.kind is WorkKind.LOOKUP) == lookups
+    ]
+
+
+def _answered(callers, count: int):
+    async def condition() -> bool:
+        return sum(1 for a in callers.answers if not a.key) >= count
+
+    return condition
+
+
+def _served_urls(deployment) -> list[str]:
+    return [
+        host.url
+        for host in deployment.hosts.values()
+        if host.program.is_running and host.is_served
+    ]
+
+
+def _as_text(reply: dict) -> str:
+    if reply.get("code"):
+        return f"refused with {reply['code']}: {reply.get('detail', '')}"
+    rows = reply["rows"]
+    columns = tuple(rows[0]) if rows else ()
+    cells = tuple(tuple(row.values()) for row in rows)
+    return as_text(Report(columns, cells, reply["text"], tuple(reply["notes"])))
+
+
+if __name__ == "__main__":
+    main()
--- a/libs/bench/dragonflybank/bench/deployment.py
+++ b/libs/bench/dragonflybank/bench/deployment.py
@@ -99,11 +99,13 @@
         place: Its place in the topology.
         program: Its process.
         log: File with its log lines.
+        is_served: Whether the platform's balancer sends requests to it.
     """
 
     place: HostPlace
     program: Program
     log: pathlib.Path
+    is_served: bool = True
 
     @property
     def url(self) -> str:
