Add the spreading of configuration generations

Cause: an accepted configuration must be in force everywhere within 16 s and never revert (I8, D7).

Change: ConfigHolder adopts only greater generations; Spread watches the store from two hosts per region, polls as a guard, fetches from a peer that is ahead, and decides readiness from the store's and all peers' answers.

Ruled out: every host fetching from another region at once; only the two watching hosts do so in the first 2 s, since that link is billed by volume.

With a silent watch all four hosts have a change within the bound of 16 s of simulated time.

--- a/libs/cluster/dragonflybank/cluster/ownership.py
+++ b/libs/cluster/dragonflybank/cluster/ownership.py
@@ -15,12 +15,13 @@
 from dragonflybank.cluster.membership import PAUSE_S, Membership
 from dragonflybank.cluster.messages import Handover, HandoverReply
 from dragonflybank.cluster.owned import DropReason
+from dragonflybank.cluster.peers import Peers
 from dragonflybank.cluster.ranking import candidates, first_host, may_receive
 from dragonflybank.cluster.renewals import serve
 from dragonflybank.cluster.roster import Roster, Seat
 from dragonflybank.cluster.sessions import WorkerSession
 from dragonflybank.cluster.summaries import summarise
-from dragonflybank.cluster.takeover import Peers, Taken, take
+from dragonflybank.cluster.takeover import Taken, take
 from dragonflybank.cluster.unlisted import Unlisted
 from dragonflybank.model.codes import Problem
 from dragonflybank.model.leases import Resolution
--- a/libs/cluster/dragonflybank/cluster/peers.py
+++ b/libs/cluster/dragonflybank/cluster/peers.py
@@ -1,17 +1,31 @@
 """Links to all other hosts, by address."""
 
-__all__ = ["PeerLinks"]
+__all__ = ["PeerLinks", "Peers"]
 
+import abc
 from collections.abc import Callable
 from typing import Any
 
 from returns.result import Result
 
 from dragonflybank.cluster.links import PeerLink, ask
-from dragonflybank.cluster.takeover import Peers
 from dragonflybank.model.codes import Code, problem
 
 
+class Peers(abc.ABC):
+    """Requests to other hosts by name; `PeerLinks` is one."""
+
+    @abc.abstractmethod
+    async def ask(self, host: str, request: Any, *, timeout_s: float) -> Result:
+        """Sends a typed request to a host and returns its typed reply."""
+
+    @abc.abstractmethod
+    async def ask_at(
+        self, address: str, request: Any, *, timeout_s: float
+    ) -> Result:
+        """Sends a typed request to an address."""
+
+
 class PeerLinks(Peers):
     """One link for each peer, opened when it is first used.
 
--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/spread.py
@@ -0,0 +1,258 @@
+"""Spreading of the configuration to every host, never back (D7).
+
+Two hosts of each region watch the store. Every host also polls it now and
+then, since a watch may be silent, and fetches the value from a peer whose
+gossiped generation is greater.
+"""
+
+__all__ = ["CONFIG_KEY", "ConfigHolder", "Spread"]
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from returns.result import Result, Success
+
+from dragonflybank.cluster.clock import Clock
+from dragonflybank.cluster.entries import Entry
+from dragonflybank.cluster.membership import Membership
+from dragonflybank.cluster.messages import ConfigValue, FetchConfig
+from dragonflybank.cluster.peers import Peers
+from dragonflybank.model.codes import Problem
+from dragonflybank.model.hashing import ranked
+from dragonflybank.platform.store import ConfigStore, Stored
+
+_log = logging.getLogger(__name__)
+
+CONFIG_KEY = "config/active"
+WATCHERS_PER_REGION = 2
+WATCH_WAIT_S = 10.0
+POLL_INTERVAL_S = 10.0
+WATCHER_POLL_INTERVAL_S = 5.0
+ROUND_S = 0.5
+RETRY_S = 1.0
+FETCH_TIMEOUT_S = 2.0
+# Other hosts of the region usually have a new value by then; before that,
+# only the watching hosts fetch it over the billed link between regions.
+REMOTE_FETCH_AFTER_S = 2.0
+
+
+class ConfigHolder:
+    """The configuration in force on this host.
+
+    Attributes:
+        generation: Its generation, 0 before the first.
+        value: Its encoded value.
+    """
+
+    def __init__(
+        self, on_adopt: Callable[[int, bytes], None] = lambda gen, value: None
+    ):
+        self.generation = 0
+        self.value = b""
+        self._on_adopt = on_adopt
+
+    def adopt(self, generation: int, value: bytes) -> bool:
+        """Puts a configuration in force if its generation is greater.
+
+        Example:
+            >>> holder = ConfigHolder()
+            >>> holder.adopt(2, b"new"), holder.adopt(1, b"old")
+            (True, False)
+        """
+        if generation <= self.generation:
+            return False
+        self.generation = generation
+        self.value = value
+        self._on_adopt(generation, value)
+        return True
+
+
+class Spread:
+    """Keeps a host's configuration current.
+
+    Attributes:
+        holder: The configuration in force.
+        is_ready: Whether the host has ever had a configuration that was as
+            new as that of each peer that answered.
+    """
+
+    def __init__(
+        self,
+        holder: ConfigHolder,
+        store: ConfigStore,
+        membership: Membership,
+        peers: Peers,
+        *,
+        generation_of: Callable[[bytes], Result[int, Problem]],
+        rng: random.Random,
+    ):
+        self.holder = holder
+        self.is_ready = False
+        self._store = store
+        self._membership = membership
+        self._peers = peers
+        self._generation_of = generation_of
+        self._rng = rng
+        self._version = 0
+        self._behind_since: float | None = None
+
+    def offer(self, value: bytes) -> bool:
+        """Adopts a value if it is well formed and newer.
+
+        Returns:
+            Whether it was adopted.
+        """
+        read = self._generation_of(value)
+        if not isinstance(read, Success):
+            _log.warning("configuration not read: %s", read.failure().detail)
+            return False
+        generation = read.unwrap()
+        is_new = self.holder.adopt(generation, value)
+        if is_new:
+            self._membership.update_own(generation=generation)
+            _log.info("configuration generation %d is in force", generation)
+        return is_new
+
+    def is_watcher(self, now: float) -> bool:
+        """Returns whether this host is one of its region's two watchers."""
+        own = self._membership.own
+        hosts = self._membership.live(own.region, now)
+        first = ranked(f"{CONFIG_KEY}@{own.region}", hosts)
+        return own.host in first[:WATCHERS_PER_REGION]
+
+    async def answer_fetch(
+        self, request: FetchConfig
+    ) -> Result[ConfigValue, Problem]:
+        """Returns the value if it is newer than the asker's.
+
+        The handler of kind ``fetch_config``.
+        """
+        is_newer = self.holder.generation > request.generation
+        value = self.holder.value if is_newer else b""
+        return Success(ConfigValue(self.holder.generation, value))
+
+    async def check_ready(self, now: float) -> bool:
+        """Asks the store and all peers once; returns whether to be ready.
+
+        A host is ready when it has a configuration that is at least as new as
+        that of each peer that answered. It stays ready.
+        """
+        if self.is_ready:
+            return True
+        addresses = {e.address for e in self._membership.peers(now)}
+        addresses |= set(self._membership.candidates(now))
+        _, *answered = await asyncio.gather(
+            self.poll(), *(self._fetch(a) for a in sorted(addresses))
+        )
+        newest = max((g for g in answered if g is not None), default=0)
+        own = self.holder.generation
+        self.is_ready = own > 0 and own >= newest
+        return self.is_ready
+
+    async def poll(self) -> bool:
+        """Reads the store once; returns whether it answered."""
+        reply = await self._store.get(CONFIG_KEY)
+        if not isinstance(reply, Success):
+            return False
+        self._take(reply.unwrap())
+        return True
+
+    async def watch(self) -> bool:
+        """Waits once for a newer value.
+
+        Returns:
+            Whether the store kept to the protocol, so that it can be watched
+            again at once.
+        """
+        reply = await self._store.watch(
+            CONFIG_KEY, after=self._version, wait_s=WATCH_WAIT_S
+        )
+        if not isinstance(reply, Success):
+            return False
+        stored = reply.unwrap()
+        if stored is None:
+            return True
+        is_later = stored.version > self._version
+        self._take(stored)
+        return is_later
+
+    async def catch_up(self, now: float) -> bool:
+        """Fetches from a peer that is ahead; returns whether one was newer.
+
+        Args:
+            now: Present time; expected every half second.
+        """
+        ahead = [
+            e
+            for e in self._membership.peers(now)
+            if e.generation > self.holder.generation
+        ]
+        if not ahead:
+            self._behind_since = None
+            return False
+        if self._behind_since is None:
+            self._behind_since = now
+        allowed = [e for e in ahead if self._may_fetch(e, now)]
+        if not allowed:
+            return False
+        before = self.holder.generation
+        await self._fetch(self._rng.choice(allowed).address)
+        return self.holder.generation > before
+
+    async def run(self, clock: Clock) -> None:
+        """Watches, polls and fetches until it is cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._watch_all(clock))
+            group.create_task(self._poll_all(clock))
+            group.create_task(self._catch_up_all(clock))
+
+    async def _watch_all(self, clock: Clock) -> None:
+        while True:
+            is_watching = self.is_watcher(clock.now())
+            if not is_watching or not await self.watch():
+                await clock.sleep(RETRY_S)
+
+    async def _poll_all(self, clock: Clock) -> None:
+        # Hosts that start together must not poll together.
+        await clock.sleep(self._rng.uniform(0.0, RETRY_S))
+        while True:
+            await self.poll()
+            is_watcher = self.is_watcher(clock.now())
+            await clock.sleep(
+                WATCHER_POLL_INTERVAL_S if is_watcher else POLL_INTERVAL_S
+            )
+
+    async def _catch_up_all(self, clock: Clock) -> None:
+        while True:
+            if self.is_ready:
+                await self.catch_up(clock.now())
+            else:
+                await self.check_ready(clock.now())
+            await clock.sleep(ROUND_S)
+
+    async def _fetch(self, address: str) -> int | None:
+        """Returns the generation of a peer, None if it did not answer."""
+        reply = await self._peers.ask_at(
+            address,
+            FetchConfig(self.holder.generation),
+            timeout_s=FETCH_TIMEOUT_S,
+        )
+        if not isinstance(reply, Success):
+            return None
+        answer: ConfigValue = reply.unwrap()
+        if answer.value:
+            self.offer(answer.value)
+        return answer.generation
+
+    def _may_fetch(self, entry: Entry, now: float) -> bool:
+        if entry.region == self._membership.own.region:
+            return True
+        is_late = now - self._behind_since >= REMOTE_FETCH_AFTER_S
+        return is_late or self.is_watcher(now)
+
+    def _take(self, stored: Stored) -> None:
+        self._version = max(self._version, stored.version)
+        if stored.value is not None:
+            self.offer(stored.value)
--- a/libs/cluster/dragonflybank/cluster/takeover.py
+++ b/libs/cluster/dragonflybank/cluster/takeover.py
@@ -1,32 +1,23 @@
 """Taking a worker: its former owner, the claim and unreachable workers (D1)."""
 
-__all__ = ["Peers", "Taken", "is_denied", "take"]
+__all__ = ["Taken", "is_denied", "take"]
 
-import abc
 import asyncio
 import enum
-from typing import Any
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from dragonflybank.cluster.claims import claim
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.cluster.membership import Membership
 from dragonflybank.cluster.messages import Handover, HandoverReply
 from dragonflybank.cluster.owned import OwnedWorker
+from dragonflybank.cluster.peers import Peers
 from dragonflybank.platform.worker import WorkerState
 
 HANDOVER_TIMEOUT_S = 2.0
 
 
-class Peers(abc.ABC):
-    """Requests to other hosts by name; `peers.PeerLinks` is one."""
-
-    @abc.abstractmethod
-    async def ask(self, host: str, request: Any, *, timeout_s: float) -> Result:
-        """Sends a typed request and returns its typed reply."""
-
-
 class Taken(enum.StrEnum):
     """How an attempt to take a worker ended."""
 
--- a/libs/cluster/dragonflybank/cluster/tests/fakes.py
+++ b/libs/cluster/dragonflybank/cluster/tests/fakes.py
@@ -10,7 +10,7 @@
 from returns.result import Success
 
 from dragonflybank.cluster.clock import Clock
-from dragonflybank.cluster.takeover import Peers
+from dragonflybank.cluster.peers import Peers
 from dragonflybank.model.codes import Code, problem
 from dragonflybank.model.leases import StartReply, TaskEvent, TaskState
 from dragonflybank.model.resources import Resources
@@ -260,6 +260,9 @@
     clock: FakeClock
     cut: set
 
+    async def ask_at(self, address, request, *, timeout_s):
+        return problem(Code.UNREACHABLE, address)
+
     async def ask(self, host, request, *, timeout_s):
         await asyncio.sleep(0)
         if host not in self.hosts or {host, self.host} & self.cut:
--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/tests/test_spread.py
@@ -0,0 +1,260 @@
+"""Tests of the spreading of the configuration."""
+
+import asyncio
+import itertools
+import random
+
+import testtools
+from returns.result import Success
+from testtools.matchers import Equals, HasLength, LessThan
+
+from dragonflybank.cluster.entries import Entry
+from dragonflybank.cluster.membership import Membership
+from dragonflybank.cluster.messages import ConfigValue
+from dragonflybank.cluster.peers import Peers
+from dragonflybank.cluster.spread import ConfigHolder, Spread
+from dragonflybank.cluster.tests.fakes import FakeClock
+from dragonflybank.model.codes import Code, problem
+from dragonflybank.platform.store import ConfigStore, Stored
+
+T0 = 1000.0
+# The bound of I8.
+IN_FORCE_S = 16.0
+
+
+def _generation(value):
+    text = value.decode()
+    return (
+        Success(int(text))
+        if text.isdigit()
+        else problem(Code.BAD_CONFIGURATION)
+    )
+
+
+class _Store(ConfigStore):
+    """A store with one key; ``mode`` is up, silent (watches) or down."""
+
+    def __init__(self, clock, value=None):
+        self.clock, self.mode = clock, "up"
+        self.stored = Stored(0 if value is None else 1, value)
+        self.watches = 0
+
+    def write(self, value):
+        self.stored = Stored(self.stored.version + 1, value)
+
+    async def get(self, key):
+        await asyncio.sleep(0)
+        if self.mode == "down":
+            return problem(Code.STORE_UNAVAILABLE)
+        return Success(self.stored)
+
+    async def watch(self, key, *, after, wait_s):
+        self.watches += 1
+        for _ in range(int(wait_s * 4)):
+            if self.mode == "up" and self.stored.version > after:
+                return Success(self.stored)
+            await self.clock.sleep(0.25)
+        if self.mode == "up":
+            return Success(None)
+        await self.clock.sleep(2.0)
+        return problem(Code.TIMED_OUT)
+
+    put = delete = versions = None
+
+
+class _Peers(Peers):
+    def __init__(self, hosts):
+        self.hosts = hosts
+
+    async def ask(self, host, request, *, timeout_s):
+        return await self.ask_at(f"{host}:1", request, timeout_s=timeout_s)
+
+    async def ask_at(self, address, request, *, timeout_s):
+        await asyncio.sleep(0)
+        host = self.hosts.get(address.split(":")[0])
+        if host is None:
+            return problem(Code.UNREACHABLE, address)
+        return await host.answer_fetch(request)
+
+
+class _Hosts:
+    """Hosts in process that all hear each other."""
+
+    def __init__(self, store, names, region="north"):
+        self.spreads, self.members = {}, {}
+        peers = _Peers(self.spreads)
+        for i, name in enumerate(names):
+            member = Membership(name, region, f"{name}:1", now=T0)
+            self.members[name] = member
+            self.spreads[name] = Spread(
+                ConfigHolder(),
+                store,
+                member,
+                peers,
+                generation_of=_generation,
+                rng=random.Random(i),
+            )
+        self.gossip(T0)
+
+    def gossip(self, now):
+        for member in self.members.values():
+            member.tick(now)
+        pairs = itertools.permutations(self.members.values(), 2)
+        for one, other in pairs:
+            one.merge([other.own], now)
+
+    def generations(self):
+        return {s.holder.generation for s in self.spreads.values()}
+
+    async def run(self, clock, body):
+        async def keep_gossiping():
+            while True:
+                self.gossip(clock.now())
+                await clock.sleep(0.5)
+
+        tasks = [asyncio.create_task(keep_gossiping())]
+        tasks += [
+            asyncio.create_task(s.run(clock)) for s in self.spreads.values()
+        ]
+        try:
+            return await body()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _run(body, *, value=b"1", names="abcd"):
+    async def main():
+        clock = FakeClock(T0)
+        store = _Store(clock, value)
+        hosts = _Hosts(store, names)
+        return await hosts.run(clock, lambda: body(clock, store, hosts))
+
+    return asyncio.run(main())
+
+
+class TestSpread(testtools.TestCase):
+    """Guards against hosts that stay behind or go back (I8)."""
+
+    def test_a_change_reaches_every_host_by_watch_and_gossip(self):
+        async def body(clock, store, hosts):
+            await clock.until(lambda: hosts.generations() == {1})
+            store.write(b"2")
+            return await clock.until(lambda: hosts.generations() == {2})
+
+        self.assertThat(_run(body), LessThan(3.0))
+
+    def test_a_silent_watch_is_made_up_for_by_polls(self):
+        async def body(clock, store, hosts):
+            await clock.until(lambda: hosts.generations() == {1})
+            store.mode = "silent"
+            store.write(b"2")
+            return await clock.until(lambda: hosts.generations() == {2})
+
+        self.assertThat(_run(body), LessThan(IN_FORCE_S))
+
+    def test_a_change_spreads_while_the_store_is_down(self):
+        async def body(clock, store, hosts):
+            await clock.until(lambda: hosts.generations() == {1})
+            store.mode = "down"
+            hosts.spreads["c"].offer(b"2")
+            return await clock.until(lambda: hosts.generations() == {2})
+
+        self.assertThat(_run(body), LessThan(3.0))
+
+    def test_a_generation_never_goes_back(self):
+        async def body(clock, store, hosts):
+            store.write(b"7")
+            await clock.until(lambda: hosts.generations() == {7})
+            store.write(b"3")
+            store.write(b"not a configuration")
+            await clock.advance(30.0)
+            return hosts.generations()
+
+        self.assertThat(_run(body), Equals({7}))
+
+    def test_two_hosts_of_a_region_watch(self):
+        async def body(clock, store, hosts):
+            await clock.advance(1.0)
+            return [n for n, s in hosts.spreads.items() if s.is_watcher(T0)]
+
+        self.assertThat(_run(body), HasLength(2))
+
+    def test_a_remote_value_is_first_fetched_by_a_watcher_only(self):
+        async def body(clock, store, hosts):
+            store.mode = "down"
+            member = hosts.members
+            remote = Entry("r", 1, 1, "south", address="r:1", generation=9)
+            hosts.spreads["r"] = _Answering(ConfigValue(9, b"9"))
+            fetched = {}
+            for name in "abcd":
+                member[name].merge([remote], clock.now())
+                spread = hosts.spreads[name]
+                before = await spread.catch_up(clock.now())
+                fetched[name] = (before, spread.is_watcher(clock.now()))
+            late = [
+                await hosts.spreads[n].catch_up(clock.now() + 2.0)
+                for n, (done, _) in fetched.items()
+                if not done
+            ]
+            del hosts.spreads["r"]
+            return fetched, late
+
+        async def main():
+            clock = FakeClock(T0)
+            store = _Store(clock)
+            return await body(clock, store, _Hosts(store, "abcd"))
+
+        fetched, late = asyncio.run(main())
+        self.assertThat(
+            [d == w for d, w in fetched.values()], Equals([True] * 4)
+        )
+        self.assertThat(late, Equals([True, True]))
+
+
+class _Answering:
+    def __init__(self, answer):
+        self.answer = answer
+
+    async def answer_fetch(self, request):
+        return Success(self.answer)
+
+
+class TestReadiness(testtools.TestCase):
+    """Guards against a host that serves with an old configuration."""
+
+    def _check(self, *, store_value=None, store_mode="up", answers=()):
+        async def main():
+            store = _Store(FakeClock(T0), store_value)
+            store.mode = store_mode
+            hosts = _Hosts(store, "a")
+            for i, answer in enumerate(answers):
+                hosts.spreads[f"p{i}"] = _Answering(answer)
+            hosts.members["a"].set_candidates(
+                {f"p{i}": f"p{i}:1" for i in range(len(answers) + 1)}
+            )
+            spread = hosts.spreads["a"]
+            ready = await spread.check_ready(T0)
+            return ready, spread.holder.generation
+
+        return asyncio.run(main())
+
+    def test_nobody_answers(self):
+        self.assertThat(self._check(store_mode="down"), Equals((False, 0)))
+
+    def test_the_store_alone_is_enough(self):
+        self.assertThat(self._check(store_value=b"4"), Equals((True, 4)))
+
+    def test_a_peer_alone_is_enough(self):
+        ready = self._check(
+            store_mode="down", answers=[ConfigValue(5, b"5"), ConfigValue(3)]
+        )
+        self.assertThat(ready, Equals((True, 5)))
+
+    def test_a_peer_that_is_ahead_without_a_readable_value_blocks(self):
+        ready = self._check(store_value=b"4", answers=[ConfigValue(6, b"?")])
+        self.assertThat(ready, Equals((False, 4)))
+
+    def test_a_store_without_a_configuration_is_not_enough(self):
+        self.assertThat(self._check(), Equals((False, 0)))
--- a/libs/cluster/dragonflybank/cluster/unlisted.py
+++ b/libs/cluster/dragonflybank/cluster/unlisted.py
@@ -5,8 +5,9 @@
 from returns.result import Result, Success
 
 from dragonflybank.cluster.membership import Membership
+from dragonflybank.cluster.peers import Peers
 from dragonflybank.cluster.roster import Roster
-from dragonflybank.cluster.takeover import Peers, is_denied
+from dragonflybank.cluster.takeover import is_denied
 from dragonflybank.model.codes import Code, Problem, problem
 from dragonflybank.model.leases import (
     LEASE_MARGIN_S,
