--- a/libs/jobs/dragonflybank/jobs/retention.py
+++ b/libs/jobs/dragonflybank/jobs/retention.py
@@ -116,8 +116,14 @@
 
 
 def spec_digest(spec: JobSpec) -> str:
-    """Returns a digest of what was asked for."""
-    return digest(msgspec.msgpack.encode(spec))
+    """Returns a digest of what was asked for.
+
+    The digest is that of the spec as it is read from the journal: a whole
+    number in a float field is encoded differently after it was decoded.
+    """
+    encoded = msgspec.msgpack.encode(spec)
+    decoded = msgspec.msgpack.decode(encoded, type=JobSpec)
+    return digest(msgspec.msgpack.encode(decoded))
 
 
 def _results_digest(entry: Entry) -> str:
