--- /dev/null
+++ b/libs/cli/dragonflybank/cli/tests/test_docs.py
@@ -0,0 +1,86 @@
+"""Tests that compare the pages with the code."""
+
+import pathlib
+from typing import get_args
+
+import testtools
+from returns.result import Failure
+from testtools.matchers import Contains, Equals
+
+from dragonflybank.cli.answers import EXIT_STATUS
+from dragonflybank.config.changes import stage
+from dragonflybank.config.operator import decode_operator
+from dragonflybank.model.codes import Code, Problem, proves_not_run
+from dragonflybank.model.work import Outcome, answer_for
+from dragonflybank.operators.commands import FIELD_TYPES, Command, Stage
+from dragonflybank.operators.grammar import HELP, parse
+
+DOCS = pathlib.Path(__file__).parents[5] / "docs"
+
+
+def code_rows():
+    lines = (DOCS / "result-codes.md").read_text().splitlines()
+    cells = [
+        [cell.strip() for cell in line.strip("|").split("|")]
+        for line in lines
+        if line.startswith("|")
+    ]
+    return {int(row[0]): row for row in cells if row[0].isdigit()}
+
+
+class TestResultCodes(testtools.TestCase):
+    """Guards against a table that promises what the code does not keep."""
+
+    def test_table_has_every_code_under_its_name(self):
+        named = {number: row[1] for number, row in code_rows().items()}
+        self.assertThat(named, Equals({int(c): c.name for c in Code}))
+
+    def test_outcomes_are_those_a_caller_is_told(self):
+        expected = {
+            int(code): answer_for(Problem(code)).outcome
+            for code in Code
+            if code is not Code.OK
+        }
+        found = {n: row[2] for n, row in code_rows().items() if n}
+        self.assertThat(found, Equals(expected))
+
+    def test_only_proved_codes_say_that_the_work_did_not_run(self):
+        found = {n for n, row in code_rows().items() if row[3] == "no"}
+        expected = {int(code) for code in Code if proves_not_run(code)}
+        self.assertThat(found, Equals(expected))
+
+    def test_every_row_says_what_to_do(self):
+        for row in code_rows().values():
+            self.assertThat((len(row), all(row)), Equals((6, True)))
+
+
+class TestOperations(testtools.TestCase):
+    """Guards against a page that names commands that do not exist."""
+
+    def test_every_command_of_the_reference_parses(self):
+        text = (DOCS / "operations.md").read_text()
+        block = text.split("```text\n")[1].split("```")[0]
+        lines = block.splitlines()
+        refused = [ln for ln in lines if isinstance(parse(ln), Failure)]
+        self.assertThat(refused, Equals([]))
+        commands = [parse(line).unwrap() for line in lines]
+        kinds = {type(command) for command in commands}
+        self.assertThat(kinds, Equals(set(get_args(Command))))
+        path = DOCS.parent / "deployments" / "vandenbroucke" / "operator.json"
+        cfg = decode_operator(path.read_text()).unwrap()
+        staged = [
+            stage(cfg, each.name, "anna", each.edits, change_id="", now=0.0)
+            for each in commands
+            if isinstance(each, Stage)
+        ]
+        refused = [each for each in staged if isinstance(each, Failure)]
+        self.assertThat(refused, Equals([]))
+
+    def test_fields_and_exit_statuses_are_listed(self):
+        text = (DOCS / "operations.md").read_text()
+        for name in FIELD_TYPES:
+            self.assertThat(text, Contains(f"`{name}`"))
+            self.assertThat(HELP, Contains(name))
+        for outcome in Outcome:
+            row = f"| `{outcome}` | {EXIT_STATUS[outcome]} |"
+            self.assertThat(text, Contains(row))
--- a/libs/config/dragonflybank/config/changes.py
+++ b/libs/config/dragonflybank/config/changes.py
@@ -9,7 +9,6 @@
 __all__ = [
     "HISTORY_KEPT",
     "Action",
-    "Difference",
     "EditRequest",
     "applied_as",
     "apply",
@@ -28,8 +27,14 @@
 
 from dragonflybank.config.breaks import is_break_open, next_break
 from dragonflybank.config.decode import combined, document_of
-from dragonflybank.config.documents import find, put
-from dragonflybank.config.edits import AppliedChange, Change, Edit, overlaps
+from dragonflybank.config.documents import find, is_row, is_row_name, put
+from dragonflybank.config.edits import (
+    AppliedChange,
+    Change,
+    Difference,
+    Edit,
+    overlaps,
+)
 from dragonflybank.config.operator import (
     OperatorConfig,
     decode_document,
@@ -64,25 +69,6 @@
     value: Any = None
 
 
-@attrs.frozen
-class Difference:
-    """One path of a staged change against the configuration in force.
-
-    Attributes:
-        path: Path.
-        old: Value that the author saw; None if absent.
-        current: Value in force; None if absent.
-        new: Value after the change; None if removed.
-        changed_by: Who changed the path since, as text; empty if nobody.
-    """
-
-    path: str
-    old: Any
-    current: Any
-    new: Any
-    changed_by: str = ""
-
-
 def stage(
     cfg: OperatorConfig,
     name: str,
@@ -199,13 +185,19 @@
 
 
 def _fault_of(document, req: EditRequest, old: Any) -> Problem | None:
-    known = old is not None
-    if known == (req.action is not Action.ADD):
-        if req.action is Action.REMOVE and req.path.count(".") != 1:
-            return _fault(req.path, "a field cannot be removed", "set")
-        return None
-    if known:
+    if req.action is not Action.SET and not is_row(req.path):
+        return _fault(
+            req.path, "only rows are added or removed", "class, team, break"
+        )
+    if req.action is Action.SET and is_row_name(req.path):
+        # A new name would orphan the work that is kept under the old one.
+        return _fault(req.path, "names the row", "remove the row and add it")
+    if req.action is Action.ADD:
+        if old is None:
+            return None
         return _fault(req.path, "exists already", "set, or another name")
+    if old is not None:
+        return None
     return _fault(req.path, "unknown path", _accepted_paths(document, req.path))
 
 
--- a/libs/config/dragonflybank/config/decode.py
+++ b/libs/config/dragonflybank/config/decode.py
@@ -49,9 +49,18 @@
 
 
 def parse_json(text: str, *, code: Code) -> Result[Any, Problem]:
-    """Returns parsed JSON; NaN and infinite numbers are refused."""
+    """Returns parsed JSON.
+
+    NaN, infinite numbers and a field that is given twice are refused: Python's
+    parser accepts them and keeps the last of two fields.
+    """
     try:
-        return Success(json.loads(text, parse_constant=_refuse_constant))
+        document = json.loads(
+            text,
+            parse_constant=_refuse_constant,
+            object_pairs_hook=_with_names_once,
+        )
+        return Success(document)
     except json.JSONDecodeError as exc:
         where = f"line {exc.lineno} column {exc.colno}"
         return problem(code, f"{where}: {exc.msg}", accepted="a JSON document")
@@ -225,3 +234,12 @@
 
 def _refuse_constant(name: str):
     raise ValueError(f"{name} is not a JSON number")
+
+
+def _with_names_once(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    made = dict(pairs)
+    if len(made) < len(pairs):
+        names = [name for name, _ in pairs]
+        twice = next(name for name in names if names.count(name) > 1)
+        raise ValueError(f"the field {twice!r} is given twice")
+    return made
--- a/libs/config/dragonflybank/config/documents.py
+++ b/libs/config/dragonflybank/config/documents.py
@@ -1,10 +1,15 @@
 """Paths into the JSON document of the operator configuration."""
 
-__all__ = ["find", "put"]
+__all__ = ["find", "is_row", "is_row_name", "put"]
 
 from typing import Any
 
 _LISTS = {"class": "classes", "team": "teams", "break": "breaks"}
+_KEY_FIELDS = {
+    "class": ("name",),
+    "team": ("name",),
+    "break": ("start", "end"),
+}
 _LIMITS = "limits"
 
 
@@ -45,6 +50,23 @@
     parent[rest[-1]] = value
 
 
+def is_row(path: str) -> bool:
+    """Returns whether a path names a class, a team or a break.
+
+    Example:
+        >>> is_row("team.courts"), is_row("team.courts.weight")
+        (True, False)
+    """
+    root, *rest = path.split(".")
+    return root in _LISTS and len(rest) == 1 and bool(rest[0])
+
+
+def is_row_name(path: str) -> bool:
+    """Returns whether a path is a field that names its row."""
+    root, *rest = path.split(".")
+    return len(rest) == 2 and rest[1] in _KEY_FIELDS.get(root, ())
+
+
 def _put_row(rows: list, root: str, name: str, value: Any) -> None:
     rows[:] = [row for row in rows if _name(root, row) != name]
     if value is None:
--- a/libs/config/dragonflybank/config/editor.py
+++ b/libs/config/dragonflybank/config/editor.py
@@ -14,11 +14,12 @@
 from returns.result import Failure, Result, Success
 
 from dragonflybank.config import changes
-from dragonflybank.config.changes import Difference, EditRequest
+from dragonflybank.config.changes import EditRequest
 from dragonflybank.config.edits import (
     CHANGE_NAME,
     AppliedChange,
     Change,
+    Difference,
     decode_change,
     encode_change,
 )
--- a/libs/config/dragonflybank/config/edits.py
+++ b/libs/config/dragonflybank/config/edits.py
@@ -4,6 +4,7 @@
     "CHANGE_NAME",
     "AppliedChange",
     "Change",
+    "Difference",
     "Edit",
     "decode_change",
     "encode_change",
@@ -102,6 +103,25 @@
     return longer[: len(shorter)] == shorter
 
 
+@attrs.frozen
+class Difference:
+    """One path of a staged change against the configuration in force.
+
+    Attributes:
+        path: Path.
+        old: Value that the author saw; None if absent.
+        current: Value in force; None if absent.
+        new: Value after the change; None if removed.
+        changed_by: Who changed the path since, as text; empty if nobody.
+    """
+
+    path: str
+    old: Any
+    current: Any
+    new: Any
+    changed_by: str = ""
+
+
 def encode_change(change: Change) -> str:
     """Returns the JSON text of a staged change."""
     return json.dumps(document_of(change))
--- a/libs/config/dragonflybank/config/tests/memory_store.py
+++ b/libs/config/dragonflybank/config/tests/memory_store.py
@@ -16,6 +16,7 @@
     REFUSED = enum.auto()
     ANSWER_LOST = enum.auto()
     CALL_LOST = enum.auto()
+    CALL_LATE = enum.auto()
 
 
 class MemoryStore(ConfigStore):
@@ -29,6 +30,7 @@
     def __init__(self):
         self.faults: list[Fault | None] = []
         self.before_put = None
+        self._late = []
         self._values: dict[str, Stored] = {}
 
     async def get(self, key: str) -> Result[Stored, object]:
@@ -56,6 +58,11 @@
             }
         )
 
+    def deliver_late(self):
+        """Lets the late calls arrive and returns their outcomes."""
+        late, self._late = self._late, []
+        return [self._write(*call) for call in late]
+
     async def watch(self, key, *, after, wait_s):
         """See `ConfigStore.watch`; it returns at once."""
         return Success(None)
@@ -64,7 +71,9 @@
         fault = self.faults.pop(0) if self.faults else None
         if fault is Fault.REFUSED:
             return problem(Code.STORE_UNAVAILABLE, "refused")
-        if fault is Fault.CALL_LOST:
+        if fault is Fault.CALL_LATE:
+            self._late.append((key, value, version))
+        if fault in (Fault.CALL_LOST, Fault.CALL_LATE):
             return problem(Code.TIMED_OUT, "call lost")
         present = self._values.get(key, Stored(0, None)).version
         if present != version:
--- a/libs/config/dragonflybank/config/tests/test_changes.py
+++ b/libs/config/dragonflybank/config/tests/test_changes.py
@@ -83,6 +83,22 @@
             self.assertThat(failed.code, Equals(Code.BAD_CONFIGURATION))
             self.assertThat(failed.field, Contains("team.workshops."))
 
+    def test_a_row_is_not_renamed(self):
+        # Guards against jobs that are kept under the name of no team.
+        for path in (
+            "team.workshops.name",
+            "class.simulation.name",
+            "break.11:00-13:00.start",
+        ):
+            failed = staged(CFG, set_to(path, "other")).failure()
+            self.assertThat(failed.detail, Contains("names the row"))
+
+    def test_only_rows_are_added_and_removed(self):
+        for action in (Action.ADD, Action.REMOVE):
+            for path in ("team.workshops.weight", "limits.x", "x", "team."):
+                failed = staged(CFG, (action, path, {})).failure()
+                self.assertThat(failed.code, Equals(Code.BAD_CONFIGURATION))
+
     def test_rows_are_added_and_removed(self):
         change = staged(
             CFG,
--- a/libs/config/dragonflybank/config/tests/test_editor.py
+++ b/libs/config/dragonflybank/config/tests/test_editor.py
@@ -60,6 +60,21 @@
 
         self.assertThat(self.run_with(steps), Equals((2, 2, 1)))
 
+    def test_late_call_does_not_bring_back_an_older_generation(self):
+        async def steps(store, editor):
+            await editor.stage("w", "anna", set_to(WEIGHT, 2), now=OPEN)
+            store.faults = [Fault.CALL_LATE]
+            await editor.apply("w", "anna", now=OPEN)
+            await editor.stage("u", "anna", set_to(WEIGHT, 4), now=OPEN)
+            await editor.apply("u", "anna", now=OPEN)
+            (late,) = store.deliver_late()
+            cfg = (await editor.active()).unwrap()
+            return late.failure().code, cfg.generation, cfg.teams[0].weight
+
+        self.assertThat(
+            self.run_with(steps), Equals((Code.CAS_CONFLICT, 3, 4.0))
+        )
+
     def test_lost_answer_then_another_change_is_still_known(self):
         # Guards against a change applied twice after its answer was lost
         # and another change replaced the value.
--- a/libs/config/dragonflybank/config/tests/test_settings.py
+++ b/libs/config/dragonflybank/config/tests/test_settings.py
@@ -100,6 +100,12 @@
         text = json.dumps({**GOOD, "price_per_mb": float("nan")})
         self.assertIsInstance(decode_settings(text), Failure)
 
+    def test_field_given_twice_is_refused(self):
+        # Python's parser keeps the last one without a word.
+        text = json.dumps(GOOD)[:-1] + ', "name": "host-b"}'
+        failed = decode_settings(text).failure()
+        self.assertThat(failed.detail, Contains("'name' is given twice"))
+
     def test_encoded_settings_decode_to_the_same(self):
         cfg = Settings("a", "oulu", "http://s", "http://v")
         again = decode_settings(encode_settings(cfg)).unwrap()
--- a/libs/operators/dragonflybank/operators/execute.py
+++ b/libs/operators/dragonflybank/operators/execute.py
@@ -9,9 +9,8 @@
 from returns.result import Failure, Result, Success
 
 from dragonflybank.config.breaks import is_break_open, next_break
-from dragonflybank.config.changes import Difference
 from dragonflybank.config.decode import document_of
-from dragonflybank.config.edits import AppliedChange
+from dragonflybank.config.edits import AppliedChange, Difference
 from dragonflybank.config.operator import OperatorConfig
 from dragonflybank.model.codes import Code, Problem, problem
 from dragonflybank.model.decisions import Decision
