Spread configuration generations through the cluster library

Replaces the first polling loop of the host by watches, guard polls and fetches from peers that are ahead.

--- a/libs/bench/dragonflybank/bench/demo.py
+++ b/libs/bench/dragonflybank/bench/demo.py
@@ -70,14 +70,15 @@
     """Sends lookups and jobs while a host is killed and one is drained."""
     jobs = asyncio.gather(*_jobs(deployment, callers))
     lookups = asyncio.gather(*_lookups(deployment, callers))
-    names = list(deployment.hosts)
+    # One host of the first region is killed, one of the last is drained.
+    names = [place.name for place in deployment.topology.hosts]
     await wait_until(_answered(callers, LOOKUPS // 4), limit_s=RECOVERY_LIMIT_S)
     print(f"killing {names[0]}")
     deployment.hosts[names[0]].program.signal(signal.SIGKILL)
     await wait_until(_answered(callers, LOOKUPS // 2), limit_s=RECOVERY_LIMIT_S)
-    print(f"draining {names[3]}")
-    drained = await _drain(deployment, names[3])
-    print(f"{names[3]} exited {drained.exited_at - drained.at:.1f} s later")
+    print(f"draining {names[-1]}")
+    drained = await _drain(deployment, names[-1])
+    print(f"{names[-1]} exited {drained.exited_at - drained.at:.1f} s later")
     await lookups
     await jobs
     await wait_until(deployment.all_owned, limit_s=RECOVERY_LIMIT_S)
--- a/libs/host/dragonflybank/host/active.py
+++ b/libs/host/dragonflybank/host/active.py
@@ -2,8 +2,6 @@
 
 __all__ = ["ActiveConfig"]
 
-from collections.abc import Callable
-
 from returns.result import Failure, Result, Success
 
 from dragonflybank.config.operator import (
@@ -20,14 +18,10 @@
 
     Attributes:
         value: The configuration; None until one is adopted.
-
-    Args:
-        on_change: Called with the generation of each adopted configuration.
     """
 
-    def __init__(self, on_change: Callable[[int], None] = lambda _: None):
+    def __init__(self):
         self.value: OperatorConfig | None = None
-        self._on_change = on_change
         self._teams: dict[str, Team] = {}
         self._classes: dict[str, WorkClass] = {}
 
@@ -60,7 +54,6 @@
             self.value = cfg
             self._teams = {team.name: team for team in cfg.teams}
             self._classes = {each.name: each for each in cfg.classes}
-            self._on_change(cfg.generation)
         return Success(self.generation)
 
     def team(self, name: str) -> Team | None:
--- a/libs/host/dragonflybank/host/daemon.py
+++ b/libs/host/dragonflybank/host/daemon.py
@@ -15,16 +15,16 @@
 import mode
 from returns.result import Failure, Success
 
-from dragonflybank.cluster import messages
 from dragonflybank.cluster.clock import Clock, SystemClock
 from dragonflybank.cluster.gossip import Gossiper
 from dragonflybank.cluster.links import PeerServer
 from dragonflybank.cluster.membership import Membership
 from dragonflybank.cluster.ownership import Ownership, OwnershipConfig
+from dragonflybank.cluster.spread import ConfigHolder, Spread
 from dragonflybank.config.editor import ConfigEditor
+from dragonflybank.config.operator import decode_operator
 from dragonflybank.config.settings import Settings, one_way_s
 from dragonflybank.host.active import ActiveConfig
-from dragonflybank.host.config_sync import ConfigSync
 from dragonflybank.host.dispatch import handlers
 from dragonflybank.host.fleet import Fleet
 from dragonflybank.host.http import HttpFront
@@ -94,7 +94,7 @@
         self.clock = self.loop_clock.now
         self.decisions = DecisionLog()
         self.metrics = Metrics()
-        self.active = ActiveConfig(self._config_changed)
+        self.active = ActiveConfig()
         self.learned = Learned()
         self.health = Health(self)
         self.policy = BestFitPolicy()
@@ -115,11 +115,11 @@
         self.results = ResultStore(self.store)
         self.http = HttpFront(self)
         self.view = HostView(self, ConfigEditor(self.store))
-        self.config_sync = ConfigSync(self)
         self.server = PeerServer(settings.peer.address, settings.peer.port)
         self.membership: Membership | None = None
         self.gossiper: Gossiper | None = None
         self.ownership: Ownership | None = None
+        self.spread: Spread | None = None
 
     async def on_start(self) -> None:
         """Opens the sockets and starts the loops."""
@@ -145,15 +145,25 @@
             peers=self.links,
             rng=rng,
         )
-        self._set_candidates()
+        self.spread = Spread(
+            ConfigHolder(self._adopt_config),
+            self.store,
+            self.membership,
+            self.links,
+            generation_of=lambda value: decode_operator(value).map(
+                lambda cfg: cfg.generation
+            ),
+            rng=rng,
+        )
         await self._read_fleet()
+        self._set_candidates()
         await self.http.start(
             self.settings.http.address, self.settings.http.port
         )
         for loop in (
             self.gossiper.run(self.loop_clock),
             self.ownership.run(self.loop_clock),
-            self.config_sync.run(),
+            self.spread.run(self.loop_clock),
             self._read_fleet_always(),
             self._step_shards(),
         ):
@@ -200,7 +210,7 @@
         """Returns why the balancer should not send requests here."""
         if self.draining:
             return "the host is leaving"
-        return self.config_sync.not_ready()
+        return "" if self.spread.is_ready else "no current configuration"
 
     def new_shard_home(self, shard: str) -> ShardHome:
         """Returns a home for a shard, not opened yet."""
@@ -221,10 +231,6 @@
         self.learned.note(spec.work_class, event)
         self.health.note_task(spec.team, spec.work_class, event, now)
 
-    def config_value(self, req: messages.FetchConfig) -> messages.ConfigValue:
-        """Returns the configuration in force to a host that may be behind."""
-        return self.config_sync.value_for(req)
-
     async def query(self, text: str, *, operator: str) -> dict:
         """Runs an operator's command and returns its JSON reply."""
         report = await execute(
@@ -266,10 +272,9 @@
         region = next((e.region for e in entries if e.address == address), "")
         return one_way_s(self.settings, region)
 
-    def _config_changed(self, generation: int) -> None:
+    def _adopt_config(self, generation: int, value: bytes) -> None:
+        self.active.adopt(value)
         self.metrics.generation.set(generation)
-        self.membership.update_own(generation=generation)
-        _log.info("configuration generation %d is in force", generation)
 
 
 def _client_of(vm: VmInfo) -> HttpWorkerClient:
