Test long outages during an apply and lost answers to questions

Change: one test repeats an apply whose first call is under way through 300 lost calls; one asks for a job after a lost answer. The unreachable host of the tests is a bound socket that does not listen, with a port of the kernel.

--- a/libs/cli/dragonflybank/cli/tests/test_cli.py
+++ b/libs/cli/dragonflybank/cli/tests/test_cli.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import pathlib
+import socket
 
 import attrs
 import cappa
@@ -17,8 +18,10 @@
 from dragonflybank.model.codes import Code, Problem
 from dragonflybank.model.work import Answer, Outcome, answer_for
 
-# Nothing listens on port 1 of the loopback interface.
-DEAD = "http://127.0.0.1:1"
+# A bound socket that does not listen refuses every connection.
+_BOUND = socket.socket()
+_BOUND.bind(("127.0.0.1", 0))
+DEAD = f"http://127.0.0.1:{_BOUND.getsockname()[1]}"
 DEPLOYMENTS = pathlib.Path(__file__).parents[5] / "deployments"
 ACCEPTED = Answer(Outcome.PENDING, state="queued", ask="/v1/jobs/t/k")
 DONE = Answer.done("tulos", state="done")
@@ -58,7 +61,7 @@
             await runner.cleanup()
 
 
-def dragonflybank(line, *hosts, before=(), out=None):
+def dragonflybank(line, *hosts, before=()):
     """Runs a command line with scripted hosts; returns status and output."""
 
     async def steps():
@@ -104,6 +107,14 @@
         )
         self.assertThat(status, Equals(11))
 
+    def test_refusal_of_a_question_is_proved_after_a_lost_answer(self):
+        # A lost question has no effect that a refusal could hide.
+        unknown = answer_for(Problem(Code.UNKNOWN_JOB))
+        status, _ = dragonflybank(
+            ["status", "t/k"], ScriptedHost(LOST), ScriptedHost(unknown)
+        )
+        self.assertThat(status, Equals(11))
+
     def test_no_host_reached_is_unknown(self):
         status, text = dragonflybank(SUBMIT, before=[DEAD])
         self.assertThat(status, Equals(13))
--- a/libs/config/dragonflybank/config/tests/test_editor.py
+++ b/libs/config/dragonflybank/config/tests/test_editor.py
@@ -60,6 +60,18 @@
 
         self.assertThat(self.run_with(steps), Equals((2, 2, 1)))
 
+    def test_write_of_unknown_effect_is_repeated_through_an_outage(self):
+        # Guards against a conflict or refusal told while a call is under way.
+        async def steps(store, editor):
+            await editor.stage("w", "anna", set_to(WEIGHT, 2), now=OPEN)
+            store.faults = [Fault.CALL_LATE] + [Fault.CALL_LOST] * 300
+            done = (await editor.apply("w", "anna", now=OPEN)).unwrap()
+            (late,) = store.deliver_late()
+            cfg = (await editor.active()).unwrap()
+            return done.generation, cfg.generation, late.failure().code
+
+        self.assertThat(self.run_with(steps), Equals((2, 2, Code.CAS_CONFLICT)))
+
     def test_late_call_does_not_bring_back_an_older_generation(self):
         async def steps(store, editor):
             await editor.stage("w", "anna", set_to(WEIGHT, 2), now=OPEN)
