--- a/libs/policy/dragonflybank/policy/candidates.py
+++ b/libs/policy/dragonflybank/policy/candidates.py
@@ -16,9 +16,12 @@
 from dragonflybank.model.codes import Code, Problem, problem
 from dragonflybank.model.resources import Resources, fits
 
-# Free accelerators outweigh the four other resources together, so that work
-# that needs none does not take the processors next to them.
+# Free accelerators outweigh the other resources together, so that work that
+# needs none does not take the processors next to them.
 ACCELERATOR_WEIGHT = 4.0
+# Slots and connections come in small counts. With weight 1 they hide the
+# fit in processors and memory, which fill up first.
+EXECUTOR_WEIGHT = 0.1
 
 
 @attrs.frozen
@@ -86,7 +89,8 @@
 def left_over(need: Resources, free: Resources, size: Resources) -> float:
     """Returns the free shares that remain, summed over the resources.
 
-    Accelerators are weighted by `ACCELERATOR_WEIGHT`.
+    Accelerators are weighted by `ACCELERATOR_WEIGHT`, slots and connections
+    by `EXECUTOR_WEIGHT`.
 
     Example:
         >>> left_over(Resources(1), Resources(2, 50), Resources(4, 100))
@@ -101,9 +105,10 @@
         spare = (free.accelerators - need.accelerators) / size.accelerators
         rest += ACCELERATOR_WEIGHT * spare
     if size.slots:
-        rest += (free.slots - need.slots) / size.slots
+        rest += EXECUTOR_WEIGHT * (free.slots - need.slots) / size.slots
     if size.connections:
-        rest += (free.connections - need.connections) / size.connections
+        spare = (free.connections - need.connections) / size.connections
+        rest += EXECUTOR_WEIGHT * spare
     return rest
 
 
