Correct the load of the backlog's baseline test

Its load was wrong: 40 cores were full before a second large job came, so first come first served was never blocked and both orders started 11 jobs.

Change: jobs of 60 cores on 100, so that the second large one never fits. The assertion is unchanged.

--- a/libs/policy/dragonflybank/policy/tests/test_backlog.py
+++ b/libs/policy/dragonflybank/policy/tests/test_backlog.py
@@ -61,13 +61,13 @@
 
     def test_more_jobs_start_than_first_come_first_served(self):
         rng = random.Random(7)
-        needs = {f"j{i}": rng.choice((1, 1, 1, 30)) for i in range(200)}
+        needs = {f"j{i}": rng.choice((1, 1, 1, 60)) for i in range(200)}
         served = _started(needs, in_order=False)
         baseline = _started(needs, in_order=True)
         self.assertThat(served, GreaterThan(2 * baseline))
 
 
-def _started(needs, *, in_order, cores=40):
+def _started(needs, *, in_order, cores=100):
     """Returns how many jobs start before the room is used up."""
     backlog = Backlog()
     for place, name in enumerate(needs):
