Test that lookups with the same summaries spread over peers

Cause: hosts decide on the same gossiped summaries; if all took the best peer they would overload it.

Change: a seeded test of the two choices against always taking the best.

--- a/libs/policy/dragonflybank/policy/tests/test_spill.py
+++ b/libs/policy/dragonflybank/policy/tests/test_spill.py
@@ -1,9 +1,10 @@
 """Tests of the route of lookups and reservations."""
 
+import collections
 import random
 
 import testtools
-from testtools.matchers import Equals, Is
+from testtools.matchers import Equals, Is, LessThan
 
 from dragonflybank.model.resources import Resources
 from dragonflybank.model.topology import CapacitySummary
@@ -61,6 +62,20 @@
         self.assertThat(route(far, req).kind, Is(RouteKind.REGION))
 
 
+class TestHerd(testtools.TestCase):
+    """Guards against all lookups going to the peer that looked best."""
+
+    def test_two_choices_spread_lookups_that_see_the_same_summaries(self):
+        peers = [summary(f"h{i}", slots=20 - i) for i in range(10)]
+        rng = random.Random(9)
+        hosts = collections.Counter(
+            spill.route_lookup(LOOKUP, FULL, peers, 10.0, rng).host
+            for _ in range(100)
+        )
+        best_only = 100
+        self.assertThat(max(hosts.values()), LessThan(best_only / 3))
+
+
 class TestOwnersToAsk(testtools.TestCase):
     """Guards against reservations asked for where there is no room."""
 
