Measure lookups and control cost through real hosts

Cause: the waiting time of lookups and the cost of control were known only from in-process models.

Change: peer links and servers count the bytes of each exchange with nng's frame, by region scope and direction; stand-ins count bytes of calls by kind. `lookup_latency` drives both deployments as processes, calm and at a tenfold crest, from due times, so that a late generator hides no wait. Rows of the table have a note, which names the busiest processes.

Ruled out: reading traffic from /proc, since send and recv on sockets are not in the counters of a process; counting TCP and IP headers.

--- a/libs/bench/dragonflybank/bench/__main__.py
+++ b/libs/bench/dragonflybank/bench/__main__.py
@@ -11,12 +11,14 @@
 from collections.abc import Callable, Sequence
 
 from dragonflybank.bench.blocking import blocking
+from dragonflybank.bench.control import control_cost
 from dragonflybank.bench.crest import crest
 from dragonflybank.bench.decisions import (
     backlog_decisions,
     lookup_decisions,
     placement_decisions,
 )
+from dragonflybank.bench.latency import lookup_latency
 from dragonflybank.bench.packing import packing
 from dragonflybank.bench.table import Row, missed, render, write_json
 
@@ -29,6 +31,8 @@
     packing,
     blocking,
     crest,
+    lookup_latency,
+    control_cost,
 )
 JSON_PATH = pathlib.Path("build/bench.json")
 
--- a/libs/bench/dragonflybank/bench/deployment.py
+++ b/libs/bench/dragonflybank/bench/deployment.py
@@ -221,9 +221,38 @@
 
     async def store_calls(self) -> dict[str, int]:
         """Returns the number of store calls by kind."""
-        url = self._control_url("store") + "/control/calls"
+        return (await self.calls("store", "store"))["calls"]
+
+    async def calls(self, program: str, server: str) -> dict:
+        """Returns what a stand-in counted: calls and bytes by kind.
+
+        Args:
+            program: ``store``, ``vmlist`` or ``workers``.
+            server: Name of the server in the program.
+        """
+        url = f"{self._control_url(program)}/control/calls?server={server}"
         async with self._http.get(url) as resp:
-            return (await resp.json())["calls"]
+            return await resp.json()
+
+    def pid_of(self, program: str) -> int:
+        """Returns the process id of a stand-in program."""
+        return self._programs[program].pid
+
+    async def metrics(self, host: HostProcess) -> str:
+        """Returns a host's metrics, empty if it does not answer."""
+        try:
+            async with self._http.get(f"{host.url}/metrics") as resp:
+                return await resp.text()
+        except aiohttp.ClientError:
+            return ""
+
+    def served_urls(self) -> list[str]:
+        """Returns the base URLs of the hosts that the balancer serves."""
+        return [
+            host.url
+            for host in self.hosts.values()
+            if host.program.is_running and host.is_served
+        ]
 
     async def wait_ready(self) -> None:
         """Waits until each running host is ready and owns workers."""
@@ -272,10 +301,9 @@
             async with self._http.get(f"{host.url}/readyz") as resp:
                 if resp.status != 200:
                     return ""
-            async with self._http.get(f"{host.url}/metrics") as resp:
-                return await resp.text()
         except aiohttp.ClientError:
             return ""
+        return await self.metrics(host)
 
     def _worker_vm(self, worker: VmInfo) -> VmInfo:
         port = self._programs["workers"].ports["ports"][worker.name]
--- /dev/null
+++ b/libs/bench/dragonflybank/bench/latency.py
@@ -0,0 +1,160 @@
+"""Waiting time of lookups through real hosts, calm and at a crest."""
+
+__all__ = ["load_note", "lookup_latency", "lookup_rows", "processor_s"]
+
+import asyncio
+import pathlib
+from collections.abc import Mapping, Sequence
+
+import psutil
+
+from dragonflybank.bench.deployment import LoopbackDeployment
+from dragonflybank.bench.runs import (
+    FOLDERS,
+    Phase,
+    Sample,
+    class_of,
+    drive,
+    open_run,
+    percentile_s,
+    start_waits,
+)
+from dragonflybank.bench.table import Better, Row
+from dragonflybank.model.work import WorkKind
+from dragonflybank.standins.invariants import check_all
+
+START_BOUND_S = 1.2
+START_SOURCE = "section 1: urgent work starts within 1.2 s"
+# The crest has ten times the calm demand from one arrival to the next.
+PHASES = {
+    "calm": Phase(50.0, 8.0),
+    "at a tenfold crest": Phase(500.0, 6.0),
+    "after the crest": Phase(50.0, 3.0),
+}
+PERCENTILES = (50.0, 99.0, 99.9)
+SETTLE_S = 1.0
+
+
+def lookup_latency() -> list[Row]:
+    """Returns the rows of both deployments."""
+    return [row for f in FOLDERS for row in asyncio.run(_latency(f))]
+
+
+async def _latency(folder: pathlib.Path) -> list[Row]:
+    async with open_run(folder) as (deployment, callers):
+        await drive(deployment, callers, [Phase(20.0, SETTLE_S)], seed=1)
+        rows = []
+        for seed, (name, phase) in enumerate(PHASES.items()):
+            before = processor_s(deployment)
+            found = await drive(deployment, callers, [phase], seed=seed)
+            note = load_note(found, before, processor_s(deployment), phase)
+            rows += await lookup_rows(deployment, name, found, note)
+        records = [
+            record
+            for program in ("workers", "store", "vmlist")
+            for record in await deployment.records(program)
+        ]
+        wrong = check_all(records, callers.answers)
+        rows.append(
+            Row(
+                "wrong answers and other violations of I1 to I8",
+                "number",
+                deployment.topology.name,
+                float(len(wrong)),
+                bound=0.0,
+                bound_source="section 1: I1 to I8",
+                note="; ".join(str(v) for v in wrong[:2]),
+            )
+        )
+    return rows
+
+
+async def lookup_rows(
+    deployment: LoopbackDeployment,
+    name: str,
+    samples: Sequence[Sample],
+    note: str,
+) -> list[Row]:
+    """Returns the rows of the lookups of one phase.
+
+    Args:
+        deployment: Deployment that served them.
+        name: What the phase is called.
+        samples: The lookups.
+        note: Circumstances.
+    """
+    where = deployment.topology.name
+    timeout_s = class_of(deployment, WorkKind.LOOKUP).timeout_s
+    starts = await start_waits(deployment, samples)
+    answers = [s.answer_s for s in samples]
+    in_time = sum(1 for s in samples if s.is_in_time(timeout_s))
+    return [
+        *(
+            Row(
+                f"wait of a lookup until its start, {name}, p{p:g}",
+                "s",
+                where,
+                percentile_s(starts, p),
+                bound=START_BOUND_S,
+                bound_source=START_SOURCE,
+                note=note,
+            )
+            for p in PERCENTILES
+        ),
+        *(
+            Row(
+                f"time to the answer of a lookup, {name}, p{p:g}",
+                "s",
+                where,
+                percentile_s(answers, p),
+                bound=timeout_s,
+                bound_source="time-out of the class",
+                note=note,
+            )
+            for p in PERCENTILES
+        ),
+        Row(
+            f"lookups answered in time, {name}",
+            "share",
+            where,
+            in_time / len(samples),
+            better=Better.HIGHER,
+            note=note,
+        ),
+    ]
+
+
+def processor_s(deployment: LoopbackDeployment) -> dict[str, float]:
+    """Returns the processor time of each process so far, in seconds."""
+    pids = {name: host.program.pid for name, host in deployment.hosts.items()}
+    pids["stand-in workers"] = deployment.pid_of("workers")
+    pids["generator"] = psutil.Process().pid
+    times = {
+        name: psutil.Process(pid).cpu_times() for name, pid in pids.items()
+    }
+    return {name: used.user + used.system for name, used in times.items()}
+
+
+def load_note(
+    samples: Sequence[Sample],
+    before: Mapping[str, float],
+    after: Mapping[str, float],
+    phase: Phase,
+) -> str:
+    """Returns which process limits a phase.
+
+    Args:
+        samples: Lookups of the phase.
+        before: Processor time of the processes before it.
+        after: Processor time after it.
+        phase: The phase.
+    """
+    share = {n: (after[n] - before[n]) / phase.seconds for n in after}
+    generator = share.pop("generator")
+    workers = share.pop("stand-in workers")
+    late_ms = 1e3 * percentile_s((s.sent_late_s for s in samples), 99.0)
+    return (
+        f"{len(samples)} lookups; share of a core: generator {generator:.2f},"
+        f" stand-in workers {workers:.2f}, busiest host"
+        f" {max(share.values()):.2f}; sent late, p99 {late_ms:.0f} ms"
+    )
--- a/libs/bench/dragonflybank/bench/table.py
+++ b/libs/bench/dragonflybank/bench/table.py
@@ -33,6 +33,7 @@
         baseline: The figure of the baseline, None if there is none.
         bound: The bound, None if the page gives none.
         bound_source: Where the bound comes from.
+        note: Circumstances that the reader of the figure must know.
     """
 
     measure: str
@@ -43,6 +44,7 @@
     baseline: float | None = None
     bound: float | None = None
     bound_source: str = ""
+    note: str = ""
 
     @property
     def verdict(self) -> str:
@@ -76,6 +78,7 @@
     "bound_source",
     "better",
     "verdict",
+    "note",
 )
 
 
--- a/libs/cluster/dragonflybank/cluster/links.py
+++ b/libs/cluster/dragonflybank/cluster/links.py
@@ -6,7 +6,15 @@
 ones work.
 """
 
-__all__ = ["Handler", "PeerLink", "PeerServer", "ask", "typed"]
+__all__ = [
+    "CountBytes",
+    "Handler",
+    "PeerLink",
+    "PeerServer",
+    "ask",
+    "not_counted",
+    "typed",
+]
 
 import asyncio
 import contextlib
@@ -34,6 +42,8 @@
 _log = logging.getLogger(__name__)
 
 Handler = Callable[[str, bytes], Awaitable[bytes]]
+# Takes the peer, bytes sent and bytes received.
+CountBytes = Callable[[str, int, int], None]
 
 TIMEOUTS_BEFORE_REDIAL = 2
 # A host that is not connected within this time is taken as unreachable; the
@@ -43,6 +53,9 @@
 RECONNECT_MAX_MS = 1000
 # Larger than a store value (1 MB) and its envelope.
 MAX_MESSAGE_BYTES = 4_000_000
+# nng puts a length of 8 bytes and a request number of 4 bytes before each
+# message; headers of TCP and IP are not counted.
+FRAME_BYTES = 12
 SERVER_CONTEXTS = 256
 LINK_CONTEXTS = 128
 # Contexts that only short control messages may take, so that slow lookups do
@@ -51,6 +64,10 @@
 CONTROL_KINDS = frozenset({Kind.GOSSIP, Kind.FETCH_CONFIG, Kind.HANDOVER})
 
 
+def not_counted(peer: str, sent: int, received: int) -> None:
+    """Counts no bytes."""
+
+
 async def ask(link: "PeerLink", request: Any, *, timeout_s: float) -> Result:
     """Sends a typed request and returns its typed reply.
 
@@ -92,14 +109,27 @@
     Attributes:
         port: The port in use once it serves, chosen by the kernel if 0 was
             given.
+
+    Args:
+        address: IP number to listen on.
+        port: TCP port; 0 lets the kernel choose.
+        contexts: Number of requests that are answered at once.
+        on_bytes: Called with the sender's name and the bytes of each
+            exchange.
     """
 
     def __init__(
-        self, address: str, port: int, *, contexts: int = SERVER_CONTEXTS
+        self,
+        address: str,
+        port: int,
+        *,
+        contexts: int = SERVER_CONTEXTS,
+        on_bytes: CountBytes = not_counted,
     ):
         self.port = port
         self._address = address
         self._contexts = contexts
+        self._on_bytes = on_bytes
         self._ordinary_limit = max(1, contexts - CONTROL_CONTEXTS)
         self._ordinary = 0
         self._sock: pynng.Rep0 | None = None
@@ -141,6 +171,13 @@
         if isinstance(read, Failure):
             return encode_reply(read)
         req = read.unwrap()
+        reply = await self._reply(req, handlers)
+        self._on_bytes(
+            req.sender, len(reply) + FRAME_BYTES, len(raw) + FRAME_BYTES
+        )
+        return reply
+
+    async def _reply(self, req: Envelope, handlers) -> bytes:
         handler = handlers.get(req.kind)
         if handler is None:
             return encode_reply(
@@ -163,14 +200,26 @@
     Attributes:
         address: Address and port, as ``127.0.0.1:7000``.
         redials: Number of times the socket was replaced as silent.
+
+    Args:
+        sender: Name of the own host.
+        address: Address and port of the peer.
+        contexts: Number of calls at once.
+        on_bytes: Called with the address and the bytes of each exchange.
     """
 
     def __init__(
-        self, sender: str, address: str, *, contexts: int = LINK_CONTEXTS
+        self,
+        sender: str,
+        address: str,
+        *,
+        contexts: int = LINK_CONTEXTS,
+        on_bytes: CountBytes = not_counted,
     ):
         self.address = address
         self.redials = 0
         self._sender = sender
+        self._on_bytes = on_bytes
         self._slots = asyncio.Semaphore(contexts)
         self._timeouts = 0
         self._dialled: _Dialled | None = None
@@ -224,6 +273,7 @@
             async with asyncio.timeout_at(deadline):
                 with dialled.sock.new_context() as ctx:
                     await ctx.asend(raw)
+                    self._on_bytes(self.address, len(raw) + FRAME_BYTES, 0)
                     reply = await ctx.arecv()
         except TimeoutError:
             await self._count_timeout(dialled)
@@ -231,6 +281,7 @@
         except pynng.NNGException as exc:
             return problem(Code.TIMED_OUT, f"{self.address}: {exc}")
         self._timeouts = 0
+        self._on_bytes(self.address, 0, len(reply) + FRAME_BYTES)
         return Success(reply)
 
     async def _count_timeout(self, dialled: "_Dialled") -> None:
--- a/libs/cluster/dragonflybank/cluster/peers.py
+++ b/libs/cluster/dragonflybank/cluster/peers.py
@@ -8,7 +8,12 @@
 
 from returns.result import Result
 
-from dragonflybank.cluster.links import PeerLink, ask
+from dragonflybank.cluster.links import (
+    CountBytes,
+    PeerLink,
+    ask,
+    not_counted,
+)
 from dragonflybank.model.codes import Code, problem
 
 
@@ -31,10 +36,22 @@
 
     Attributes:
         host: Name of the own host, the sender of all requests.
+
+    Args:
+        host: Name of the own host.
+        address_of: Returns the peer address of a host, None if unknown.
+        on_bytes: Called with an address and the bytes exchanged with it.
     """
 
-    def __init__(self, host: str, address_of: Callable[[str], str | None]):
+    def __init__(
+        self,
+        host: str,
+        address_of: Callable[[str], str | None],
+        *,
+        on_bytes: CountBytes = not_counted,
+    ):
         self.host = host
+        self._on_bytes = on_bytes
         self._address_of = address_of
         self._links: dict[str, PeerLink] = {}
 
@@ -51,7 +68,9 @@
         """Sends a typed request to an address; see `links.ask`."""
         link = self._links.get(address)
         if link is None:
-            link = self._links[address] = PeerLink(self.host, address)
+            link = self._links[address] = PeerLink(
+                self.host, address, on_bytes=self._on_bytes
+            )
         return await ask(link, request, timeout_s=timeout_s)
 
     async def keep_only(self, addresses: set[str]) -> None:
--- a/libs/cluster/dragonflybank/cluster/tests/test_links.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_links.py
@@ -55,6 +55,28 @@
 class TestLinks(testtools.TestCase):
     """Guards against lost, mixed up and silent calls."""
 
+    def test_both_ends_count_the_same_bytes(self):
+        """Guards against a traffic figure that leaves out a direction."""
+
+        async def check():
+            at_server, at_link = [], []
+            server = PeerServer(
+                LOCAL, 0, contexts=4, on_bytes=lambda *n: at_server.append(n)
+            )
+            server.serve({Kind.FETCH_CONFIG: typed(FetchConfig, _echo)})
+            address = f"{LOCAL}:{server.port}"
+            link = PeerLink("a", address, on_bytes=lambda *n: at_link.append(n))
+            await ask(link, FetchConfig(1), timeout_s=PATIENT_S)
+            await link.close()
+            await server.close()
+            return at_server, at_link, address
+
+        at_server, at_link, address = asyncio.run(check())
+        (sender, sent, received), *rest = at_server
+        self.assertThat((sender, rest), Equals(("a", [])))
+        expected = [(address, received, 0), (address, 0, sent)]
+        self.assertThat(at_link, Equals(expected))
+
     def test_many_calls_at_once_get_their_own_answers(self):
         async def check():
             server = PeerServer(LOCAL, 0, contexts=24)
--- a/libs/host/dragonflybank/host/daemon.py
+++ b/libs/host/dragonflybank/host/daemon.py
@@ -107,6 +107,7 @@
             self._address_of,
             metrics=self.metrics,
             latency_to=self._latency_to,
+            on_bytes=self._count_link_bytes,
         )
         self.lookups = LookupRouter(self)
         self.shards = ShardTable(self)
@@ -115,7 +116,11 @@
         self.results = ResultStore(self.store)
         self.http = HttpFront(self)
         self.view = HostView(self, ConfigEditor(self.store))
-        self.server = PeerServer(settings.peer.address, settings.peer.port)
+        self.server = PeerServer(
+            settings.peer.address,
+            settings.peer.port,
+            on_bytes=self._count_server_bytes,
+        )
         self.membership: Membership | None = None
         self.gossiper: Gossiper | None = None
         self.ownership: Ownership | None = None
@@ -268,9 +273,25 @@
         return self.membership.address(host)
 
     def _latency_to(self, address: str) -> float:
+        return one_way_s(self.settings, self._region_at(address))
+
+    def _region_at(self, address: str) -> str:
         entries = self.membership.peers(self.clock())
-        region = next((e.region for e in entries if e.address == address), "")
-        return one_way_s(self.settings, region)
+        return next((e.region for e in entries if e.address == address), "")
+
+    def _count_link_bytes(self, address: str, sent: int, received: int) -> None:
+        scope = self._scope_of(self._region_at(address))
+        self.metrics.count_peer_bytes(scope, sent, received)
+
+    def _count_server_bytes(self, peer: str, sent: int, received: int) -> None:
+        scope = self._scope_of(self.membership.region_of(peer))
+        self.metrics.count_peer_bytes(scope, sent, received)
+
+    def _scope_of(self, region: str | None) -> str:
+        if not region:
+            return "unknown"
+        own = region == self.settings.region
+        return "within_region" if own else "between_regions"
 
     def _adopt_config(self, generation: int, value: bytes) -> None:
         self.active.adopt(value)
--- a/libs/host/dragonflybank/host/links.py
+++ b/libs/host/dragonflybank/host/links.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure, Result
 
+from dragonflybank.cluster.links import CountBytes, not_counted
 from dragonflybank.cluster.messages import MESSAGES
 from dragonflybank.cluster.peers import PeerLinks
 from dragonflybank.host.metrics import Metrics
@@ -22,6 +23,7 @@
         metrics: Metrics of this host.
         latency_to: Returns the one-way latency to inject towards an address,
             in seconds; only loopback runs inject any.
+        on_bytes: Called with an address and the bytes exchanged with it.
     """
 
     def __init__(
@@ -31,8 +33,9 @@
         *,
         metrics: Metrics,
         latency_to: Callable[[str], float] = lambda address: 0.0,
+        on_bytes: CountBytes = not_counted,
     ):
-        super().__init__(host, address_of)
+        super().__init__(host, address_of, on_bytes=on_bytes)
         self._metrics = metrics
         self._latency_to = latency_to
 
--- a/libs/host/dragonflybank/host/metrics.py
+++ b/libs/host/dragonflybank/host/metrics.py
@@ -29,7 +29,10 @@
             "peer_calls", "Calls to other hosts", "kind", "code"
         )
         self.peer_bytes = self._counter(
-            "peer_bytes", "Bytes sent to and received from hosts", "scope"
+            "peer_bytes",
+            "Bytes sent to and received from hosts",
+            "scope",
+            "direction",
         )
         self.owned_workers = self._gauge("owned_workers", "Workers owned")
         self.open_shards = self._gauge("open_shards", "Job shards kept here")
@@ -37,6 +40,17 @@
             "config_generation", "Generation of the configuration in force"
         )
 
+    def count_peer_bytes(self, scope: str, sent: int, received: int) -> None:
+        """Counts bytes exchanged with another host.
+
+        Args:
+            scope: ``within_region``, ``between_regions`` or ``unknown``.
+            sent: Number of bytes sent.
+            received: Number of bytes received.
+        """
+        self.peer_bytes.labels(scope, "sent").inc(sent)
+        self.peer_bytes.labels(scope, "received").inc(received)
+
     def exposition(self) -> bytes:
         """Returns the metrics in Prometheus' text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/libs/standins/dragonflybank/standins/server.py
+++ b/libs/standins/dragonflybank/standins/server.py
@@ -27,6 +27,8 @@
 SHUTDOWN_TIMEOUT_S = 0.05
 # A wave of new connections must not be dropped by a short accept queue.
 ACCEPT_BACKLOG = 1024
+# Versions, status and ends of lines of a request and its response.
+START_LINES_BYTES = 32
 
 
 @attrs.frozen
@@ -53,6 +55,8 @@
         name: Name in records.
         log: Records of what the server saw.
         calls: Number of calls by kind.
+        bytes: Bytes of requests and responses by kind, with the headers of
+            HTTP.
         port: TCP port, 0 before `start`.
     """
 
@@ -60,6 +64,7 @@
         self.name = name
         self.log = RecordLog() if log is None else log
         self.calls: collections.Counter[str] = collections.Counter()
+        self.bytes: collections.Counter[str] = collections.Counter()
         self.port = 0
         self._gate = Gate(
             name,
@@ -160,7 +165,9 @@
 
     async def control_calls(self, request: web.Request) -> web.Response:
         """Serves ``GET /control/calls``."""
-        return web.json_response({"calls": dict(self.calls)})
+        return web.json_response(
+            {"calls": dict(self.calls), "bytes": dict(self.bytes)}
+        )
 
     async def _switched(self, old: Switches) -> None:
         """Acts on changed switches."""
@@ -186,6 +193,7 @@
         app = web.Application(
             middlewares=[with_faults], client_max_size=MAX_REQUEST_BYTES
         )
+        app.on_response_prepare.append(self._count_bytes)
         for route in self.routes():
             app.router.add_route(
                 route.method, route.path, route.handler, name=route.kind
@@ -195,6 +203,20 @@
         app.router.add_get("/control/calls", self.control_calls)
         return app
 
+    async def _count_bytes(self, request, response) -> None:
+        name = request.match_info.route.name
+        if name is None or name.startswith("control"):
+            return
+        self.bytes[name] += (
+            START_LINES_BYTES
+            + len(request.method)
+            + len(request.raw_path)
+            + _headers_bytes(request.headers)
+            + _headers_bytes(response.headers)
+            + (request.content_length or 0)
+            + (response.content_length or 0)
+        )
+
     async def _listen(self) -> None:
         sock = _bound_socket(self.port)
         self._site = web.SockSite(self._runner, sock, backlog=ACCEPT_BACKLOG)
@@ -226,5 +248,9 @@
     return sock
 
 
+def _headers_bytes(headers) -> int:
+    return sum(len(name) + len(value) + 4 for name, value in headers.items())
+
+
 def _dumps(value) -> str:
     return json.dumps(value, separators=(",", ":"))
--- a/libs/standins/dragonflybank/standins/store_server.py
+++ b/libs/standins/dragonflybank/standins/store_server.py
@@ -194,7 +194,11 @@
     async def control_calls(self, request: web.Request) -> web.Response:
         """See `StandinServer.control_calls`."""
         return web.json_response(
-            {"calls": dict(self.calls), "waiting_watches": self.waiting_watches}
+            {
+                "calls": dict(self.calls),
+                "bytes": dict(self.bytes),
+                "waiting_watches": self.waiting_watches,
+            }
         )
 
 
