Test the simulated work, the program and the checks more closely

Change: the workload is tested on an event loop that skips to the next timer, so that run times, leases and pauses are exact. A second wait for a paused VM in the gate had no effect and is removed.

Ruled out: real waiting times with bounds, which would fail on a busy machine.

--- a/libs/standins/dragonflybank/standins/gate.py
+++ b/libs/standins/dragonflybank/standins/gate.py
@@ -1,8 +1,8 @@
 """Applies fault switches and hooks to the calls of a stand-in.
 
-A call passes, in this order: silence of its connection, a paused VM, the
-delay, a lost request, hooks before the effect, the effect, hooks after it,
-a paused VM, a lost reply.
+A call passes, in this order: silence of its connection, the delay, a lost
+request, hooks before the effect, a paused VM, the effect, hooks after it, a
+paused VM, a lost reply.
 """
 
 __all__ = ["Gate"]
@@ -116,7 +116,6 @@
     async def _pass(self, request, handler, hooks):
         if request.transport in self._silenced:
             return _NoReply.HANG
-        await self._thawed.wait()
         if self.switches.delay_s > 0:
             await asyncio.sleep(self.switches.delay_s)
         if self.switches.drop_request:
--- a/libs/standins/dragonflybank/standins/invariants.py
+++ b/libs/standins/dragonflybank/standins/invariants.py
@@ -1,9 +1,9 @@
 """Checks of what must always hold, I1 to I8 of the design page.
 
 Each check takes the records of the stand-ins and returns the violations that
-it found. The records of one process must be in their order; those of several
-processes may follow each other in any order. `answers` holds the checks that
-also need what callers were told.
+it found. The records of one process must be complete and in their order; those
+of several processes may follow each other in any order. `answers` holds the
+checks that also need what callers were told.
 """
 
 __all__ = [
--- a/libs/standins/dragonflybank/standins/program.py
+++ b/libs/standins/dragonflybank/standins/program.py
@@ -3,7 +3,8 @@
 A program prints one line of JSON with ``port`` (of its first server),
 ``ports`` by server name and ``control_port``, and serves until SIGTERM. The
 control port stays reachable while a server is down; its calls name the server
-in the query, as ``POST /control/faults?server=w1``.
+in the query, as ``POST /control/faults?server=w1``. A program that is killed
+loses its records; the loss of a VM is the switch ``killed``.
 """
 
 __all__ = ["ControlServer", "run_program"]
--- a/libs/standins/dragonflybank/standins/tests/test_faults.py
+++ b/libs/standins/dragonflybank/standins/tests/test_faults.py
@@ -80,13 +80,34 @@
             # Two calls at a time open two connections.
             await get_twice()
             await server.set_faults(silence=True)
-            return await get_twice(), await get_twice(), client._conn.redials
+            codes = await get_twice(), await get_twice()
+            return codes, client._conn.redials
 
         self.assertThat(
             self.run_steps(steps),
-            Equals(([Code.TIMED_OUT] * 2, [Code.OK] * 2, 1)),
+            Equals((([Code.TIMED_OUT] * 2, [Code.OK] * 2), 1)),
         )
 
+    def test_request_on_a_silent_connection_has_no_effect(self):
+        async def steps(server, client):
+            await server.set_faults(silence=True)
+            reply = await client.put("k", b"1", version=0)
+            return _code(reply), server.version("k")
+
+        self.assertThat(self.run_steps(steps), Equals((Code.TIMED_OUT, 0)))
+
+    def test_slow_call_takes_effect_after_its_caller_gave_up(self):
+        async def steps(server, client):
+            done = server.arm(Hook("put", when=When.AFTER))
+            await server.set_faults(delay_s=0.4)
+            reply = await client.put("k", b"1", version=0)
+            version = server.version("k")
+            async with asyncio.timeout(30):
+                await done.fired.wait()
+            return _code(reply), version, server.version("k")
+
+        self.assertThat(self.run_steps(steps), Equals((Code.TIMED_OUT, 0, 1)))
+
     def test_call_to_a_frozen_vm_takes_effect_when_it_continues(self):
         async def steps(server, client):
             done = server.arm(Hook("put", when=When.AFTER))
@@ -99,6 +120,14 @@
 
         self.assertThat(self.run_steps(steps), Equals((Code.TIMED_OUT, 0, 1)))
 
+    def test_vm_frozen_after_the_effect_does_not_reply(self):
+        async def steps(server, client):
+            server.arm(Hook("put", Action.FREEZE, When.AFTER))
+            reply = await client.put("k", b"1", version=0)
+            return _code(reply), server.version("k")
+
+        self.assertThat(self.run_steps(steps), Equals((Code.TIMED_OUT, 1)))
+
     def test_hook_acts_at_the_exact_call_only(self):
         async def steps(server, client):
             row = {"kind": "put", "path": "/v1/kv/b", "nth": 2}
--- a/libs/standins/dragonflybank/standins/tests/test_invariants.py
+++ b/libs/standins/dragonflybank/standins/tests/test_invariants.py
@@ -98,6 +98,16 @@
         records = [_start(1), _start(2, "t/k/2/0", "w2"), _end(3)]
         self.assert_found(records, expected=["I2"])
 
+    def test_i2_run_that_outlasts_a_later_one(self):
+        records = [
+            _start(1),
+            _start(2, "t/k/2/0", "w2"),
+            _end(3, "t/k/2/0", "w2"),
+            _start(4, "t/k/3/0", "w2"),
+            _end(5),
+        ]
+        self.assert_found(records, expected=["I2", "I2"])
+
     def test_i3_answer_to_another_request(self):
         records = [_start(1), _end(2)]
         other = expected_result("sweep", "other")
@@ -111,8 +121,24 @@
 
     def test_i3_cut_answer(self):
         records = [_start(1), _end(2)]
-        cut = attrs.evolve(_answer(Outcome.DONE), digest=digest(b"more"))
-        self.assert_found(records, [cut], expected=["I3"])
+        whole = _answer(Outcome.DONE)
+        for cut in ({"digest": digest(b"more")}, {"length": 1}):
+            answers = [attrs.evolve(whole, **cut)]
+            self.assert_found(records, answers, expected=["I3"])
+
+    def test_i3_job_with_a_task_missing(self):
+        records = [_start(1), _end(2), _start(2, "t/k/1/1"), _end(3, "t/k/1/1")]
+        text = expected_result("sweep", PAYLOAD)
+        body = f"{text}, {text}"
+        two = attrs.evolve(
+            _answer(Outcome.DONE),
+            result=body,
+            length=len(body),
+            digest=digest(body.encode()),
+            tasks=2,
+        )
+        self.assert_found(records, [two], expected=[])
+        self.assert_found(records[:2], [two], expected=["I3"])
 
     def test_i3_result_without_a_finished_run(self):
         self.assert_found([], [_answer(Outcome.DONE)], expected=["I3"])
@@ -135,6 +161,10 @@
         refused = _answer(Outcome.REFUSED)
         later = _answer(Outcome.UNKNOWN, asked_at=4, at=9)
         self.assert_found([_start(5)], [refused, later], expected=[])
+        refused_again = attrs.evolve(refused, asked_at=4, at=4.5)
+        self.assert_found(
+            [_start(5)], [refused, refused_again], expected=["I4", "I4"]
+        )
         earlier = attrs.evolve(later, asked_at=2)
         self.assert_found([_start(5)], [refused, earlier], expected=["I4"])
 
@@ -146,6 +176,11 @@
         ]
         self.assert_found(records, expected=["I5"])
 
+    def test_i5_second_start_of_a_lookup_that_is_not_repeatable(self):
+        records = [*UP, _lookup(1), _lookup(2, "r2", "w2")]
+        found = check_all(records, non_repeatable={"die_lookup"})
+        self.assertThat([v.invariant for v in found], Equals(["I5"]))
+
     def test_i6_start_at_a_vm_that_leaves(self):
         for source in ("vmlist", "worker"):
             leaving = rec.LeavingAnnounced(1, "w1", source)
@@ -161,9 +196,11 @@
     def test_i7_answer_cut_off_by_a_drain(self):
         drain = rec.HostDrained(2, "h1", 9)
         cut = attrs.evolve(_answer(None), was_cut=True)
-        other = attrs.evolve(cut, host="h2")
         self.assert_found([drain], [cut], expected=["I3", "I7"])
-        self.assert_found([drain], [other], expected=["I3"])
+        before = attrs.evolve(cut, at=1.5)
+        after = attrs.evolve(cut, asked_at=10, at=11)
+        for other in (before, after, attrs.evolve(cut, host="h2")):
+            self.assert_found([drain], [other], expected=["I3"])
 
     def test_i8_generation_that_goes_back(self):
         self.assert_found(
--- a/libs/standins/dragonflybank/standins/tests/test_store_server.py
+++ b/libs/standins/dragonflybank/standins/tests/test_store_server.py
@@ -69,9 +69,11 @@
             await conn.call("PUT", "/v1/kv/m", data=b"x", headers=headers)
             stored = await client.watch("m", after=1, wait_s=30)
             late = await conn.call("PUT", f"/v1/leases/{lease}")
-            return stored.unwrap().version, late.unwrap().status
+            again = await conn.call("PUT", "/v1/kv/m", headers=headers)
+            statuses = [reply.unwrap().status for reply in (late, again)]
+            return stored.unwrap().version, statuses
 
-        self.assertThat(self.run_steps(steps), Equals((2, 404)))
+        self.assertThat(self.run_steps(steps), Equals((2, [404, 404])))
 
     def test_value_over_the_limit_is_refused(self):
         async def steps(server, client):
--- a/libs/standins/dragonflybank/standins/tests/test_worker_server.py
+++ b/libs/standins/dragonflybank/standins/tests/test_worker_server.py
@@ -10,6 +10,7 @@
 from dragonflybank.model.leases import StartReply, TaskState
 from dragonflybank.model.resources import Resources
 from dragonflybank.platform.worker import HttpWorkerClient
+from dragonflybank.standins.faults import Hook
 from dragonflybank.standins.simulation import expected_result
 from dragonflybank.standins.worker_server import WorkerServer
 
@@ -77,6 +78,23 @@
             Equals((False, "h1", True, Code.STALE_EPOCH)),
         )
 
+    def test_every_call_of_a_former_owner_is_refused(self):
+        async def steps(server, client):
+            waiting = asyncio.create_task(client.events(epoch=1, wait_s=30))
+            hook = server.arm(Hook("events"))
+            await hook.fired.wait()
+            await client.claim("h2", epoch=1)
+            replies = [
+                await waiting,
+                await client.events(epoch=1, wait_s=30),
+                await client.renew(epoch=1, lease_s=1),
+                await client.stop(["t"], epoch=1),
+                await _execute(client, "r", ""),
+            ]
+            return {reply.failure().code for reply in replies}
+
+        self.assertThat(self.run_steps(steps), Equals({Code.STALE_EPOCH}))
+
     def test_known_task_is_not_started_again(self):
         async def steps(server, client):
             payload = _payload(run_s=0.01, answer="x")
--- /dev/null
+++ b/libs/standins/dragonflybank/standins/tests/test_workload.py
@@ -0,0 +1,118 @@
+"""Tests of simulated work on a clock of their own."""
+
+import asyncio
+import json
+import selectors
+
+import testtools
+from testtools.matchers import Equals
+
+from dragonflybank.model.resources import Resources
+from dragonflybank.standins.records import RecordLog
+from dragonflybank.standins.simulation import LaggedUsage
+from dragonflybank.standins.workload import Workload
+
+GRANT = Resources(cores=1, memory_mb=100, slots=1, connections=1)
+
+
+class _SkippingSelector(selectors.DefaultSelector):
+    """Skips the time until the next timer in place of waiting."""
+
+    skipped_s = 0.0
+
+    def select(self, timeout=None):
+        self.skipped_s += max(0.0, timeout or 0.0)
+        return super().select(0)
+
+
+class _SkippingLoop(asyncio.SelectorEventLoop):
+    def __init__(self):
+        self.skipping = _SkippingSelector()
+        super().__init__(self.skipping)
+
+    def time(self):
+        return self.skipping.skipped_s
+
+
+def _run(steps):
+    with asyncio.Runner(loop_factory=_SkippingLoop) as runner:
+        return runner.run(steps)
+
+
+def _start(work, fields, *, lease_s=1000.0):
+    work.start(
+        "t",
+        "sweep",
+        epoch=1,
+        grant=GRANT,
+        lease_s=lease_s,
+        payload=json.dumps(fields),
+    )
+
+
+async def _end_of(fields, actions=(), *, is_sick=False, lease_s=1000.0):
+    """Returns when and how a task ends to which actions are done in time."""
+    work = Workload("w1", GRANT, RecordLog())
+    work.set_sick(is_sick)
+    loop = asyncio.get_running_loop()
+    for at_s, action in actions:
+        loop.call_later(at_s, action, work)
+    _start(work, fields, lease_s=lease_s)
+    await work.changed.wait()
+    task = work.tasks["t"]
+    return round(loop.time(), 3), task.state.value, task.reason
+
+
+class TestWorkload(testtools.TestCase):
+    """Guards against work that ends at another time than documented."""
+
+    def assert_end(self, fields, *expected, **kwargs):
+        self.assertThat(_run(_end_of(fields, **kwargs)), Equals(expected))
+
+    def test_task_takes_its_run_time(self):
+        self.assert_end({"run_s": 10}, 10, "done", "")
+
+    def test_task_over_its_processors_is_throttled(self):
+        self.assert_end({"run_s": 10, "cores": 4}, 40, "done", "")
+
+    def test_task_over_its_memory_is_stopped(self):
+        fields = {"run_s": 10, "memory_mb": 200}
+        self.assert_end(fields, 5, "stopped", "size_exceeded")
+
+    def test_sick_worker_fails_early(self):
+        self.assert_end(
+            {"run_s": 10}, 0.01, "failed", "sick_worker", is_sick=True
+        )
+
+    def test_throttled_task_takes_twice_the_rest(self):
+        actions = [(at_s, lambda work: work.throttle(["t"])) for at_s in (4, 8)]
+        self.assert_end({"run_s": 10}, 16, "done", "", actions=actions)
+
+    def test_paused_task_makes_no_progress(self):
+        actions = [(4, Workload.pause), (9, Workload.resume)]
+        self.assert_end({"run_s": 10}, 15, "done", "", actions=actions)
+
+    def test_renewed_lease_expires_later_and_during_a_pause(self):
+        actions = [(10, lambda work: work.renew(15)), (20, Workload.pause)]
+        self.assert_end(
+            {"run_s": 60},
+            *(25, "lapsed", "lease_expired"),
+            actions=actions,
+            lease_s=15,
+        )
+
+    def test_lookup_waits_for_a_slot_that_a_task_holds(self):
+        async def steps():
+            work = Workload("w1", GRANT, RecordLog())
+            _start(work, {"run_s": 10})
+            done = work.executor.execute("r", "die_lookup", '{"run_s": 1}')
+            await done
+            return asyncio.get_running_loop().time()
+
+        self.assertThat(_run(steps()), Equals(11))
+
+    def test_usage_is_reported_with_its_lag(self):
+        usage = LaggedUsage(5.0)
+        usage.note(GRANT, 100.0)
+        self.assertThat(usage.at(104.9), Equals(Resources()))
+        self.assertThat(usage.at(105.0), Equals(GRANT))
