Refuse hooks that can never act or would be untrue

Cause: a hook with a misspelt kind of call never fired, so that a test would pass without its fault. An error after the effect would make the store's 503, which clients take as "no effect", untrue.

Change: arming such a hook raises ValueError, POST /control/faults answers 400. The actions of a hook are described.

Ruled out: ignoring unknown kinds with a log line, which a test does not read.

--- a/libs/standins/dragonflybank/standins/faults.py
+++ b/libs/standins/dragonflybank/standins/faults.py
@@ -14,7 +14,13 @@
 
 
 class Action(enum.StrEnum):
-    """What a hook does to its call."""
+    """What a hook does to its call.
+
+    ``CLOSE`` closes the connection without a reply, ``DROP`` leaves it open
+    without one, ``ERROR`` answers 503 before the effect, and ``HOLD`` waits
+    until the hook is released. The others act on the whole stand-in, except
+    ``DELAY`` and ``NONE``.
+    """
 
     CLOSE = "close"
     DROP = "drop"
@@ -89,6 +95,11 @@
     fired: asyncio.Event = attrs.field(factory=asyncio.Event)
     released: asyncio.Event = attrs.field(factory=asyncio.Event)
 
+    def __attrs_post_init__(self):
+        # The platform's status 503 means that the call had no effect.
+        if self.action is Action.ERROR and self.when is When.AFTER:
+            raise ValueError("an error after the effect would be untrue")
+
     def counts(self, kind: str, path: str) -> bool:
         """Counts a call and returns whether the hook fires at it."""
         if kind != self.kind or not path.startswith(self.path):
--- a/libs/standins/dragonflybank/standins/server.py
+++ b/libs/standins/dragonflybank/standins/server.py
@@ -144,15 +144,22 @@
         await self._switched(old)
 
     def arm(self, hook: Hook) -> Hook:
-        """Arms a hook and returns it."""
+        """Arms a hook and returns it.
+
+        Raises:
+            ValueError: The stand-in has no call of this kind, so that the
+                hook would never fire.
+        """
+        if hook.kind not in {route.kind for route in self.routes()}:
+            raise ValueError(f"{self.name} has no call {hook.kind}")
         self._gate.arm(hook)
         return hook
 
     async def control_faults(self, request: web.Request) -> web.Response:
         """Serves ``POST /control/faults``."""
         changes = await request.json()
-        hooks = [decode_hook(row) for row in changes.pop("hooks", ())]
         try:
+            hooks = [decode_hook(row) for row in changes.pop("hooks", ())]
             await self.set_faults(hooks=hooks, **changes)
         except ValueError as exc:
             return web.json_response({"error": str(exc)}, status=400)
--- a/libs/standins/dragonflybank/standins/tests/test_faults.py
+++ b/libs/standins/dragonflybank/standins/tests/test_faults.py
@@ -155,14 +155,23 @@
 
         self.assertThat(self.run_steps(steps), Equals(((1, False), Code.OK)))
 
-    def test_misspelt_switch_is_an_error(self):
+    def test_fault_that_can_never_act_is_an_error(self):
+        # A test would pass without the fault that it names.
         async def steps(server, client):
-            reply = await client._conn.call(
-                "POST", "/control/faults", json={"slow": 1}
-            )
-            return reply.unwrap().status
+            untrue = {"kind": "put", "action": "error", "when": "after"}
+            changes = [
+                {"slow": 1},
+                {"hooks": [{"kind": "start", "action": "close"}]},
+                {"hooks": [{"kind": "put", "action": "vanish"}]},
+                {"hooks": [untrue]},
+            ]
+            replies = [
+                await client._conn.call("POST", "/control/faults", json=change)
+                for change in changes
+            ]
+            return [reply.unwrap().status for reply in replies]
 
-        self.assertThat(self.run_steps(steps), Equals(400))
+        self.assertThat(self.run_steps(steps), Equals([400] * 4))
 
 
 class TestFrozenWorker(testtools.TestCase):
