--- a/libs/cluster/dragonflybank/cluster/entries.py
+++ b/libs/cluster/dragonflybank/cluster/entries.py
@@ -1,9 +1,19 @@
 """Entries of the membership table and their compact wire form."""
 
-__all__ = ["Entry", "HostStatus", "entry_from_wire", "entry_to_wire"]
+__all__ = [
+    "Entry",
+    "HostStatus",
+    "Known",
+    "entries_from_wire",
+    "entries_to_wire",
+    "told_dead",
+]
 
 import enum
 import math
+import socket
+import struct
+from collections.abc import Sequence
 
 import attrs
 from returns.result import Result, Success
@@ -14,6 +24,9 @@
 from dragonflybank.model.topology import CapacitySummary
 
 _MS_PER_S = 1000
+# Marks an address that is packed as IPv4 number and port.
+_PACKED = b"\0"
+_PACKED_BYTES = 7
 
 
 class HostStatus(enum.StrEnum):
@@ -23,7 +36,7 @@
     taken for dead; it is never passed on.
     """
 
-    LIVE = "l"
+    LIVE = ""
     LEAVING = "d"
     DEAD = "x"
 
@@ -59,39 +72,124 @@
         return (self.incarnation, self.counter)
 
 
-def entry_to_wire(entry: Entry) -> WireEntry:
-    """Returns the array that is sent for an entry.
+@attrs.frozen
+class Known:
+    """An entry with the times at which news of it came.
+
+    Attributes:
+        entry: The newest entry.
+        updated_at: Time at which it was received, seconds since 1970.
+        summarised_at: Time at which its summary was received.
+    """
+
+    entry: Entry
+    updated_at: float
+    summarised_at: float
+
+    @classmethod
+    def merged(cls, known: "Known | None", entry: Entry, now: float) -> "Known":
+        """Returns a newer entry, with the old summary if it has none."""
+        is_same = (
+            known is not None and known.entry.incarnation == entry.incarnation
+        )
+        if entry.summary is not None or not is_same:
+            return cls(entry, now, now)
+        kept = attrs.evolve(entry, summary=known.entry.summary)
+        return cls(kept, now, known.summarised_at)
+
+
+def told_dead(entry: Entry, held: tuple[int, int]) -> Entry:
+    """Returns the entry that tells a host that it was taken for dead.
 
-    Amounts of a summary are rounded down to whole units, which keeps a full
-    entry near 100 bytes.
+    Args:
+        entry: The host's entry as it sent it.
+        held: The newest incarnation and counter that are known of it.
     """
+    return attrs.evolve(
+        entry,
+        incarnation=held[0],
+        counter=held[1],
+        status=HostStatus.DEAD,
+        summary=None,
+    )
+
+
+def entries_to_wire(entries: Sequence[Entry]) -> tuple[WireEntry, ...]:
+    """Returns the arrays that are sent for entries, the sender's own first.
+
+    Only the first carries a summary, with amounts rounded down to whole
+    units; the others name no region if it is the first one's; addresses are
+    packed. Three messages of 16 entries every half second have to stay within
+    4 KB a second, which they do for names of up to 13 letters.
+    """
+    return tuple(
+        _entry_to_wire(entry, entries[0] if place else None)
+        for place, entry in enumerate(entries)
+    )
+
+
+def entries_from_wire(wires: Sequence[WireEntry]) -> tuple[Entry, ...]:
+    """Returns the entries of a message; malformed ones are left out."""
+    region = wires[0][3] if wires else ""
+    read = (_entry_from_wire(wire, region) for wire in wires)
+    return tuple(r.unwrap() for r in read if isinstance(r, Success))
+
+
+def _entry_to_wire(entry: Entry, first: Entry | None) -> WireEntry:
     return (
         entry.host,
         entry.incarnation,
         entry.counter,
-        entry.region,
+        "" if first and first.region == entry.region else entry.region,
         entry.status.value,
-        entry.address,
+        _packed(entry.address),
         entry.generation,
-        None if entry.summary is None else _summary_to_wire(entry.summary),
+        _summary_to_wire(entry.summary)
+        if entry.summary and not first
+        else None,
     )
 
 
-def entry_from_wire(wire: WireEntry) -> Result[Entry, Problem]:
-    """Returns an entry, or ``BAD_REQUEST`` if a field is out of range."""
+def _entry_from_wire(
+    wire: WireEntry, first_region: str
+) -> Result[Entry, Problem]:
     host, incarnation, counter, region, status, address, gen, summary = wire
     if status not in list(HostStatus):
         return problem(Code.BAD_REQUEST, f"status {status!r}", field="status")
     entry = Entry(
-        host, incarnation, counter, region, HostStatus(status), address, gen
+        host,
+        incarnation,
+        counter,
+        region or first_region,
+        HostStatus(status),
+        _unpacked(address),
+        gen,
     )
     if summary is None:
         return Success(entry)
-    return _summary_from_wire(host, region, summary).map(
+    return _summary_from_wire(host, entry.region, summary).map(
         lambda s: attrs.evolve(entry, summary=s)
     )
 
 
+def _packed(address: str) -> bytes:
+    ip, _, port = address.rpartition(":")
+    try:
+        number = socket.inet_pton(socket.AF_INET, ip)
+        return _PACKED + number + struct.pack("!H", int(port))
+    except (OSError, ValueError, struct.error):
+        return address.encode()
+
+
+def _unpacked(packed: bytes) -> str:
+    if not packed.startswith(_PACKED):
+        return packed.decode(errors="replace")
+    if len(packed) != _PACKED_BYTES:
+        return ""
+    ip = socket.inet_ntop(socket.AF_INET, packed[1:5])
+    return f"{ip}:{struct.unpack('!H', packed[5:])[0]}"
+
+
 def _summary_to_wire(summary: CapacitySummary) -> WireSummary:
     return (
         int(summary.at * _MS_PER_S),
--- a/libs/cluster/dragonflybank/cluster/gossip.py
+++ b/libs/cluster/dragonflybank/cluster/gossip.py
@@ -1,19 +1,19 @@
 """Gossip rounds: whom to send the table to, and the loop that does it."""
 
-__all__ = ["Gossiper", "choose_targets"]
+__all__ = ["FANOUT", "ROUND_S", "Gossiper", "choose_targets", "to_message"]
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
-from returns.result import Failure, Result, Success
+from returns.result import Result, Success
 
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.cluster.entries import (
     Entry,
     HostStatus,
-    entry_from_wire,
-    entry_to_wire,
+    entries_from_wire,
+    entries_to_wire,
 )
 from dragonflybank.cluster.membership import MAX_ENTRIES, Membership
 from dragonflybank.cluster.messages import Gossip
@@ -52,6 +52,11 @@
     return tuple(chosen)
 
 
+def to_message(entries: Sequence[Entry]) -> Gossip:
+    """Returns the message for entries, the own one first."""
+    return Gossip(entries_to_wire(entries))
+
+
 class Gossiper:
     """Sends gossip and merges what comes in.
 
@@ -93,7 +98,7 @@
         now = clock.now()
         self.membership.tick(now)
         self.membership.update_own(summary=self._summary(now))
-        message = _to_message(self.membership.message(now))
+        message = to_message(self.membership.message(now))
         for address in choose_targets(self.membership, self._rng, now):
             if address not in self._asked:
                 task = asyncio.create_task(self._send(address, message, clock))
@@ -104,14 +109,14 @@
     ) -> Result[Gossip, Problem]:
         """Merges a peer's message; the handler of kind ``gossip``."""
         corrections = self.membership.merge(_entries(message), now)
-        return Success(_to_message(corrections))
+        return Success(to_message(corrections))
 
     async def announce_leaving(self, clock: Clock) -> None:
         """Sets the own status to leaving and tells every peer at once."""
         self.membership.update_own(status=HostStatus.LEAVING)
         now = clock.now()
         self.membership.tick(now)
-        message = _to_message(self.membership.message(now))
+        message = to_message(self.membership.message(now))
         calls = [
             self._links.ask_at(e.address, message, timeout_s=CALL_TIMEOUT_S)
             for e in self.membership.peers(now)
@@ -129,10 +134,5 @@
             del self._asked[address]
 
 
-def _to_message(entries: tuple[Entry, ...]) -> Gossip:
-    return Gossip(tuple(entry_to_wire(e) for e in entries))
-
-
 def _entries(message: Gossip) -> tuple[Entry, ...]:
-    read = (entry_from_wire(w) for w in message.entries[:MAX_ENTRIES])
-    return tuple(r.unwrap() for r in read if not isinstance(r, Failure))
+    return entries_from_wire(message.entries[:MAX_ENTRIES])
--- a/libs/cluster/dragonflybank/cluster/membership.py
+++ b/libs/cluster/dragonflybank/cluster/membership.py
@@ -18,7 +18,7 @@
 
 import attrs
 
-from dragonflybank.cluster.entries import Entry, HostStatus
+from dragonflybank.cluster.entries import Entry, HostStatus, Known, told_dead
 from dragonflybank.model.topology import CapacitySummary
 
 DEAD_AFTER_S = 3.0
@@ -33,17 +33,12 @@
 FLOOR_KEPT_S = 86_400.0
 # Bounds the size of a message.
 MAX_ENTRIES = 16
+REMOTE_ENTRIES = 4
 # A longer gap between two ticks means that this process was paused; the
 # silence of the others during the gap says nothing about them.
 PAUSE_S = 2.0
 
 
-@attrs.define
-class _Known:
-    entry: Entry
-    updated_at: float
-
-
 class Membership:
     """The membership table of one scheduler host.
 
@@ -58,7 +53,7 @@
         # its earlier start; `merge` corrects it if the clock went back.
         self.own = Entry(host, int(now), 0, region, address=address)
         self.wakes = 0
-        self._table: dict[str, _Known] = {}
+        self._table: dict[str, Known] = {}
         self._floors: dict[str, tuple[tuple[int, int], float]] = {}
         self._region_seen: dict[str, float] = {}
         self._candidates: dict[str, str] = {}
@@ -99,10 +94,18 @@
         return tuple(corrections)
 
     def message(self, now: float) -> tuple[Entry, ...]:
-        """Returns the entries to send: the own, then the newest others."""
+        """Returns the entries to send: the own, then the newest others.
+
+        Some places are kept for other regions; their hosts' entries are
+        needed less often, so hosts of the own region get the most.
+        """
         known = [k for k in self._table.values() if not self._lapsed(k, now)]
         known.sort(key=lambda k: k.updated_at, reverse=True)
-        return (self.own, *(k.entry for k in known[: MAX_ENTRIES - 1]))
+        near = [k.entry for k in known if self._is_near(k.entry)]
+        far = [k.entry for k in known if not self._is_near(k.entry)]
+        places = MAX_ENTRIES - 1
+        far = far[: max(REMOTE_ENTRIES, places - len(near))]
+        return (self.own, *near[: places - len(far)], *far)
 
     def live(self, region: str | None, now: float) -> tuple[str, ...]:
         """Returns the sorted names of live hosts that are not leaving.
@@ -158,8 +161,8 @@
 
         Args:
             now: Present time.
-            max_age_s: Largest time since the host's entry was received; the
-                clocks of other hosts are not relied upon.
+            max_age_s: Largest time since the summary was received; the clocks
+                of other hosts are not relied upon.
             region: Only hosts of this region, or None for all.
         """
         return tuple(
@@ -169,7 +172,7 @@
             and known.entry.status is HostStatus.LIVE
             and region in (None, known.entry.region)
             and not self._lapsed(known, now)
-            and now - known.updated_at <= max_age_s
+            and now - known.summarised_at <= max_age_s
         )
 
     def address(self, host: str) -> str | None:
@@ -217,16 +220,14 @@
             return None
         if held is not None and entry.age_key <= held:
             is_behind = entry.incarnation < held[0]
-            return (
-                _told_dead(entry, held) if from_sender and is_behind else None
-            )
+            return told_dead(entry, held) if from_sender and is_behind else None
         was_dead = known is not None and self._lapsed(known, now)
-        self._table[entry.host] = _Known(entry, now)
+        self._table[entry.host] = Known.merged(known, entry, now)
         self._floors.pop(entry.host, None)
-        if was_dead and from_sender and entry.region == self.own.region:
+        if was_dead and from_sender and self._is_near(entry):
             # Only hosts of the own region take over a dead host's workers
             # within seconds, so only there it must check what it owns.
-            return _told_dead(entry, entry.age_key)
+            return told_dead(entry, entry.age_key)
         return None
 
     def _contest(self, entry: Entry) -> None:
@@ -251,9 +252,9 @@
 
     def _wake(self, now: float) -> None:
         was_at = self._ticked_at
-        for known in self._table.values():
+        for host, known in self._table.items():
             if not self._lapsed(known, was_at):
-                known.updated_at = now
+                self._table[host] = attrs.evolve(known, updated_at=now)
         self._region_seen = dict.fromkeys(self._region_seen, now)
         self._started_at = now
         self._raise_incarnation(0)
@@ -277,8 +278,11 @@
         entries = [self.own, *self.peers(now)]
         return [e for e in entries if e.status is HostStatus.LIVE]
 
-    def _lapsed(self, known: _Known, now: float) -> bool:
-        is_near = known.entry.region == self.own.region
+    def _is_near(self, entry: Entry) -> bool:
+        return entry.region == self.own.region
+
+    def _lapsed(self, known: Known, now: float) -> bool:
+        is_near = self._is_near(known.entry)
         limit_s = DEAD_AFTER_S if is_near else REMOTE_DEAD_AFTER_S
         return self._seen_until(now) - known.updated_at > limit_s
 
@@ -286,13 +290,3 @@
         # After a pause and before the next tick, the time of the pause is
         # not held against the others.
         return min(now, self._ticked_at + PAUSE_S)
-
-
-def _told_dead(entry: Entry, held: tuple[int, int]) -> Entry:
-    return attrs.evolve(
-        entry,
-        incarnation=held[0],
-        counter=held[1],
-        status=HostStatus.DEAD,
-        summary=None,
-    )
--- a/libs/cluster/dragonflybank/cluster/messages.py
+++ b/libs/cluster/dragonflybank/cluster/messages.py
@@ -84,7 +84,7 @@
 # arrays without field names: host, incarnation, counter, region, status,
 # address, configuration generation, summary.
 WireSummary = tuple[int, int, tuple[float, ...], tuple[float, ...], int]
-WireEntry = tuple[str, int, int, str, str, str, int, WireSummary | None]
+WireEntry = tuple[str, int, int, str, str, bytes, int, WireSummary | None]
 
 
 class Kind(enum.StrEnum):
--- a/libs/cluster/dragonflybank/cluster/tests/test_membership.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_membership.py
@@ -2,20 +2,22 @@
 
 import attrs
 import testtools
-from testtools.matchers import Equals, HasLength
+from testtools.matchers import Equals, HasLength, LessThan
 
 from dragonflybank.cluster.entries import (
     Entry,
     HostStatus,
-    entry_from_wire,
-    entry_to_wire,
+    entries_from_wire,
+    entries_to_wire,
 )
+from dragonflybank.cluster.gossip import FANOUT, ROUND_S, to_message
 from dragonflybank.cluster.membership import (
     DEAD_AFTER_S,
     FORGET_AFTER_S,
     MAX_ENTRIES,
     Membership,
 )
+from dragonflybank.cluster.messages import Gossip, decode, encode
 from dragonflybank.model.resources import Resources
 from dragonflybank.model.topology import CapacitySummary
 
@@ -29,7 +31,11 @@
 
 def _peer(name, counter, *, incarnation=5, region=NORTH, **kwargs):
     return Entry(
-        name, incarnation, counter, region, address=f"{name}:1", **kwargs
+        name,
+        incarnation,
+        counter,
+        region,
+        **{"address": f"{name}:1", **kwargs},
     )
 
 
@@ -162,6 +168,30 @@
         self.assertThat(sent, HasLength(MAX_ENTRIES))
         self.assertThat(sent[:3], Equals(["a", "h39", "h38"]))
 
+    def test_full_gossip_stays_within_the_control_budget(self):
+        member = Membership("north-host-10", NORTH, "10.1.2.3:7000", now=T0)
+        free = Resources(300.5, 1e6, 12, 60, 500)
+        member.update_own(
+            summary=CapacitySummary("x", NORTH, T0, 60, free, free, 0.1),
+            generation=40_000,
+        )
+        for i in range(40):
+            member.merge(
+                [
+                    _peer(
+                        f"north-host-{i + 11}",
+                        50_000,
+                        incarnation=1_800_000_000,
+                        region=(NORTH, SOUTH)[i % 2],
+                        generation=40_000,
+                        address=f"10.1.2.{i}:7000",
+                    )
+                ],
+                T0,
+            )
+        size = len(encode(to_message(member.message(T0))))
+        self.assertThat(size * FANOUT / ROUND_S, LessThan(4096))
+
     def test_old_summaries_are_left_out(self):
         member = _member()
         summary = CapacitySummary("b", NORTH, T0, 5, Resources(cores=3))
@@ -180,8 +210,22 @@
             0.25,
         )
         entry = _peer("b", 7, generation=12, summary=summary)
-        read = entry_from_wire(entry_to_wire(entry)).unwrap()
-        self.assertThat(read, Equals(entry))
+        for address in ("10.1.2.3:7000", "b:1"):
+            sent = attrs.evolve(entry, address=address)
+            relayed = _peer("c", 3, status=HostStatus.LEAVING)
+            wire = entries_to_wire((sent, relayed))
+            read = entries_from_wire(
+                decode(encode(Gossip(wire)), Gossip).unwrap().entries
+            )
+            self.assertThat(read, Equals((sent, relayed)))
+
+    def test_a_relayed_entry_keeps_the_summary_but_not_its_age(self):
+        member = _member()
+        summary = CapacitySummary("b", NORTH, T0, 5, Resources(cores=3))
+        member.merge([_peer("b", 1, summary=summary)], T0)
+        member.merge([_peer("c", 1), _peer("b", 2)], T0 + 2)
+        self.assertThat(member.summaries(T0 + 2, 3.0), Equals((summary,)))
+        self.assertThat(member.summaries(T0 + 3.5, 3.0), Equals(()))
 
     def test_known_hosts_out_of_view_are_join_candidates(self):
         member = _member()
