--- a/libs/host/dragonflybank/host/daemon.py
+++ b/libs/host/dragonflybank/host/daemon.py
@@ -25,6 +25,7 @@
 from dragonflybank.config.operator import decode_operator
 from dragonflybank.config.settings import Settings, one_way_s
 from dragonflybank.host.active import ActiveConfig
+from dragonflybank.host.crest import CrestGuard
 from dragonflybank.host.dispatch import handlers
 from dragonflybank.host.fleet import Fleet
 from dragonflybank.host.http import HttpFront
@@ -42,9 +43,7 @@
 from dragonflybank.jobs.results import ResultStore
 from dragonflybank.model.codes import Problem
 from dragonflybank.model.decisions import DecisionLog
-from dragonflybank.model.leases import TaskEvent
 from dragonflybank.model.topology import CapacitySummary, VmInfo
-from dragonflybank.model.work import JobSpec
 from dragonflybank.operators.execute import execute
 from dragonflybank.operators.render import as_json, failed_as_json
 from dragonflybank.platform.store import HttpConfigStore
@@ -99,6 +98,7 @@
         self.health = Health(self)
         self.policy = BestFitPolicy()
         self.owner = OwnerSide(self)
+        self.crest = CrestGuard(self)
         self.store = HttpConfigStore(settings.store_url)
         self._vmlist = HttpVmList(settings.vmlist_url)
         self.fleet = Fleet(self._vmlist)
@@ -166,6 +166,7 @@
             self.spread.run(self.loop_clock),
             self._read_fleet_always(),
             self._step_shards(),
+            self.crest.run(),
         ):
             self.add_future(loop)
         _log.info(
@@ -226,11 +227,6 @@
             log=self.decisions.add,
         )
 
-    def learn(self, spec: JobSpec, event: TaskEvent, now: float) -> None:
-        """Takes over the measurements of an ended task."""
-        self.learned.note(spec.work_class, event)
-        self.health.note_task(spec.team, spec.work_class, event, now)
-
     async def query(self, text: str, *, operator: str) -> dict:
         """Runs an operator's command and returns its JSON reply."""
         report = await execute(
--- a/libs/host/dragonflybank/host/jobs_front.py
+++ b/libs/host/dragonflybank/host/jobs_front.py
@@ -99,6 +99,7 @@
         Returns:
             True once it is journalled.
         """
+        self._host.owner.ended(event)
         team, key, _, _ = event.task_id.split("/")
         if not self._shards.knows_team(team):
             return False
@@ -118,11 +119,10 @@
         home = self._shards.open_home(team, key)
         if home is None:
             return False
-        now = self._host.clock()
         record = home.record(team, key)
-        kept = await home.finished(event, now)
+        kept = await home.finished(event, self._host.clock())
         if kept and record is not None:
-            self._host.learn(record.spec, event, now)
+            self._host.learned.note_size(record.spec.work_class, event)
         return kept
 
     async def at_this_host(self, req) -> Result[JobRecord, Problem]:
--- a/libs/host/dragonflybank/host/learned.py
+++ b/libs/host/dragonflybank/host/learned.py
@@ -25,10 +25,14 @@
         self.sizes = SizeLearner()
         self.run_times = RunTimes()
 
-    def note(self, work_class: str, event: TaskEvent) -> None:
-        """Takes over the measurements of an ended task."""
+    def note_size(self, work_class: str, event: TaskEvent) -> None:
+        """Takes over the measured size of an ended task."""
         if event.state is TaskState.DONE:
             self.sizes.add(work_class, event.peak)
+
+    def note_run(self, work_class: str, event: TaskEvent) -> None:
+        """Takes over the run time of an ended task."""
+        if event.state is TaskState.DONE:
             self.run_times.add(work_class, event.run_s)
 
 
--- a/libs/host/dragonflybank/host/lookups.py
+++ b/libs/host/dragonflybank/host/lookups.py
@@ -27,6 +27,7 @@
 from dragonflybank.policy.spill import (
     LinkPrice,
     Request,
+    Route,
     RouteKind,
     route_lookup,
 )
@@ -35,6 +36,8 @@
 # A first attempt may use this part of the time left, so that a silent
 # executor leaves time for another one.
 FIRST_ATTEMPT_PART = 0.5
+# An executor that takes this many times its planned time counts as silent.
+SLOW_FACTOR = 4.0
 # A shorter rest of the time-out is not worth an attempt.
 MIN_ATTEMPT_S = 0.01
 # A lookup that fails on two executors is at fault itself.
@@ -178,16 +181,36 @@
             ),
             avoid=done.tried,
         )
-        can_forward = wc.repeatable and route.host
-        if route.kind in (RouteKind.PEER, RouteKind.REGION) and can_forward:
+        if route.kind is RouteKind.WAIT and req.hops == 0:
+            route = self._without_own_workers(route, done, now)
+        if route.host and wc.repeatable:
             self._log("forward", req, route.host, route.reason, route=route)
-            return await self._forward(req, route, done, left_s)
+            return await self._forward(req, route, wc, done, left_s)
         return await self._run_here(req, wc, done, deadline)
 
-    async def _forward(self, req, route, done, left_s) -> Result[str, Problem]:
+    def _without_own_workers(
+        self, route: Route, done: _Attempts, now: float
+    ) -> Route:
+        """Returns a route to any peer if this host has no worker at all.
+
+        Waiting here would be in vain, and a peer's summary may be late.
+        """
+        if self._host.owner.ready_sessions(now):
+            return route
+        region = self._host.settings.region
+        peers = set(self._host.membership.live(region, now))
+        peers -= {self._host.name} | done.tried
+        if not peers:
+            return route
+        chosen = self._rng.choice(sorted(peers))
+        return Route(RouteKind.PEER, chosen, "no worker is owned here")
+
+    async def _forward(
+        self, req, route, wc, done, left_s
+    ) -> Result[str, Problem]:
         done.tried.add(route.host)
         self._host.metrics.forwards.labels(route.kind.value).inc()
-        timeout_s = left_s * FIRST_ATTEMPT_PART
+        timeout_s = self._attempt_s(req, wc, done, left_s)
         reply = await self._host.links.ask(
             route.host,
             messages.LookupRequest(
@@ -291,9 +314,7 @@
         choice = chosen.unwrap()
         self._log("place", req, choice.name, choice.reason, route=choice)
         done.tried.add(choice.name)
-        left_s = deadline - now
-        first = wc.repeatable and not done.may_have_run
-        timeout_s = left_s * FIRST_ATTEMPT_PART if first else left_s
+        timeout_s = self._attempt_s(req, wc, done, deadline - now)
         session = self._host.owner.session(choice.name)
         self._host.lookups_running += 1
         try:
@@ -309,6 +330,20 @@
         self._host.health.note_lookup(choice.name, req, reply)
         return reply
 
+    def _attempt_s(self, req, wc, done, left_s: float) -> float:
+        """Returns the time for the next attempt in seconds.
+
+        A first attempt leaves time for a second one, unless that would cut
+        off executors that are merely slow.
+        """
+        if not wc.repeatable or done.may_have_run:
+            return left_s
+        planned_s = self._times.planned(
+            Waiting(req.request_id, wc.name, 0.0, wc.expected_s)
+        )
+        first_s = left_s * FIRST_ATTEMPT_PART
+        return first_s if first_s >= SLOW_FACTOR * planned_s else left_s
+
     def _may_try_again(self, failed, wc, done) -> bool:
         """Returns whether another attempt is allowed after a failure."""
         match failed.code:
--- a/libs/host/dragonflybank/host/owner.py
+++ b/libs/host/dragonflybank/host/owner.py
@@ -10,7 +10,12 @@
 from dragonflybank.cluster.sessions import WorkerSession
 from dragonflybank.model.codes import Code, Problem, problem
 from dragonflybank.model.decisions import Decision
-from dragonflybank.model.leases import Reservation, Resolution, StartReply
+from dragonflybank.model.leases import (
+    Reservation,
+    Resolution,
+    StartReply,
+    TaskEvent,
+)
 from dragonflybank.model.work import StartRecord
 from dragonflybank.policy.placement import Candidate
 
@@ -20,6 +25,7 @@
 
     def __init__(self, host):
         self._host = host
+        self._classes: dict[str, str] = {}
 
     def session(self, worker: str) -> WorkerSession | None:
         """Returns the session of a worker, None if it is not known."""
@@ -41,7 +47,9 @@
         ]
 
     def task_candidates(self, now: float) -> list[Candidate]:
-        """Returns the workers that may take a task."""
+        """Returns the workers that may take a task, none at a crest."""
+        if self._host.crest.holds_back(now):
+            return []
         return [
             self._candidate(session, session.free, now)
             for session in self.ready_sessions(now)
@@ -61,6 +69,7 @@
         if session is None:
             return problem(Code.NOT_OWNER, f"{start.worker} is not known")
         now = self._host.clock()
+        self._classes[start.task_id] = req.work_class
         reply = await session.start(
             start, work_class=req.work_class, payload=req.payload, now=now
         )
@@ -77,6 +86,20 @@
         )
         return reply
 
+    def ended(self, event: TaskEvent) -> None:
+        """Takes over the evidence about a worker from the end of a task.
+
+        The end is reported again until it is journalled, but counts once.
+        """
+        work_class = self._classes.pop(event.task_id, None)
+        if work_class is None:
+            return
+        team = event.task_id.split("/", 1)[0]
+        now = self._host.clock()
+        self._host.health.note_task(team, work_class, event, now)
+        self._host.learned.note_run(work_class, event)
+        self._host.crest.ended(event.task_id)
+
     async def stop(
         self, starts: Sequence[StartRecord]
     ) -> Result[None, Problem]:
