Harden links and sessions against slow peers, strays and replaced VMs

Change: replaced sockets stay open until their calls have ended; the server can be drained; a session inherits what is known of the worker's former address; tasks that were given up are stopped if they run after all; gone workers are dropped after 60 s of silence; unused links are closed; free room is computed once per change.

Ruled out: a monotonic clock for SystemClock. A wrong wall clock at the start would stay wrong for good, while a step of time.time() counts as a pause.

--- a/libs/cluster/dragonflybank/cluster/claims.py
+++ b/libs/cluster/dragonflybank/cluster/claims.py
@@ -67,12 +67,12 @@
     if known is not None:
         return Success(known)
     if not worker.owned:
-        return _by_lease(worker, now)
+        return _by_lease(worker, start, now)
     fenced = await _fence(worker, start)
     if is_problem(fenced, Code.NOT_OWNER):
         return fenced
     if isinstance(fenced, Failure):
-        return _by_lease(worker, now)
+        return _by_lease(worker, start, now)
     known = _known(worker, start)
     return Success(known or Resolution(_absent(worker, start)))
 
@@ -130,8 +130,11 @@
     return None
 
 
-def _by_lease(worker: OwnedWorker, now: float) -> Result[Resolution, Problem]:
+def _by_lease(
+    worker: OwnedWorker, start: StartRecord, now: float
+) -> Result[Resolution, Problem]:
     if worker.contact.has_lapsed(now, owned=worker.owned):
+        worker.given_up.add(start.task_id)
         return Success(Resolution(ResolutionKind.LEASE_LAPSED))
     if worker.owned or worker.contact.taken_over_at is not None:
         return Success(Resolution(ResolutionKind.UNDECIDED))
--- a/libs/cluster/dragonflybank/cluster/gossip.py
+++ b/libs/cluster/dragonflybank/cluster/gossip.py
@@ -3,6 +3,7 @@
 __all__ = ["FANOUT", "ROUND_S", "Gossiper", "choose_targets", "to_message"]
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable, Sequence
 
@@ -23,6 +24,7 @@
 
 ROUND_S = 0.5
 FANOUT = 3
+ROUNDS_PER_PRUNING = 120
 # Cross-region traffic is slow and billed by volume.
 ROUNDS_PER_REMOTE = 4
 # Shorter than the time after which a host is dead, so that a silent
@@ -81,8 +83,10 @@
     async def run(self, clock: Clock) -> None:
         """Sends a round every half second until it is cancelled."""
         try:
-            while True:
+            for number in itertools.count(1):
                 self.send_round(clock)
+                if number % ROUNDS_PER_PRUNING == 0:
+                    await self._close_unused(clock.now())
                 await clock.sleep(ROUND_S)
         finally:
             for task in self._asked.values():
@@ -123,6 +127,12 @@
         ]
         await asyncio.gather(*calls)
 
+    async def _close_unused(self, now: float) -> None:
+        in_view = {e.address for e in self.membership.peers(now)}
+        await self._links.keep_only(
+            in_view | set(self.membership.candidates(now))
+        )
+
     async def _send(self, address: str, message: Gossip, clock: Clock) -> None:
         try:
             reply = await self._links.ask_at(
--- a/libs/cluster/dragonflybank/cluster/ledger.py
+++ b/libs/cluster/dragonflybank/cluster/ledger.py
@@ -34,12 +34,11 @@
     reports more than it can hold.
 
     Attributes:
-        size: What the worker can hold.
         tasks: Running tasks by id, in the worker's own list.
     """
 
     def __init__(self, size: Resources, *, lookup_reserve: int):
-        self.size = size
+        self._size = size
         self.tasks: dict[str, RunningTask] = {}
         self._lookup_reserve = lookup_reserve
         self._unsettled: dict[str, _Unsettled] = {}
@@ -47,28 +46,37 @@
         self._lookups: dict[Hashable, Resources] = {}
         self._lookup_ends: dict[Hashable, float] = {}
         self._foreign = Resources()
-        self._used: tuple[Resources, Resources] | None = None
+        self._room: tuple[Resources, Resources] | None = None
+
+    @property
+    def size(self) -> Resources:
+        """What the worker can hold."""
+        return self._size
+
+    @size.setter
+    def size(self, size: Resources) -> None:
+        self._size = size
+        self._room = None
+
+    @property
+    def lookup_reserve(self) -> int:
+        """Slots that patient work cannot take."""
+        return self._lookup_reserve
+
+    @lookup_reserve.setter
+    def lookup_reserve(self, slots: int) -> None:
+        self._lookup_reserve = slots
+        self._room = None
 
     @property
     def free(self) -> Resources:
         """What is neither used nor promised."""
-        patient, lookups = self._sums()
-        return minus(self.size, plus(patient, lookups))
+        return self._rooms()[0]
 
     @property
     def free_for_tasks(self) -> Resources:
         """What patient work may take, without the slots kept for lookups."""
-        patient, _ = self._sums()
-        free = self.free
-        kept = self._lookup_reserve
-        return attrs.evolve(
-            free,
-            slots=min(free.slots, self.size.slots - kept - patient.slots),
-            connections=min(
-                free.connections,
-                self.size.connections - kept - patient.connections,
-            ),
-        )
+        return self._rooms()[1]
 
     @property
     def is_idle(self) -> bool:
@@ -89,13 +97,13 @@
         if not fits(reservation.grant, self.free_for_tasks):
             return False
         self._reservations[reservation.id] = reservation
-        self._used = None
+        self._room = None
         return True
 
     def release(self, reservation_id: str) -> None:
         """Frees a reservation; an unknown one is ignored."""
         self._reservations.pop(reservation_id, None)
-        self._used = None
+        self._room = None
 
     def send(self, task_id: str, grant: Resources, now: float) -> bool:
         """Counts a start that is about to be sent.
@@ -111,7 +119,7 @@
         elif not fits(grant, self.free_for_tasks):
             return False
         self._unsettled[task_id] = _Unsettled(grant, now)
-        self._used = None
+        self._room = None
         return True
 
     def is_unsettled(self, task_id: str) -> bool:
@@ -126,27 +134,27 @@
         """Counts a task as running."""
         self._unsettled.pop(task.task_id, None)
         self.tasks[task.task_id] = task
-        self._used = None
+        self._room = None
 
     def end(self, task_id: str) -> None:
         """Frees a task that ended or never started."""
         self._unsettled.pop(task_id, None)
         self.tasks.pop(task_id, None)
-        self._used = None
+        self._room = None
 
     def enter(self, key: Hashable, need: Resources) -> bool:
         """Counts a lookup if there is room for it."""
         if not fits(need, self.free):
             return False
         self._lookups[key] = need
-        self._used = None
+        self._room = None
         return True
 
     def leave(self, key: Hashable) -> None:
         """Frees a lookup."""
         self._lookups.pop(key, None)
         self._lookup_ends.pop(key, None)
-        self._used = None
+        self._room = None
 
     def leave_at(self, key: Hashable, end: float) -> None:
         """Frees a lookup without an answer once it is surely over."""
@@ -164,7 +172,7 @@
         }
         self._unsettled = {}
         self._reservations = {}
-        self._used = None
+        self._room = None
 
     def set_foreign(self, usage: Resources) -> None:
         """Counts slots that the worker uses beyond the listed tasks.
@@ -176,7 +184,7 @@
             slots=max(0, usage.slots - listed.slots),
             connections=max(0, usage.connections - listed.connections),
         )
-        self._used = None
+        self._room = None
 
     def shrink_foreign(self, usage: Resources) -> None:
         """Lowers the former owner's lookups to what can still be running."""
@@ -190,17 +198,31 @@
     def clear_foreign(self) -> None:
         """Forgets the former owner's lookups, which are over."""
         self._foreign = Resources()
-        self._used = None
+        self._room = None
 
-    def _sums(self) -> tuple[Resources, Resources]:
-        # Recomputed after a change: running differences of fractions of
-        # cores would drift.
-        if self._used is None:
+    def _rooms(self) -> tuple[Resources, Resources]:
+        # Kept until something changes, since every placement reads them.
+        # Summed anew then: running differences of fractions of cores drift.
+        if self._room is None:
             patient = total(
                 [t.grant for t in self.tasks.values()]
                 + [u.grant for u in self._unsettled.values()]
                 + [r.grant for r in self._reservations.values()]
             )
             lookups = total([*self._lookups.values(), self._foreign])
-            self._used = (patient, lookups)
-        return self._used
+            free = minus(self._size, plus(patient, lookups))
+            self._room = (free, self._without_reserve(free, patient))
+        return self._room
+
+    def _without_reserve(
+        self, free: Resources, patient: Resources
+    ) -> Resources:
+        kept = self._lookup_reserve
+        size = self._size
+        return attrs.evolve(
+            free,
+            slots=min(free.slots, size.slots - kept - patient.slots),
+            connections=min(
+                free.connections, size.connections - kept - patient.connections
+            ),
+        )
--- a/libs/cluster/dragonflybank/cluster/links.py
+++ b/libs/cluster/dragonflybank/cluster/links.py
@@ -10,45 +10,32 @@
 
 import asyncio
 import contextlib
-import logging
-import socket
-from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import pynng
-from returns.result import Failure, Result, Success
+from returns.result import Result, Success
 
 from dragonflybank.cluster.messages import (
     MESSAGES,
-    Envelope,
-    Kind,
-    decode,
     decode_reply,
-    decode_request,
     encode,
-    encode_reply,
     encode_request,
 )
+from dragonflybank.cluster.server import (
+    MAX_MESSAGE_BYTES,
+    Handler,
+    PeerServer,
+    typed,
+)
 from dragonflybank.model.codes import Code, Problem, problem
 
-_log = logging.getLogger(__name__)
-
-Handler = Callable[[str, bytes], Awaitable[bytes]]
-
 TIMEOUTS_BEFORE_REDIAL = 2
 # A host that is not connected within this time is taken as unreachable; the
 # round trip between regions is 24 ms.
 CONNECT_LIMIT_S = 0.5
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 1000
-# Larger than a store value (1 MB) and its envelope.
-MAX_MESSAGE_BYTES = 4_000_000
-SERVER_CONTEXTS = 256
 LINK_CONTEXTS = 128
-# Contexts that only short control messages may take, so that slow lookups do
-# not delay gossip until the host counts as dead.
-CONTROL_CONTEXTS = 16
-CONTROL_KINDS = frozenset({Kind.GOSSIP, Kind.FETCH_CONFIG, Kind.HANDOVER})
 
 
 async def ask(link: "PeerLink", request: Any, *, timeout_s: float) -> Result:
@@ -67,96 +54,6 @@
     return raw.bind(lambda reply: decode_reply(reply, reply_class))
 
 
-def typed(
-    request_class: type, answer: Callable[[str, Any], Awaitable[Result]]
-) -> Handler:
-    """Returns a handler that decodes requests and encodes replies.
-
-    Args:
-        request_class: A class in ``messages.MESSAGES``.
-        answer: Takes the sender and the message; returns a Result.
-    """
-
-    async def handler(sender: str, body: bytes) -> bytes:
-        request = decode(body, request_class)
-        if isinstance(request, Failure):
-            return encode_reply(request)
-        return encode_reply(await answer(sender, request.unwrap()))
-
-    return handler
-
-
-class PeerServer:
-    """Answers the requests of other hosts.
-
-    Attributes:
-        port: The port in use once it serves, chosen by the kernel if 0 was
-            given.
-    """
-
-    def __init__(
-        self, address: str, port: int, *, contexts: int = SERVER_CONTEXTS
-    ):
-        self.port = port
-        self._address = address
-        self._contexts = contexts
-        self._ordinary_limit = max(1, contexts - CONTROL_CONTEXTS)
-        self._ordinary = 0
-        self._sock: pynng.Rep0 | None = None
-        self._tasks: list[asyncio.Task] = []
-
-    def serve(self, handlers: Mapping[str, Handler]) -> None:
-        """Listens and answers until it is closed.
-
-        Args:
-            handlers: The handler of each kind of request.
-        """
-        self._sock = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
-        listener = self._sock.listen(f"tcp://{self._address}:{self.port}")
-        self.port = socket.ntohs(listener.local_address.port)
-        self._tasks = [
-            asyncio.create_task(self._answer_all(self._sock, handlers))
-            for _ in range(self._contexts)
-        ]
-
-    async def close(self) -> None:
-        """Stops listening; requests in progress are not answered."""
-        sock, self._sock = self._sock, None
-        if sock is not None:
-            sock.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._tasks = []
-
-    async def _answer_all(self, sock, handlers) -> None:
-        with contextlib.suppress(pynng.Closed), sock.new_context() as ctx:
-            while self._sock is sock:
-                raw = await ctx.arecv()
-                reply = await self._answer(raw, handlers)
-                await _send_reply(ctx, reply)
-
-    async def _answer(self, raw: bytes, handlers) -> bytes:
-        read = decode_request(raw)
-        if isinstance(read, Failure):
-            return encode_reply(read)
-        req = read.unwrap()
-        handler = handlers.get(req.kind)
-        if handler is None:
-            return encode_reply(
-                problem(Code.BAD_REQUEST, f"unknown kind {req.kind}")
-            )
-        if req.kind in CONTROL_KINDS:
-            return await _handle(handler, req)
-        if self._ordinary >= self._ordinary_limit:
-            return encode_reply(problem(Code.FULL, "no free peer context"))
-        self._ordinary += 1
-        try:
-            return await _handle(handler, req)
-        finally:
-            self._ordinary -= 1
-
-
 class PeerLink:
     """Requests to one peer.
 
@@ -174,6 +71,9 @@
         self._slots = asyncio.Semaphore(contexts)
         self._timeouts = 0
         self._dialled: _Dialled | None = None
+        # Replaced sockets with calls in progress, which may yet be answered
+        # if the peer was only slow.
+        self._retired: set[_Dialled] = set()
 
     async def call(
         self, kind: str, body: bytes, *, timeout_s: float
@@ -197,20 +97,25 @@
                 await self._slots.acquire()
         except TimeoutError:
             return problem(Code.UNREACHABLE, f"{self.address}: link is full")
+        dialled = self._dial()
         try:
-            dialled = self._dial()
+            dialled.calls += 1
             limit_s = min(timeout_s, CONNECT_LIMIT_S)
             if not await dialled.wait_connected(limit_s):
                 return unsent
             return await self._exchange(dialled, raw, deadline)
         finally:
             self._slots.release()
+            self._leave(dialled)
 
     async def close(self) -> None:
         """Closes the socket; calls in progress fail with ``TIMED_OUT``."""
         dialled, self._dialled = self._dialled, None
         if dialled is not None:
             dialled.close()
+        for old in tuple(self._retired):
+            old.close()
+        self._retired.clear()
 
     def _dial(self) -> "_Dialled":
         if self._dialled is None:
@@ -226,14 +131,14 @@
                     await ctx.asend(raw)
                     reply = await ctx.arecv()
         except TimeoutError:
-            await self._count_timeout(dialled)
+            self._count_timeout(dialled)
             return problem(Code.TIMED_OUT, f"no answer from {self.address}")
         except pynng.NNGException as exc:
             return problem(Code.TIMED_OUT, f"{self.address}: {exc}")
         self._timeouts = 0
         return Success(reply)
 
-    async def _count_timeout(self, dialled: "_Dialled") -> None:
+    def _count_timeout(self, dialled: "_Dialled") -> None:
         # A call on a socket that was replaced says nothing about the new one.
         if dialled is not self._dialled:
             return
@@ -241,13 +146,26 @@
         if self._timeouts >= TIMEOUTS_BEFORE_REDIAL:
             self._timeouts = 0
             self.redials += 1
-            await self.close()
+            self._dialled = None
+            self._retired.add(dialled)
+
+    def _leave(self, dialled: "_Dialled") -> None:
+        dialled.calls -= 1
+        if dialled in self._retired and not dialled.calls:
+            self._retired.discard(dialled)
+            dialled.close()
 
 
 class _Dialled:
-    """A request socket that knows whether it is connected."""
+    """A request socket that knows whether it is connected.
+
+    Attributes:
+        calls: Number of calls in progress.
+        sock: The socket.
+    """
 
     def __init__(self, address: str):
+        self.calls = 0
         self._loop = asyncio.get_running_loop()
         self._connected = asyncio.Event()
         self.sock = pynng.Req0(
@@ -277,23 +195,3 @@
         change = self._connected.set if connected else self._connected.clear
         with contextlib.suppress(RuntimeError):
             self._loop.call_soon_threadsafe(change)
-
-
-async def _handle(handler: Handler, req: Envelope) -> bytes:
-    try:
-        return await handler(req.sender, req.body)
-    except Exception:
-        _log.exception("handler of %s failed", req.kind)
-        return encode_reply(
-            problem(Code.ANSWER_LOST, f"handler of {req.kind} failed")
-        )
-
-
-async def _send_reply(ctx: pynng.Context, reply: bytes) -> None:
-    try:
-        await ctx.asend(reply)
-    except pynng.Closed:
-        raise
-    except pynng.NNGException as exc:
-        # The asker's connection is gone; it asks again.
-        _log.debug("reply not sent: %s", exc)
--- a/libs/cluster/dragonflybank/cluster/owned.py
+++ b/libs/cluster/dragonflybank/cluster/owned.py
@@ -48,6 +48,8 @@
         unreported: Ids of ended tasks of the claim's list whose events have
             not come yet.
         lost: Ends of tasks that the worker can no longer report.
+        given_up: Ids of tasks that were reported as lost or lapsed; one that
+            runs after all is stopped.
         client: The worker.
         lock: Serialises starts and claims.
         dropped: Set while this host is not the owner.
@@ -76,6 +78,7 @@
         self.lock = asyncio.Lock()
         self.unreported: set[str] = set()
         self.lost: dict[str, TaskEvent] = {}
+        self.given_up: set[str] = set()
         self.dropped = asyncio.Event()
         self.dropped.set()
         self.drop_reason: DropReason | None = None
@@ -142,6 +145,8 @@
         """Becomes the owner with the list of a claim (D2)."""
         if self.owned and self.incarnation != state.incarnation:
             self.lose_tasks("worker replaced")
+        if self.incarnation and self.incarnation != state.incarnation:
+            self.given_up.clear()
         explained = set(self.tasks) - self.unexplained
         self.incarnation = state.incarnation
         self.epoch = joined_epoch(state.incarnation, state.epoch)
@@ -214,7 +219,17 @@
             self.drop(DropReason.STALE)
         return reply
 
+    def inherit(self, former: "OwnedWorker") -> None:
+        """Takes over what was known of a worker at its former address."""
+        if former.owned:
+            former.drop(DropReason.REPLACED)
+        self.incarnation = former.incarnation
+        self.lost = former.lost
+        self.given_up = former.given_up
+        self._left_tasks = former._left_tasks
+
     def _lose(self, task_id: str, reason: str) -> None:
+        self.given_up.add(task_id)
         self.lost[task_id] = TaskEvent(
             task_id, self.name, TaskState.LAPSED, reason=reason
         )
--- a/libs/cluster/dragonflybank/cluster/ownership.py
+++ b/libs/cluster/dragonflybank/cluster/ownership.py
@@ -7,7 +7,6 @@
 import random
 from collections.abc import Callable, Iterable
 
-import attrs
 from returns.result import Result, Success
 
 from dragonflybank.cluster.clock import Clock
@@ -18,7 +17,7 @@
 from dragonflybank.cluster.peers import Peers
 from dragonflybank.cluster.ranking import candidates, first_host, may_receive
 from dragonflybank.cluster.renewals import serve
-from dragonflybank.cluster.roster import Roster, Seat
+from dragonflybank.cluster.roster import OwnershipConfig, Roster, Seat
 from dragonflybank.cluster.sessions import WorkerSession
 from dragonflybank.cluster.summaries import summarise
 from dragonflybank.cluster.takeover import Taken, take
@@ -40,23 +39,6 @@
 UNREACHABLE_RETRY_S = 10.0
 
 
-@attrs.frozen
-class OwnershipConfig:
-    """What ownership needs of the host's settings.
-
-    Attributes:
-        host: Name of the own host.
-        region: Its region.
-        lookup_reserve: Slots of each worker that patient work cannot take.
-        claims_at_once: Largest number of claims in progress.
-    """
-
-    host: str
-    region: str
-    lookup_reserve: int = 2
-    claims_at_once: int = 16
-
-
 class Ownership:
     """The sessions of all workers that this host may own.
 
@@ -79,12 +61,7 @@
         self._on_finished = on_finished
         self._peers = peers
         self._rng = rng or random.Random()
-        self._roster = Roster(
-            cfg.region,
-            clients,
-            host=cfg.host,
-            lookup_reserve=cfg.lookup_reserve,
-        )
+        self._roster = Roster(cfg, clients)
         self.sessions = self._roster.sessions
         self._claims = asyncio.Semaphore(cfg.claims_at_once)
         self._unlisted = Unlisted(self._roster, membership, peers)
@@ -95,6 +72,10 @@
         """Takes over the rows of the VM list; see `Roster.update`."""
         self._roster.update(vms, now)
 
+    def set_lookup_reserve(self, slots: int) -> None:
+        """Sets the slots of each worker that patient work cannot take."""
+        self._roster.set_lookup_reserve(slots)
+
     def step(self, now: float) -> tuple[str, ...]:
         """Decides which workers to claim now.
 
@@ -172,7 +153,7 @@
             queue_s: Expected wait of a new lookup in seconds.
         """
         return summarise(
-            self.sessions.values(),
+            self.owned(),
             now,
             host=self._cfg.host,
             region=self._cfg.region,
@@ -216,7 +197,9 @@
         """Waits until no worker is owned; the own status must be leaving.
 
         The next hosts in rank ask for the workers as they learn the status.
-        It returns at once when no host is left that could ask.
+        It returns at once when no host is left that could ask; a worker that
+        the next host cannot reach keeps it waiting, so the caller sets a
+        limit.
         """
         while any(
             candidates(self._membership, s.info.region, clock.now())
--- a/libs/cluster/dragonflybank/cluster/renewals.py
+++ b/libs/cluster/dragonflybank/cluster/renewals.py
@@ -83,6 +83,7 @@
     elif _is_same_vm(worker, reply.unwrap()):
         worker.contact.answered()
         worker.refresh(reply.unwrap())
+        await _stop_strays(worker)
 
 
 async def _renew_all(worker: OwnedWorker, clock: Clock) -> None:
@@ -126,6 +127,16 @@
     return True
 
 
+async def _stop_strays(worker: OwnedWorker) -> None:
+    """Stops tasks whose lease was taken for ended, if they run after all."""
+    strays = sorted(worker.given_up & set(worker.tasks))
+    if strays:
+        _log.warning("stopping %s on %s", strays, worker.name)
+        await worker.fenced(
+            lambda number: worker.client.stop(strays, epoch=number)
+        )
+
+
 def _missed(worker: OwnedWorker, now: float) -> None:
     worker.contact.failed()
     if worker.contact.has_lapsed(now, owned=True):
--- a/libs/cluster/dragonflybank/cluster/roster.py
+++ b/libs/cluster/dragonflybank/cluster/roster.py
@@ -1,6 +1,6 @@
 """The workers that a host may own, from the VM list."""
 
-__all__ = ["Roster", "Seat"]
+__all__ = ["OwnershipConfig", "Roster", "Seat"]
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -8,12 +8,33 @@
 import attrs
 
 from dragonflybank.cluster.backoff import BackOff
+from dragonflybank.cluster.owned import DropReason
 from dragonflybank.cluster.sessions import WorkerSession
 from dragonflybank.model.topology import VmInfo, VmRole
 from dragonflybank.platform.worker import HttpWorkerClient, WorkerClient
 
 # A worker that left the VM list is kept for its last leases and resolutions.
 GONE_KEPT_S = 3600.0
+# The VM list is late; a worker that it misses for this time and that does not
+# answer is gone.
+GONE_AFTER_S = 60.0
+
+
+@attrs.frozen
+class OwnershipConfig:
+    """What ownership needs of the host's settings.
+
+    Attributes:
+        host: Name of the own host.
+        region: Its region.
+        lookup_reserve: Slots of each worker that patient work cannot take.
+        claims_at_once: Largest number of claims in progress.
+    """
+
+    host: str
+    region: str
+    lookup_reserve: int = 2
+    claims_at_once: int = 64
 
 
 @attrs.define
@@ -44,20 +65,17 @@
 
     def __init__(
         self,
-        region: str,
+        cfg: OwnershipConfig,
         clients: Callable[[VmInfo], WorkerClient],
-        *,
-        host: str,
-        lookup_reserve: int,
     ):
         self.sessions: dict[str, WorkerSession] = {}
         self.seats: dict[str, Seat] = {}
         self.listed_at: float | None = None
         self._rows: dict[str, VmInfo] = {}
-        self._region = region
+        self._region = cfg.region
         self._clients = clients
-        self._host = host
-        self._lookup_reserve = lookup_reserve
+        self._host = cfg.host
+        self._lookup_reserve = cfg.lookup_reserve
         self._unused: list[WorkerClient] = []
 
     def update(self, vms: Iterable[VmInfo], now: float) -> None:
@@ -74,9 +92,16 @@
         for name in set(self.seats) - set(self._rows):
             seat = self.seats[name]
             seat.gone_at = now if seat.gone_at is None else seat.gone_at
+            _drop_if_gone(seat, now)
             if not seat.session.owned and now - seat.gone_at > GONE_KEPT_S:
                 self._remove(name)
 
+    def set_lookup_reserve(self, slots: int) -> None:
+        """Sets the slots of each worker that patient work cannot take."""
+        self._lookup_reserve = slots
+        for session in self.sessions.values():
+            session.ledger.lookup_reserve = slots
+
     def regions(self) -> set[str]:
         """Returns the other regions that have workers."""
         return {vm.region for vm in self._rows.values()} - {self._region}
@@ -117,14 +142,15 @@
             seat.session.info = vm
             seat.gone_at = None
             return
-        if seat is not None:
-            self._remove(vm.name)
         session = WorkerSession(
             vm,
             self._clients(vm),
             host=self._host,
             lookup_reserve=self._lookup_reserve,
         )
+        if seat is not None:
+            session.inherit(seat.session)
+            self._remove(vm.name)
         self.seats[vm.name] = Seat(session)
         self.sessions[vm.name] = session
 
@@ -134,3 +160,10 @@
         self._unused.append(seat.session.client)
         if seat.task is not None:
             seat.task.cancel()
+
+
+def _drop_if_gone(seat: Seat, now: float) -> None:
+    session = seat.session
+    is_silent = session.owned and not session.reachable and not session.tasks
+    if is_silent and now - seat.gone_at > GONE_AFTER_S:
+        session.drop(DropReason.REPLACED)
--- /dev/null
+++ b/libs/cluster/dragonflybank/cluster/server.py
@@ -0,0 +1,169 @@
+"""The answering end of the connections between scheduler hosts."""
+
+__all__ = ["MAX_MESSAGE_BYTES", "Handler", "PeerServer", "typed"]
+
+import asyncio
+import contextlib
+import logging
+import socket
+from collections.abc import Awaitable, Callable, Iterator, Mapping
+from typing import Any
+
+import pynng
+from returns.result import Failure, Result
+
+from dragonflybank.cluster.messages import (
+    Envelope,
+    Kind,
+    decode,
+    decode_request,
+    encode_reply,
+)
+from dragonflybank.model.codes import Code, problem
+
+_log = logging.getLogger(__name__)
+
+Handler = Callable[[str, bytes], Awaitable[bytes]]
+
+# Larger than a store value (1 MB) and its envelope.
+MAX_MESSAGE_BYTES = 4_000_000
+SERVER_CONTEXTS = 256
+# nng reports a reply as sent before the kernel has all of it.
+LINGER_S = 0.1
+# Contexts that only short control messages may take, so that slow lookups do
+# not delay gossip until the host counts as dead.
+CONTROL_CONTEXTS = 16
+CONTROL_KINDS = frozenset({Kind.GOSSIP, Kind.FETCH_CONFIG, Kind.HANDOVER})
+
+
+def typed(
+    request_class: type, answer: Callable[[str, Any], Awaitable[Result]]
+) -> Handler:
+    """Returns a handler that decodes requests and encodes replies.
+
+    Args:
+        request_class: A class in ``messages.MESSAGES``.
+        answer: Takes the sender and the message; returns a Result.
+    """
+
+    async def handler(sender: str, body: bytes) -> bytes:
+        request = decode(body, request_class)
+        if isinstance(request, Failure):
+            return encode_reply(request)
+        return encode_reply(await answer(sender, request.unwrap()))
+
+    return handler
+
+
+class PeerServer:
+    """Answers the requests of other hosts.
+
+    Attributes:
+        port: The port in use once it serves, chosen by the kernel if 0 was
+            given.
+    """
+
+    def __init__(
+        self, address: str, port: int, *, contexts: int = SERVER_CONTEXTS
+    ):
+        self.port = port
+        self._address = address
+        self._contexts = contexts
+        self._ordinary_limit = max(1, contexts - CONTROL_CONTEXTS)
+        self._ordinary = 0
+        self._busy = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._sock: pynng.Rep0 | None = None
+        self._tasks: list[asyncio.Task] = []
+
+    def serve(self, handlers: Mapping[str, Handler]) -> None:
+        """Listens and answers until it is closed.
+
+        Args:
+            handlers: The handler of each kind of request.
+        """
+        self._sock = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
+        listener = self._sock.listen(f"tcp://{self._address}:{self.port}")
+        self.port = socket.ntohs(listener.local_address.port)
+        self._tasks = [
+            asyncio.create_task(self._answer_all(self._sock, handlers))
+            for _ in range(self._contexts)
+        ]
+
+    async def drain(self) -> None:
+        """Waits until every request received so far is answered.
+
+        Used after the host is known to be leaving, so that no new ones come.
+        """
+        await self._idle.wait()
+        await asyncio.sleep(LINGER_S)
+
+    async def close(self) -> None:
+        """Stops listening; requests in progress are not answered."""
+        sock, self._sock = self._sock, None
+        if sock is not None:
+            sock.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks = []
+
+    async def _answer_all(self, sock, handlers) -> None:
+        with contextlib.suppress(pynng.Closed), sock.new_context() as ctx:
+            while self._sock is sock:
+                raw = await ctx.arecv()
+                with self._counted():
+                    reply = await self._answer(raw, handlers)
+                    await _send_reply(ctx, reply)
+
+    @contextlib.contextmanager
+    def _counted(self) -> Iterator[None]:
+        self._busy += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._busy -= 1
+            if not self._busy:
+                self._idle.set()
+
+    async def _answer(self, raw: bytes, handlers) -> bytes:
+        read = decode_request(raw)
+        if isinstance(read, Failure):
+            return encode_reply(read)
+        req = read.unwrap()
+        handler = handlers.get(req.kind)
+        if handler is None:
+            return encode_reply(
+                problem(Code.BAD_REQUEST, f"unknown kind {req.kind}")
+            )
+        if req.kind in CONTROL_KINDS:
+            return await _handle(handler, req)
+        if self._ordinary >= self._ordinary_limit:
+            return encode_reply(problem(Code.FULL, "no free peer context"))
+        self._ordinary += 1
+        try:
+            return await _handle(handler, req)
+        finally:
+            self._ordinary -= 1
+
+
+async def _handle(handler: Handler, req: Envelope) -> bytes:
+    try:
+        return await handler(req.sender, req.body)
+    except Exception:
+        _log.exception("handler of %s failed", req.kind)
+        return encode_reply(
+            problem(Code.ANSWER_LOST, f"handler of {req.kind} failed")
+        )
+
+
+async def _send_reply(ctx: pynng.Context, reply: bytes) -> None:
+    try:
+        await ctx.asend(reply)
+    except pynng.Closed:
+        raise
+    except pynng.NNGException as exc:
+        # The asker's connection is gone; it asks again.
+        _log.debug("reply not sent: %s", exc)
--- a/libs/cluster/dragonflybank/cluster/tests/fakes.py
+++ b/libs/cluster/dragonflybank/cluster/tests/fakes.py
@@ -28,8 +28,8 @@
 SETTLE_TURNS = 100
 
 
-def row(name="w1", region="north", **kwargs):
-    return VmInfo(name, "127.0.0.1", 1, region, size=SIZE, **kwargs)
+def row(name="w1", region="north", address="127.0.0.1", **kwargs):
+    return VmInfo(name, address, 1, region, size=SIZE, **kwargs)
 
 
 class FakeClock(Clock):
--- a/libs/cluster/dragonflybank/cluster/tests/test_links.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_links.py
@@ -1,18 +1,19 @@
 """Tests of the connections between hosts, over loopback."""
 
 import asyncio
+import contextlib
 
 import testtools
 from returns.result import Success
-from testtools.matchers import Equals, HasLength
+from testtools.matchers import Equals
 
 from dragonflybank.cluster.links import PeerLink, PeerServer, ask, typed
 from dragonflybank.cluster.messages import (
+    MESSAGES,
     ConfigValue,
     FetchConfig,
     Handover,
     HandoverReply,
-    Kind,
     ListWork,
     WorkRows,
 )
@@ -52,36 +53,81 @@
     return Success(ConfigValue(request.generation, sender.encode()))
 
 
+async def _agree(sender, request):
+    return Success(HandoverReply(request.workers))
+
+
+async def _broken(sender, request):
+    raise ZeroDivisionError
+
+
+class _Slow:
+    """A handler that answers once it is released."""
+
+    def __init__(self):
+        self.entered = asyncio.Semaphore(0)
+        self.release = asyncio.Event()
+
+    async def __call__(self, sender, request):
+        self.entered.release()
+        await self.release.wait()
+        return Success(WorkRows((), ()))
+
+
+@contextlib.asynccontextmanager
+async def _pair(contexts=32, **answers):
+    """A server with handlers by message class name, and a link to it."""
+    classes = {c.__name__: (c, kind) for c, (kind, _) in MESSAGES.items()}
+    server = PeerServer(LOCAL, 0, contexts=contexts)
+    server.serve(
+        {
+            classes[name][1]: typed(classes[name][0], answer)
+            for name, answer in answers.items()
+        }
+    )
+    link = PeerLink("a", f"{LOCAL}:{server.port}")
+    yield server, link
+    await link.close()
+    await server.close()
+
+
+def _list(link, *, timeout_s=PATIENT_S):
+    return asyncio.create_task(
+        ask(link, ListWork("hosts"), timeout_s=timeout_s)
+    )
+
+
+async def _until(link, condition):
+    """Calls until a condition holds; returns the codes of the failures."""
+    codes = set()
+    while not condition():
+        reply = await ask(link, FetchConfig(1), timeout_s=SHORT_S)
+        codes.add(reply.failure().code)
+    return codes
+
+
 class TestLinks(testtools.TestCase):
     """Guards against lost, mixed up and silent calls."""
 
     def test_many_calls_at_once_get_their_own_answers(self):
         async def check():
-            server = PeerServer(LOCAL, 0, contexts=24)
-            server.serve({Kind.FETCH_CONFIG: typed(FetchConfig, _echo)})
-            link = PeerLink("a", f"{LOCAL}:{server.port}")
-            replies = await asyncio.gather(
-                *(
-                    ask(link, FetchConfig(i), timeout_s=PATIENT_S)
-                    for i in range(300)
+            async with _pair(24, FetchConfig=_echo) as (_, link):
+                return await asyncio.gather(
+                    *(
+                        ask(link, FetchConfig(i), timeout_s=PATIENT_S)
+                        for i in range(300)
+                    )
                 )
-            )
-            await link.close()
-            await server.close()
-            return replies
 
         expected = [Success(ConfigValue(i, b"a")) for i in range(300)]
         self.assertThat(asyncio.run(check()), Equals(expected))
 
     def test_a_peer_that_is_not_there_proves_that_nothing_was_sent(self):
         async def check():
-            server = PeerServer(LOCAL, 0, contexts=1)
-            server.serve({})
-            await server.close()
-            link = PeerLink("a", f"{LOCAL}:{server.port}")
-            reply = await ask(link, FetchConfig(1), timeout_s=SHORT_S)
-            await link.close()
-            return reply.failure().code
+            async with _pair() as (server, link):
+                await server.close()
+                reply = await ask(link, FetchConfig(1), timeout_s=SHORT_S)
+                return reply.failure().code
 
         self.assertThat(asyncio.run(check()), Equals(Code.UNREACHABLE))
 
@@ -101,72 +147,55 @@
         codes = asyncio.run(check())
         self.assertThat(codes - {Code.UNREACHABLE}, Equals({Code.TIMED_OUT}))
 
-    def test_slow_requests_leave_contexts_for_control(self):
+    def test_a_slow_call_survives_the_redial_that_others_cause(self):
         async def check():
-            release = asyncio.Event()
-            entered = asyncio.Semaphore(0)
-
-            async def slow(sender, request):
-                entered.release()
-                await release.wait()
-                return Success(WorkRows((), ()))
-
-            server = PeerServer(LOCAL, 0, contexts=18)
-            server.serve(
-                {
-                    Kind.LIST_WORK: typed(ListWork, slow),
-                    Kind.HANDOVER: typed(Handover, _agree),
-                }
-            )
-            link = PeerLink("a", f"{LOCAL}:{server.port}")
-            calls = [
-                asyncio.create_task(
-                    ask(link, ListWork("hosts"), timeout_s=PATIENT_S)
-                )
-                for _ in range(2)
-            ]
-            for _ in calls:
-                await entered.acquire()
-            over = await ask(link, ListWork("hosts"), timeout_s=PATIENT_S)
-            control = await ask(link, Handover(("w",)), timeout_s=PATIENT_S)
-            release.set()
-            done = await asyncio.gather(*calls)
-            await link.close()
-            await server.close()
-            return over.failure().code, control, done
+            slow = _Slow()
+            async with _pair(ListWork=slow) as (_, link):
+                long = _list(link)
+                while not link.redials:
+                    await _list(link, timeout_s=SHORT_S)
+                slow.release.set()
+                return await long
 
-        over, control, done = asyncio.run(check())
-        self.assertThat(over, Equals(Code.FULL))
-        self.assertThat(control, Equals(Success(HandoverReply(("w",)))))
-        self.assertThat([d for d in done if d == done[0]], HasLength(2))
+        self.assertThat(asyncio.run(check()), Equals(Success(WorkRows((), ()))))
 
-    def test_a_failing_handler_leaves_the_outcome_open(self):
-        async def broken(sender, request):
-            raise ZeroDivisionError
+    def test_draining_answers_what_was_received(self):
+        async def check():
+            slow = _Slow()
+            async with _pair(ListWork=slow) as (server, link):
+                call = _list(link)
+                await slow.entered.acquire()
+                drained = asyncio.create_task(server.drain())
+                slow.release.set()
+                await drained
+                await server.close()
+                return await call
+
+        self.assertThat(asyncio.run(check()), Equals(Success(WorkRows((), ()))))
 
+    def test_slow_requests_leave_contexts_for_control(self):
         async def check():
-            server = PeerServer(LOCAL, 0, contexts=2)
-            server.serve({Kind.FETCH_CONFIG: typed(FetchConfig, broken)})
-            link = PeerLink("a", f"{LOCAL}:{server.port}")
-            reply = await ask(link, FetchConfig(1), timeout_s=PATIENT_S)
-            unknown = await ask(link, ListWork("x"), timeout_s=PATIENT_S)
-            await link.close()
-            await server.close()
-            return reply.failure().code, unknown.failure().code
+            slow = _Slow()
+            async with _pair(18, ListWork=slow, Handover=_agree) as (_, link):
+                calls = [_list(link) for _ in range(2)]
+                for _ in calls:
+                    await slow.entered.acquire()
+                over = (await _list(link)).failure().code
+                control = await ask(link, Handover(("w",)), timeout_s=PATIENT_S)
+                slow.release.set()
+                await asyncio.gather(*calls)
+                return over, control
+
+        expected = (Code.FULL, Success(HandoverReply(("w",))))
+        self.assertThat(asyncio.run(check()), Equals(expected))
+
+    def test_a_failing_handler_leaves_the_outcome_open(self):
+        async def check():
+            async with _pair(FetchConfig=_broken) as (_, link):
+                reply = await ask(link, FetchConfig(1), timeout_s=PATIENT_S)
+                unknown = await _list(link)
+                return reply.failure().code, unknown.failure().code
 
         self.assertThat(
             asyncio.run(check()), Equals((Code.ANSWER_LOST, Code.BAD_REQUEST))
         )
-
-
-async def _agree(sender, request):
-    return Success(HandoverReply(request.workers))
-
-
-async def _until(link, condition):
-    """Calls until a condition holds; returns the codes of the failures."""
-    codes = set()
-    while not condition():
-        reply = await ask(link, FetchConfig(1), timeout_s=SHORT_S)
-        codes.add(reply.failure().code)
-    return codes
--- a/libs/cluster/dragonflybank/cluster/tests/test_ownership.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_ownership.py
@@ -207,7 +207,7 @@
             return c.workers["w1"].epoch
 
         # Without back-off each would claim once a step, 600 times.
-        self.assertThat(_run(body), LessThan(45))
+        self.assertThat(_run(body), LessThan(30))
 
     def test_a_draining_host_hands_over_after_its_lookup(self):
         async def body(c):
@@ -371,6 +371,47 @@
         self.assertThat(_run(body), Equals((5, 2)))
 
 
+class TestRoster(testtools.TestCase):
+    """Guards against workers that are forgotten or held for ever."""
+
+    def test_a_vm_at_a_new_address_loses_the_old_ones_tasks(self):
+        async def body(c):
+            await _owned(c)
+            host = c.hosts[c.owners()[0]]
+            await _start_task(c, "t1")
+            c.workers["w1"].replace()
+            host.update_workers([row(address="127.0.0.2")], c.clock.at)
+            await c.clock.until(lambda: c.ended)
+            return c.ended[0][1:]
+
+        self.assertThat(_run(body), Equals(("t1", TaskState.LAPSED)))
+
+    def test_a_worker_that_is_gone_is_given_up(self):
+        async def body(c):
+            await _owned(c)
+            host = c.hosts[c.owners()[0]]
+            await _start_task(c, "t1")
+            c.workers["w1"].faults["all"] = "drop"
+            host.update_workers([], c.clock.at)
+            await c.clock.until(lambda: c.ended)
+            await c.clock.advance(60.0)
+            host.update_workers([], c.clock.at)
+            owners = c.owners()
+            await c.clock.advance(1.0)
+            host.update_workers([], c.clock.at + 3600.0)
+            return owners, list(host.sessions)
+
+        self.assertThat(_run(body), Equals(([], [])))
+
+    def test_a_changed_lookup_reserve_holds_at_once(self):
+        async def body(c):
+            await _owned(c)
+            c.hosts[c.owners()[0]].set_lookup_reserve(5)
+            return c.session().free.slots
+
+        self.assertThat(_run(body), Equals(3))
+
+
 class TestUnreachableWorkers(testtools.TestCase):
     """Guards against a new owner that decides too early."""
 
--- a/libs/cluster/dragonflybank/cluster/tests/test_sessions.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_sessions.py
@@ -347,6 +347,21 @@
             _kind(self.run_async(check)), Equals(ResolutionKind.UNDECIDED)
         )
 
+    def test_a_task_taken_for_lapsed_that_runs_after_all_is_stopped(self):
+        async def check(worker):
+            session = await _owned(worker)
+            await _start(session, _record(session), 1000.0)
+            worker.faults["all"] = "drop"
+            for now in (1003.0, 1030.0):
+                _mark(session, now)
+                await renew(session, now)
+            worker.faults.clear()
+            _mark(session, 1031.0)
+            await renew(session, 1031.0)
+            return worker.tasks, worker.ends["t1"].state
+
+        self.assertThat(self.run_async(check), Equals(({}, TaskState.STOPPED)))
+
     def test_one_lost_answer_does_not_stop_placement(self):
         async def check(worker):
             session = await _owned(worker)
