--- a/libs/jobs/dragonflybank/jobs/tests/test_faults.py
+++ b/libs/jobs/dragonflybank/jobs/tests/test_faults.py
@@ -159,6 +159,34 @@
         self.assertThat(ran, Equals(["courts/k/2/0"]))
         self.assertThat(record.state, Equals(JobState.DONE))
 
+    def test_start_in_flight_is_not_looked_up(self):
+        async def run():
+            home, runner, _ = await opened()
+
+            async def look_up(start):
+                await home.resolve(3.0)
+
+            runner.before_start = look_up
+            await home.accept(spec_of("k"), 1.0)
+            await home.schedule(2.0)
+            return runner.resolves, runner.ran
+
+        self.assertThat(asyncio.run(run()), Equals(([], ["courts/k/1/0"])))
+
+    def test_partly_started_billed_gang_fails_and_is_not_repeated(self):
+        async def run():
+            home, runner, _ = await opened()
+            runner.faults.append("lost")
+            await home.accept(spec_of("k", "billed_ring", tasks=2), 1.0)
+            await home.schedule(2.0)
+            await drive(home, runner)
+            return home.record("courts", "k"), runner.ran
+
+        record, ran = asyncio.run(run())
+        self.assertThat(record.state, Equals(JobState.FAILED))
+        self.assertThat(record.problem.code, Equals(Code.TASK_FAILED))
+        self.assertThat(ran, Equals(["courts/k/1/1"]))
+
     def lost_worker(self, work_class):
         def lose_all(runner):
             async def lose(start):
@@ -305,9 +333,11 @@
             await home.schedule(9.0)
             event = runner.end("courts/running/1/0")
             kept = await home.finished(event, 9.5)
-            cancelled = await home.cancel("courts", "running", 9.6)
+            cancelled, again = await asyncio.gather(
+                home.cancel("courts", "running", 9.6),
+                home.accept(spec_of("running"), 9.6),
+            )
             ran = list(runner.ran)
-            again = await home.accept(spec_of("running"), 9.7)
             store.mode = "ok"
             await drive(home, runner)
             states = {r.spec.key: r.state for r in home.records()}
