--- a/libs/cli/dragonflybank/cli/commands.py
+++ b/libs/cli/dragonflybank/cli/commands.py
@@ -5,6 +5,7 @@
     "Check",
     "Codes",
     "Dragonflybank",
+    "Init",
     "Lookup",
     "Query",
     "Status",
@@ -138,6 +139,16 @@
     ]
 
 
+@attrs.frozen
+class Init:
+    """Checks an operator configuration and writes it as the first one."""
+
+    path: Annotated[str, cappa.Arg(help="JSON file.")]
+    store: Annotated[
+        str, cappa.Arg(long=True, help="URL of the configuration store.")
+    ]
+
+
 @attrs.frozen
 class Codes:
     """Prints the numbered result codes."""
@@ -165,6 +176,7 @@
         | Status
         | Query
         | Check
+        | Init
         | Codes
         | Version
     ]
--- a/libs/cli/dragonflybank/cli/main.py
+++ b/libs/cli/dragonflybank/cli/main.py
@@ -13,17 +13,20 @@
 
 import attrs
 import cappa
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from dragonflybank.cli import commands
 from dragonflybank.cli.answers import answer_as_text, exit_status
 from dragonflybank.cli.checks import check_file
 from dragonflybank.cli.client import Call, HostClient
+from dragonflybank.config.editor import ConfigEditor
+from dragonflybank.config.operator import OperatorConfig, decode_operator
 from dragonflybank.config.rules import HTTP_URL
-from dragonflybank.model.codes import Code, Problem
+from dragonflybank.model.codes import Code, Problem, problem
 from dragonflybank.model.resources import Resources
 from dragonflybank.model.work import Answer, Outcome, answer_for
 from dragonflybank.operators.render import Report, as_text
+from dragonflybank.platform.store import HttpConfigStore
 
 # A host answers a waiting call within this time, so that a silent connection
 # is noticed.
@@ -79,6 +82,8 @@
             return await _query(command, used, args.json, write)
         case commands.Check() as command:
             return _check(command, args.json, write)
+        case commands.Init() as command:
+            return _finish(await _init(command), args.json, write)
         case commands.Codes():
             return _print_codes(args.json, write)
         case commands.Version():
@@ -95,6 +100,40 @@
     return exit_status(answer)
 
 
+async def _init(command: commands.Init) -> Answer:
+    if not HTTP_URL.holds(command.store):
+        return answer_for(
+            Problem(
+                Code.BAD_REQUEST,
+                f"found {command.store!r}",
+                "store",
+                HTTP_URL.text,
+            )
+        )
+    decoded = _operator_file(command.path)
+    if isinstance(decoded, Failure):
+        return answer_for(decoded.failure())
+    store = HttpConfigStore(command.store)
+    written = await ConfigEditor(store).create(decoded.unwrap())
+    await store.close()
+    if isinstance(written, Failure):
+        return answer_for(written.failure())
+    return Answer.done(f"generation {written.unwrap().generation} is in force")
+
+
+def _operator_file(path: str) -> Result[OperatorConfig, Problem]:
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        return problem(
+            Code.BAD_CONFIGURATION,
+            str(exc),
+            field="path",
+            accepted="a JSON file",
+        )
+    return decode_operator(text)
+
+
 async def _answer(command, client: HostClient) -> Answer:
     match command:
         case commands.Lookup():
--- a/libs/host/dragonflybank/host/http.py
+++ b/libs/host/dragonflybank/host/http.py
@@ -17,7 +17,13 @@
 from dragonflybank.host.lookups import LookupRequest
 from dragonflybank.model.codes import Code, Problem, problem
 from dragonflybank.model.resources import Resources
-from dragonflybank.model.work import Answer, JobSpec, Outcome, answer_for
+from dragonflybank.model.work import (
+    Answer,
+    JobSpec,
+    Outcome,
+    WorkKind,
+    answer_for,
+)
 
 MAX_BODY_BYTES = 900_000
 # A caller may wait for a job this long in one request, in seconds.
@@ -207,6 +213,13 @@
             field="tasks",
             accepted="1 to 1000",
         )
+    if body.get("gang") and wc.kind is not WorkKind.GANG:
+        return problem(
+            Code.BAD_REQUEST,
+            f"{wc.name} is of kind {wc.kind.value}",
+            field="gang",
+            accepted="a class of kind gang",
+        )
     if not isinstance(body.get("payload", ""), str):
         return problem(Code.BAD_REQUEST, field="payload", accepted="text")
     size = _size(body.get("resources"), wc.size)
--- a/libs/host/dragonflybank/host/lookups.py
+++ b/libs/host/dragonflybank/host/lookups.py
@@ -74,11 +74,13 @@
         tried: Workers and hosts that were tried.
         may_have_run: Whether some attempt may have run without an answer.
         failures: Number of attempts that ran and failed.
+        own_exhausted: Whether no worker of this host is left to try.
     """
 
     tried: set[str] = attrs.field(factory=set)
     may_have_run: bool = False
     failures: int = 0
+    own_exhausted: bool = False
 
 
 class LookupRouter:
@@ -150,7 +152,7 @@
             if isinstance(reply, Success):
                 return reply
             last = reply
-            if not self._may_try_again(reply.failure(), wc, done):
+            if not self._may_try_again(reply.failure(), req, wc, done):
                 break
         if done.may_have_run and proves_not_run(last.failure().code):
             return problem(
@@ -181,29 +183,33 @@
             ),
             avoid=done.tried,
         )
-        if route.kind is RouteKind.WAIT and req.hops == 0:
-            route = self._without_own_workers(route, done, now)
+        if req.hops == 0 and self._is_vain_here(route, done, now):
+            route = self._to_any_peer(route, done, now)
         if route.host and wc.repeatable:
             self._log("forward", req, route.host, route.reason, route=route)
             return await self._forward(req, route, wc, done, left_s)
         return await self._run_here(req, wc, done, deadline)
 
-    def _without_own_workers(
-        self, route: Route, done: _Attempts, now: float
-    ) -> Route:
-        """Returns a route to any peer if this host has no worker at all.
+    def _is_vain_here(self, route: Route, done: _Attempts, now: float) -> bool:
+        """Returns whether this host cannot serve the lookup, even later."""
+        if done.own_exhausted:
+            return not route.host
+        if route.kind is not RouteKind.WAIT:
+            return False
+        return self._host.draining or not self._host.owner.ready_sessions(now)
 
-        Waiting here would be in vain, and a peer's summary may be late.
-        """
-        if self._host.owner.ready_sessions(now):
+    def _to_any_peer(self, route: Route, done: _Attempts, now: float) -> Route:
+        """Returns a route to any live peer, whose summary may be late."""
+        peers = self._untried_peers(done, now)
+        if not peers:
             return route
+        chosen = self._rng.choice(peers)
+        return Route(RouteKind.PEER, chosen, "no worker here can take it")
+
+    def _untried_peers(self, done: _Attempts, now: float) -> list[str]:
         region = self._host.settings.region
         peers = set(self._host.membership.live(region, now))
-        peers -= {self._host.name} | done.tried
-        if not peers:
-            return route
-        chosen = self._rng.choice(sorted(peers))
-        return Route(RouteKind.PEER, chosen, "no worker is owned here")
+        return sorted(peers - {self._host.name} - done.tried)
 
     async def _forward(
         self, req, route, wc, done, left_s
@@ -344,13 +350,17 @@
         first_s = left_s * FIRST_ATTEMPT_PART
         return first_s if first_s >= SLOW_FACTOR * planned_s else left_s
 
-    def _may_try_again(self, failed, wc, done) -> bool:
+    def _may_try_again(self, failed, req, wc, done) -> bool:
         """Returns whether another attempt is allowed after a failure."""
         match failed.code:
             case Code.FULL | Code.STALE_EPOCH | Code.NOT_OWNER | Code.DRAINING:
                 return True
             case Code.UNREACHABLE:
                 pass
+            case Code.NO_WORKER if not done.own_exhausted and req.hops == 0:
+                done.own_exhausted = True
+                now = self._host.clock()
+                return wc.repeatable and bool(self._untried_peers(done, now))
             case Code.TASK_FAILED:
                 done.failures += 1
                 if not wc.repeatable or done.failures >= ATTEMPTS_THAT_FAIL:
