--- a/libs/host/dragonflybank/host/lookups.py
+++ b/libs/host/dragonflybank/host/lookups.py
@@ -27,6 +27,7 @@
 from dragonflybank.policy.spill import (
     LinkPrice,
     Request,
+    Route,
     RouteKind,
     route_lookup,
 )
@@ -35,6 +36,8 @@
 # A first attempt may use this part of the time left, so that a silent
 # executor leaves time for another one.
 FIRST_ATTEMPT_PART = 0.5
+# An executor that takes this many times its planned time counts as silent.
+SLOW_FACTOR = 4.0
 # A shorter rest of the time-out is not worth an attempt.
 MIN_ATTEMPT_S = 0.01
 # A lookup that fails on two executors is at fault itself.
@@ -71,11 +74,13 @@
         tried: Workers and hosts that were tried.
         may_have_run: Whether some attempt may have run without an answer.
         failures: Number of attempts that ran and failed.
+        own_exhausted: Whether no worker of this host is left to try.
     """
 
     tried: set[str] = attrs.field(factory=set)
     may_have_run: bool = False
     failures: int = 0
+    own_exhausted: bool = False
 
 
 class LookupRouter:
@@ -147,7 +152,7 @@
             if isinstance(reply, Success):
                 return reply
             last = reply
-            if not self._may_try_again(reply.failure(), wc, done):
+            if not self._may_try_again(reply.failure(), req, wc, done):
                 break
         if done.may_have_run and proves_not_run(last.failure().code):
             return problem(
@@ -178,16 +183,40 @@
             ),
             avoid=done.tried,
         )
-        can_forward = wc.repeatable and route.host
-        if route.kind in (RouteKind.PEER, RouteKind.REGION) and can_forward:
+        if req.hops == 0 and self._is_vain_here(route, done, now):
+            route = self._to_any_peer(route, done, now)
+        if route.host and wc.repeatable:
             self._log("forward", req, route.host, route.reason, route=route)
-            return await self._forward(req, route, done, left_s)
+            return await self._forward(req, route, wc, done, left_s)
         return await self._run_here(req, wc, done, deadline)
 
-    async def _forward(self, req, route, done, left_s) -> Result[str, Problem]:
+    def _is_vain_here(self, route: Route, done: _Attempts, now: float) -> bool:
+        """Returns whether this host cannot serve the lookup, even later."""
+        if done.own_exhausted:
+            return not route.host
+        if route.kind is not RouteKind.WAIT:
+            return False
+        return self._host.draining or not self._host.owner.ready_sessions(now)
+
+    def _to_any_peer(self, route: Route, done: _Attempts, now: float) -> Route:
+        """Returns a route to any live peer, whose summary may be late."""
+        peers = self._untried_peers(done, now)
+        if not peers:
+            return route
+        chosen = self._rng.choice(peers)
+        return Route(RouteKind.PEER, chosen, "no worker here can take it")
+
+    def _untried_peers(self, done: _Attempts, now: float) -> list[str]:
+        region = self._host.settings.region
+        peers = set(self._host.membership.live(region, now))
+        return sorted(peers - {self._host.name} - done.tried)
+
+    async def _forward(
+        self, req, route, wc, done, left_s
+    ) -> Result[str, Problem]:
         done.tried.add(route.host)
         self._host.metrics.forwards.labels(route.kind.value).inc()
-        timeout_s = left_s * FIRST_ATTEMPT_PART
+        timeout_s = self._attempt_s(req, wc, done, left_s)
         reply = await self._host.links.ask(
             route.host,
             messages.LookupRequest(
@@ -291,9 +320,7 @@
         choice = chosen.unwrap()
         self._log("place", req, choice.name, choice.reason, route=choice)
         done.tried.add(choice.name)
-        left_s = deadline - now
-        first = wc.repeatable and not done.may_have_run
-        timeout_s = left_s * FIRST_ATTEMPT_PART if first else left_s
+        timeout_s = self._attempt_s(req, wc, done, deadline - now)
         session = self._host.owner.session(choice.name)
         self._host.lookups_running += 1
         try:
@@ -309,13 +336,31 @@
         self._host.health.note_lookup(choice.name, req, reply)
         return reply
 
-    def _may_try_again(self, failed, wc, done) -> bool:
+    def _attempt_s(self, req, wc, done, left_s: float) -> float:
+        """Returns the time for the next attempt in seconds.
+
+        A first attempt leaves time for a second one, unless that would cut
+        off executors that are merely slow.
+        """
+        if not wc.repeatable or done.may_have_run:
+            return left_s
+        planned_s = self._times.planned(
+            Waiting(req.request_id, wc.name, 0.0, wc.expected_s)
+        )
+        first_s = left_s * FIRST_ATTEMPT_PART
+        return first_s if first_s >= SLOW_FACTOR * planned_s else left_s
+
+    def _may_try_again(self, failed, req, wc, done) -> bool:
         """Returns whether another attempt is allowed after a failure."""
         match failed.code:
             case Code.FULL | Code.STALE_EPOCH | Code.NOT_OWNER | Code.DRAINING:
                 return True
             case Code.UNREACHABLE:
                 pass
+            case Code.NO_WORKER if not done.own_exhausted and req.hops == 0:
+                done.own_exhausted = True
+                now = self._host.clock()
+                return wc.repeatable and bool(self._untried_peers(done, now))
             case Code.TASK_FAILED:
                 done.failures += 1
                 if not wc.repeatable or done.failures >= ATTEMPTS_THAT_FAIL:
