Move the slots of lookups into a module of their own

Change: LookupSlots owns the queue; a wait that ends as its slot is granted gives it back. No other behaviour changes.

--- a/libs/host/dragonflybank/host/crest.py
+++ b/libs/host/dragonflybank/host/crest.py
@@ -53,11 +53,11 @@
         lookups = [
             wc for wc in self._host.active.classes if wc.kind is WorkKind.LOOKUP
         ]
-        waiting = self._host.lookups.waiting
+        waiting = self._host.lookups.slots.waiting
         if not lookups or not waiting:
             return
         timeout_s = min(wc.timeout_s for wc in lookups)
-        if not is_needed(self._host.lookups.wait_s(), timeout_s):
+        if not is_needed(self._host.lookups.slots.wait_s(), timeout_s):
             return
         self.until = now + CREST_S
         slots = min(waiting, SLOTS_AT_ONCE)
--- a/libs/host/dragonflybank/host/daemon.py
+++ b/libs/host/dragonflybank/host/daemon.py
@@ -65,7 +65,6 @@
     Attributes:
         settings: Its settings.
         draining: Whether it is leaving.
-        lookups_running: Number of lookups that run at its workers.
 
     Args:
         settings: Settings of the process.
@@ -88,7 +87,6 @@
         self._on_ports = on_ports
         self.name = settings.name
         self.draining = False
-        self.lookups_running = 0
         self.loop_clock = clock or SystemClock()
         self.clock = self.loop_clock.now
         self.decisions = DecisionLog()
@@ -181,11 +179,11 @@
         """Drains: hands over workers and shards, finishes requests."""
         self.draining = True
         await self.gossiper.announce_leaving(self.loop_clock)
-        self.lookups.drain()
+        self.lookups.slots.drain()
         await self.shards.close()
         try:
             async with asyncio.timeout(self.settings.intervals.drain_s):
-                while self.http.in_progress or self.lookups_running:
+                while self.http.in_progress or self.lookups.slots.executing:
                     await self.loop_clock.sleep(DRAIN_POLL_S)
         except TimeoutError:
             _log.error("%d requests are cut off", self.http.in_progress)
@@ -205,7 +203,7 @@
 
     def capacity(self, now: float) -> CapacitySummary:
         """Returns the free capacity of the owned workers."""
-        return self.ownership.summary(now, self.lookups.wait_s())
+        return self.ownership.summary(now, self.lookups.slots.wait_s())
 
     def not_ready(self) -> str:
         """Returns why the balancer should not send requests here."""
--- a/libs/host/dragonflybank/host/lookups.py
+++ b/libs/host/dragonflybank/host/lookups.py
@@ -2,7 +2,6 @@
 
 __all__ = ["LookupRequest", "LookupRouter"]
 
-import asyncio
 import itertools
 import random
 import secrets
@@ -11,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from dragonflybank.cluster import messages
+from dragonflybank.host.slots import LookupSlots
 from dragonflybank.model.codes import Code, Problem, problem, proves_not_run
 from dragonflybank.model.decisions import Decision
 from dragonflybank.model.resources import Resources
@@ -20,7 +20,6 @@
     WorkKind,
     answer_for,
 )
-from dragonflybank.policy.admission import EdfQueue, ServiceTimes, Waiting
 from dragonflybank.policy.placement import LookupPolicy
 from dragonflybank.policy.quotas import LookupQuota
 from dragonflybank.policy.retries import RetryBudget
@@ -84,29 +83,21 @@
 
 
 class LookupRouter:
-    """Serves lookups at the own workers and forwards what they cannot take."""
+    """Serves lookups at the own workers and forwards what they cannot take.
+
+    Attributes:
+        slots: Slots of the own executors.
+    """
 
     def __init__(self, host):
         self._host = host
         self._rng = random.Random(host.name)
         self._policy = LookupPolicy(seed=self._rng.randrange(1 << 30))
-        self._times = ServiceTimes()
-        self._queue = EdfQueue(0, self._times)
-        self._granted: dict[str, asyncio.Future] = {}
+        self.slots = LookupSlots(host)
         self._quotas: dict[str, LookupQuota] = {}
         self._budget = RetryBudget()
         self._numbers = itertools.count()
 
-    @property
-    def waiting(self) -> int:
-        """Number of lookups that wait for a slot."""
-        return len(self._queue)
-
-    def wait_s(self) -> float:
-        """Returns the expected wait of a new lookup in seconds."""
-        self._count_slots()
-        return min(self._queue.wait_s(), 60.0)
-
     async def answer(self, req: LookupRequest, *, now: float) -> Answer:
         """Serves a caller's lookup and returns the answer."""
         found = self._host.active.work_class(req.work_class).bind(_only_lookup)
@@ -234,78 +225,14 @@
         )
 
     async def _run_here(self, req, wc, done, deadline) -> Result[str, Problem]:
-        granted = await self._wait_for_slot(req, wc, deadline)
+        granted = await self.slots.acquire(req.request_id, wc, deadline)
         if isinstance(granted, Failure):
             return granted
         started = self._host.clock()
         try:
             return await self._execute(req, wc, done, deadline)
         finally:
-            self._queue.finished(wc.name, self._host.clock() - started)
-            self.pump()
-
-    async def _wait_for_slot(self, req, wc, deadline) -> Result[None, Problem]:
-        self._count_slots()
-        key = f"{req.request_id}/{next(self._numbers)}"
-        now = self._host.clock()
-        offered = self._queue.offer(
-            Waiting(key, wc.name, deadline, wc.expected_s), now
-        )
-        if isinstance(offered, Failure):
-            return offered
-        fut = asyncio.get_running_loop().create_future()
-        self._granted[key] = fut
-        self.pump()
-        try:
-            async with asyncio.timeout(max(0.0, deadline - now)):
-                return await fut
-        except TimeoutError:
-            self._queue.remove(key)
-            return problem(
-                Code.OVERLOADED, "no slot in time", retry_after_s=1.0
-            )
-        finally:
-            self._granted.pop(key, None)
-
-    def pump(self) -> None:
-        """Gives free slots to waiting lookups, earliest deadline first."""
-        self._count_slots()
-        while len(self._queue) and self._queue.running < self._queue.slots:
-            taken = self._queue.take(self._host.clock())
-            for late in taken.late:
-                self._settle(
-                    late.id,
-                    problem(
-                        Code.OVERLOADED, "would be late", retry_after_s=0.5
-                    ),
-                )
-            if taken.request is None:
-                return
-            if not self._settle(taken.request.id, Success(None)):
-                self._queue.running -= 1
-
-    def drain(self) -> None:
-        """Lets waiting lookups look for room at other hosts."""
-        for key in list(self._granted):
-            self._queue.remove(key)
-            self._settle(key, problem(Code.FULL, "the host is leaving"))
-
-    def _settle(self, key: str, outcome: Result) -> bool:
-        fut = self._granted.get(key)
-        if fut is None or fut.done():
-            return False
-        fut.set_result(outcome)
-        return True
-
-    def _count_slots(self) -> None:
-        now = self._host.clock()
-        self._queue.slots = (
-            sum(
-                session.free_for_lookups.slots
-                for session in self._host.owner.ready_sessions(now)
-            )
-            + self._host.lookups_running
-        )
+            self.slots.release(wc, self._host.clock() - started)
 
     async def _execute(self, req, wc, done, deadline) -> Result[str, Problem]:
         now = self._host.clock()
@@ -322,7 +249,7 @@
         done.tried.add(choice.name)
         timeout_s = self._attempt_s(req, wc, done, deadline - now)
         session = self._host.owner.session(choice.name)
-        self._host.lookups_running += 1
+        self.slots.executing += 1
         try:
             reply = await session.execute(
                 req.request_id,
@@ -332,7 +259,7 @@
                 now=now,
             )
         finally:
-            self._host.lookups_running -= 1
+            self.slots.executing -= 1
         self._host.health.note_lookup(choice.name, req, reply)
         return reply
 
@@ -344,9 +271,7 @@
         """
         if not wc.repeatable or done.may_have_run:
             return left_s
-        planned_s = self._times.planned(
-            Waiting(req.request_id, wc.name, 0.0, wc.expected_s)
-        )
+        planned_s = self.slots.planned_s(wc)
         first_s = left_s * FIRST_ATTEMPT_PART
         return first_s if first_s >= SLOW_FACTOR * planned_s else left_s
 
