--- a/libs/jobs/dragonflybank/jobs/tests/fakes.py
+++ b/libs/jobs/dragonflybank/jobs/tests/fakes.py
@@ -4,16 +4,21 @@
     "FakeRunner",
     "FakeStore",
     "Rules",
+    "code_of",
     "drive",
+    "in_loop",
     "kill_others",
     "new_home",
     "no_sleep",
+    "opened",
     "spec_of",
+    "take_over",
     "until",
 ]
 
 import asyncio
 import collections
+import functools
 
 import attrs
 from returns.result import Success
@@ -72,6 +77,8 @@
         self.faults = collections.deque()
         self.gate = asyncio.Event()
         self.writes = []
+        self.largest_bytes = 0
+        self.deletes_fail = False
         self.steps = Steps()
         self._values = {}
         self._late = []
@@ -92,6 +99,7 @@
     async def _faulty_put(self, key, value, version):
         fault = self.faults.popleft() if self.faults else self.mode
         self.writes.append(key)
+        self.largest_bytes = max(self.largest_bytes, len(value))
         if fault == "down":
             return problem(Code.STORE_UNAVAILABLE, "down", retry_after_s=1.0)
         if fault == "slow":
@@ -106,7 +114,7 @@
 
     async def delete(self, key, *, version):
         await asyncio.sleep(0)
-        if self.mode == "down":
+        if self.mode == "down" or self.deletes_fail:
             return problem(Code.STORE_UNAVAILABLE, "down")
         return self._put(key, None, version)
 
@@ -353,7 +361,17 @@
     await asyncio.sleep(0)
 
 
-def new_home(store, runner, *, host="h1", rules=None, seed=0):
+def in_loop(test):
+    """Runs an async test method in an event loop of its own."""
+
+    @functools.wraps(test)
+    def run(self):
+        asyncio.run(test(self))
+
+    return run
+
+
+def new_home(store, runner, *, host="h1", rules=None):
     """Returns a shard home that never waits for real time."""
     return ShardHome(
         "oulu/0",
@@ -361,13 +379,34 @@
         store=store,
         runner=runner,
         rules=rules or Rules(),
-        seed=seed,
         clock=lambda: 0.0,
         sleep=no_sleep,
         log=lambda decision: None,
     )
 
 
+async def opened(*specs, runner=None, rules=None):
+    """Returns an open home that accepted jobs, its runner and its store."""
+    runner, store = runner or FakeRunner(), FakeStore()
+    home = new_home(store, runner, rules=rules)
+    (await home.open(0.0)).unwrap()
+    for spec in specs:
+        (await home.accept(spec, 1.0)).unwrap()
+    return home, runner, store
+
+
+async def take_over(store, runner, now=100.0):
+    """Returns another home that took the shard over."""
+    home = new_home(store, runner, host="h2")
+    (await home.open(now)).unwrap()
+    return home
+
+
+def code_of(outcome):
+    """Returns the code of a failure."""
+    return outcome.failure().code
+
+
 def spec_of(key, work_class="sweep", **fields):
     """Returns a job of the team ``courts``."""
     return JobSpec("courts", key, work_class, **fields)
