Add the fault matrix with its runner, relays and wrong schedulers

Cause: no test made each fault happen at each step of the running system. Change: a table of faults and steps, a small deployment with stand-ins in the process and three host processes, relays between peer sockets, callers that check accepted work, and tests in which a wrong scheduler is reported by each check. Ruled out: one VM list and relay for each pair of hosts; hosts tell each other their own addresses, so relays replace the addresses inside messages.

--- /dev/null
+++ b/libs/bench/dragonflybank/bench/matrix/tests/test_broken.py
@@ -0,0 +1,261 @@
+"""Wrong schedulers against the stand-ins: each check must report them.
+
+Each test breaks one mechanism of the design on purpose.
+"""
+
+import asyncio
+import json
+import time
+
+import aiohttp
+import attrs
+import testtools
+from aiohttp import web
+from testtools.matchers import Contains, Equals
+
+from dragonflybank.model.codes import Code
+from dragonflybank.model.hashing import digest
+from dragonflybank.model.leases import LEASE_S
+from dragonflybank.model.resources import Resources
+from dragonflybank.model.topology import VmInfo, VmState
+from dragonflybank.model.work import Outcome
+from dragonflybank.platform.store import HttpConfigStore
+from dragonflybank.platform.worker import HttpWorkerClient
+from dragonflybank.standins.answers import CallerAnswer
+from dragonflybank.standins.faults import Action, Hook, When
+from dragonflybank.standins.invariants import check_all
+from dragonflybank.standins.records import (
+    GenerationSeen,
+    HostDrained,
+    RecordLog,
+)
+from dragonflybank.standins.simulation import expected_result
+from dragonflybank.standins.store_server import StoreServer
+from dragonflybank.standins.vmlist_server import VmListServer
+from dragonflybank.standins.worker_server import WorkerServer
+
+SIZE = Resources(cores=8, memory_mb=8192, slots=8, connections=8)
+GRANT = Resources(cores=5, memory_mb=1024, slots=1, connections=1)
+PAYLOAD = json.dumps({"run_s": 60.0, "answer": "a"})
+ACTIVE = "config/active"
+
+
+class Bench:
+    """Two workers, a store and a VM list with one log."""
+
+    def __init__(self):
+        self.log = RecordLog()
+        self.store = StoreServer(log=self.log)
+        self.vmlist = VmListServer(log=self.log)
+        self.workers = [WorkerServer(n, SIZE, self.log) for n in ("w1", "w2")]
+        self.clients: list[HttpWorkerClient] = []
+
+    async def __aenter__(self):
+        for server in (self.store, self.vmlist, *self.workers):
+            await server.start()
+        self.clients = [HttpWorkerClient(w.name, w.url) for w in self.workers]
+        return self
+
+    async def __aexit__(self, *exc):
+        for client in self.clients:
+            await client.close()
+        for server in (self.store, self.vmlist, *self.workers):
+            await server.close()
+
+    async def start(self, number, task, work_class="tonnage_table"):
+        """Starts a task with the epoch that the worker shows, unfenced."""
+        client = self.clients[number]
+        seen = (await client.state()).unwrap()
+        return await client.start(
+            task,
+            epoch=seen.epoch,
+            work_class=work_class,
+            grant=GRANT,
+            lease_s=LEASE_S,
+            payload=PAYLOAD,
+        )
+
+    def found(self, answers=()):
+        """Returns the numbers of the invariants that are violated."""
+        violations = check_all(self.log.all(), answers, expect_final=False)
+        return sorted({violation.invariant for violation in violations})
+
+
+def answer(outcome, **changes):
+    result = expected_result("tonnage_table", PAYLOAD)
+    body = result.encode() if outcome is Outcome.DONE else b""
+    told = CallerAnswer(
+        "t",
+        "k",
+        "tonnage_table",
+        PAYLOAD,
+        time.time() - 1.0,
+        time.time(),
+        outcome,
+        len(body),
+        digest(body),
+        body.decode(),
+        host="http://h1",
+    )
+    return attrs.evolve(told, **changes)
+
+
+class TestBroken(testtools.TestCase):
+    """Guards against a check that passes a scheduler with a broken rule."""
+
+    def run_broken(self, wrong, expected):
+        async def run():
+            async with Bench() as bench:
+                return bench.found(await wrong(bench) or ())
+
+        self.assertThat(asyncio.run(run()), Equals(expected))
+
+    def test_i1_owner_that_does_not_count_grants(self):
+        async def wrong(bench):
+            for task in ("t/k1/1/0", "t/k2/1/0"):
+                (await bench.start(0, task)).unwrap()
+
+        self.run_broken(wrong, ["I1"])
+
+    def test_i2_owner_that_ignores_its_epoch(self):
+        async def wrong(bench):
+            # The new owner finds the task missing and starts it elsewhere;
+            # the former owner sends its start with the epoch it sees now.
+            claimed = await bench.clients[0].claim("new", epoch=0)
+            self.assertThat(claimed.unwrap().state.tasks, Equals(()))
+            (await bench.start(1, "t/k/2/0")).unwrap()
+            (await bench.start(0, "t/k/1/0")).unwrap()
+
+        self.run_broken(wrong, ["I2"])
+
+    def test_i2_home_that_does_not_wait_for_the_lease(self):
+        async def wrong(bench):
+            (await bench.start(0, "t/k/1/0")).unwrap()
+            await bench.workers[0].set_faults(frozen=True)
+            (await bench.start(1, "t/k/2/0")).unwrap()
+
+        self.run_broken(wrong, ["I2"])
+
+    def test_i3_host_that_swaps_two_answers(self):
+        async def wrong(bench):
+            results = [
+                await bench.clients[0].execute(
+                    f"r{number}",
+                    epoch=0,
+                    work_class="die_lookup",
+                    payload=json.dumps({"answer": number}),
+                    timeout_s=1.0,
+                )
+                for number in range(2)
+            ]
+            body = results[1].unwrap()
+            return [
+                answer(
+                    Outcome.DONE,
+                    key="",
+                    work_class="die_lookup",
+                    payload=json.dumps({"answer": 0}),
+                    result=body,
+                    length=len(body),
+                    digest=digest(body.encode()),
+                )
+            ]
+
+        self.run_broken(wrong, ["I3"])
+
+    def test_i4_not_run_after_a_lost_answer(self):
+        async def wrong(bench):
+            hook = Hook("start", Action.CLOSE, When.AFTER)
+            bench.workers[0].arm(hook)
+            started = await bench.start(0, "t/k/1/0")
+            self.assertThat(started.failure().code, Equals(Code.TIMED_OUT))
+            return [answer(Outcome.NOT_RUN)]
+
+        self.run_broken(wrong, ["I4"])
+
+    def test_i5_start_that_is_sent_twice(self):
+        async def wrong(bench):
+            for number in range(2):
+                task = f"t/k/{number + 1}/0"
+                (await bench.start(number, task, "simulation")).unwrap()
+                client = bench.clients[number]
+                (await client.stop([task], epoch=0)).unwrap()
+
+        self.run_broken(wrong, ["I5"])
+
+    def test_i6_owner_that_does_not_read_the_vm_list(self):
+        async def wrong(bench):
+            worker = VmInfo("w1", "127.0.0.1", 1, "north")
+            leaving = attrs.evolve(worker, state=VmState.LEAVING)
+            bench.vmlist.put(leaving)
+            now = time.time()
+            self.patch(time, "time", lambda: now + 6.0)
+            (await bench.start(0, "t/k/1/0")).unwrap()
+
+        self.run_broken(wrong, ["I6"])
+
+    def test_i7_host_that_exits_with_a_request_in_progress(self):
+        async def wrong(bench):
+            arrived = asyncio.Event()
+
+            async def never(request):
+                arrived.set()
+                await asyncio.Event().wait()
+
+            app = web.Application()
+            app.router.add_post("/", never)
+            runner = web.AppRunner(app, shutdown_timeout=0.05)
+            await runner.setup()
+            site = web.TCPSite(runner, "127.0.0.1", 0)
+            await site.start()
+            port = site._server.sockets[0].getsockname()[1]
+            url = f"http://127.0.0.1:{port}"
+            asked_at = time.time()
+
+            async def ask():
+                async with aiohttp.ClientSession() as http:
+                    try:
+                        async with http.post(url):
+                            return False
+                    except aiohttp.ServerDisconnectedError:
+                        return True
+
+            asking = asyncio.create_task(ask())
+            await arrived.wait()
+            began_at = time.time()
+            await runner.cleanup()
+            bench.log.add(HostDrained(began_at, url, time.time()))
+            cut = answer(None, host=url, asked_at=asked_at)
+            return [attrs.evolve(cut, was_cut=await asking, at=time.time())]
+
+        self.run_broken(wrong, ["I7"])
+
+    def test_i8_apply_that_writes_an_older_generation(self):
+        async def wrong(bench):
+            store = HttpConfigStore(bench.store.url)
+            for version, generation in enumerate((2, 1)):
+                value = json.dumps({"generation": generation}).encode()
+                (await store.put(ACTIVE, value, version=version)).unwrap()
+            await store.close()
+
+        self.run_broken(wrong, ["I8"])
+
+    def test_i8_host_that_adopts_an_older_generation(self):
+        async def wrong(bench):
+            for generation in (2, 1):
+                now = time.time()
+                bench.log.add(GenerationSeen(now, "h1", generation, "1"))
+
+        self.run_broken(wrong, ["I8"])
+
+    def test_accepted_work_that_is_forgotten(self):
+        async def wrong(bench):
+            return [answer(Outcome.PENDING)]
+
+        async def run():
+            async with Bench() as bench:
+                answers = await wrong(bench)
+                return check_all(bench.log.all(), answers)
+
+        found = [violation.detail for violation in asyncio.run(run())]
+        self.assertThat(found, Contains("no final answer"))
--- /dev/null
+++ b/libs/bench/dragonflybank/bench/matrix/world.py
@@ -0,0 +1,418 @@
+"""A small deployment: stand-ins in this process, hosts as processes.
+
+Every call to a stand-in and every request between hosts passes a tap, so that
+a fault strikes at the exact call.
+"""
+
+__all__ = ["Point", "Trap", "World"]
+
+import asyncio
+import pathlib
+import shutil
+import signal
+import tempfile
+import time
+from collections.abc import Awaitable, Callable, Sequence
+
+import aiohttp
+import attrs
+
+from dragonflybank.bench.deployment import (
+    ALWAYS_OPEN,
+    HostProcess,
+    Program,
+    wait_until,
+)
+from dragonflybank.bench.matrix.relay import RelayTable
+from dragonflybank.config.editor import ConfigEditor
+from dragonflybank.config.operator import OperatorConfig, Team
+from dragonflybank.config.settings import Settings, encode_settings
+from dragonflybank.config.topology import HostPlace
+from dragonflybank.model.hashing import ranked, shard_of
+from dragonflybank.model.resources import Resources
+from dragonflybank.model.topology import VmInfo, VmRole
+from dragonflybank.model.work import WorkClass, WorkKind
+from dragonflybank.platform.store import HttpConfigStore
+from dragonflybank.standins.faults import Hook, When
+from dragonflybank.standins.records import (
+    GenerationSeen,
+    HostDrained,
+    Record,
+    RecordLog,
+)
+from dragonflybank.standins.store_server import StoreServer
+from dragonflybank.standins.vmlist_server import VmListServer
+from dragonflybank.standins.worker_server import WorkerServer
+
+TEAM = "makers"
+HOME_REGION = "north"
+FAR_REGION = "south"
+SHARDS = 2
+READY_LIMIT_S = 60.0
+ASK_LIMIT_S = 2.0
+SAMPLE_S = 0.5
+# A host that was paused reads the configuration anew on waking up.
+CATCH_UP_S = 6.0
+SIZE = Resources(cores=16, memory_mb=32768, slots=8, connections=64)
+TASK_SIZE = Resources(cores=4, memory_mb=4096, slots=1, connections=1)
+BILLED, TABLE, LOOKUP = "simulation", "tonnage_table", "die_lookup"
+CLASSES = (
+    WorkClass(LOOKUP, WorkKind.LOOKUP, priority=100, expected_s=0.02),
+    WorkClass(BILLED, repeatable=False, priority=50, size=TASK_SIZE),
+    WorkClass(TABLE, priority=10, size=TASK_SIZE, can_checkpoint=True),
+)
+
+
+@attrs.frozen
+class Point:
+    """A kind of call at which a fault may strike.
+
+    Attributes:
+        server: ``store``, ``worker`` or ``peer``.
+        kind: Kind of the call.
+        path: Prefix of the call's path.
+    """
+
+    server: str
+    kind: str
+    path: str = ""
+
+
+@attrs.define(eq=False)
+class Trap:
+    """The call at which the fault strikes.
+
+    Attributes:
+        point: Kind of the call.
+        when: Before or after its effect.
+        act: Called with the name of the server or of the receiving host.
+        accepts: Whether a call at a server is the one.
+        fired: Set when the call has come.
+    """
+
+    point: Point
+    when: When
+    act: Callable[[str], Awaitable[None]]
+    accepts: Callable[[str], bool] = lambda server: True
+    fired: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+
+STORE_POINTS = (
+    Point("store", "put", "/v1/kv/shards/"),
+    Point("store", "put", "/v1/kv/config/staged/"),
+    Point("store", "put", "/v1/kv/config/active"),
+    Point("store", "get", "/v1/kv/config/active"),
+)
+WORKER_POINTS = tuple(
+    Point("worker", kind)
+    for kind in ("claim", "start", "renew", "events", "ack", "stop")
+)
+
+
+class World:
+    """One deployment of a cell.
+
+    Attributes:
+        log: Records of all stand-ins and of the driver.
+        store: The store.
+        vmlist: The VM list.
+        workers: Workers by name.
+        hosts: Scheduler hosts by name, dead ones included.
+        relays: Relays between the hosts.
+        gone: Names of the hosts that were killed or drained.
+    """
+
+    def __init__(self, *, two_regions: bool = False):
+        self.log = RecordLog()
+        self.store = StoreServer(log=self.log)
+        self.vmlist = VmListServer(log=self.log)
+        self.hosts: dict[str, HostProcess] = {}
+        self.gone: set[str] = set()
+        self.relays = RelayTable(self._on_request)
+        south = FAR_REGION if two_regions else HOME_REGION
+        self.places = tuple(
+            HostPlace(name, region, f"{region}-{name}")
+            for name, region in (
+                ("a", HOME_REGION),
+                ("b", HOME_REGION),
+                ("c", south),
+            )
+        )
+        self.workers = {
+            name: WorkerServer(name, SIZE, self.log)
+            for name in _one_for_each(self.places)
+        }
+        self._regions = {
+            name: place.region
+            for name, place in zip(self.workers, self.places, strict=True)
+        }
+        self._traps: list[Trap] = []
+        self._scratch = tempfile.TemporaryDirectory(prefix="dragonflybank-")
+        self._paused: dict[str, float] = {}
+        self._sampler: asyncio.Task | None = None
+        self.http: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Starts the stand-ins and the hosts; does not wait for readiness."""
+        self.http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            timeout=aiohttp.ClientTimeout(total=ASK_LIMIT_S),
+        )
+        for server in (self.store, self.vmlist, *self.workers.values()):
+            await server.start()
+        self._tap(self.store, STORE_POINTS)
+        for worker in self.workers.values():
+            self._tap(worker, WORKER_POINTS)
+        await self._write_config()
+        for name in self.workers:
+            self.list_worker(name)
+        await asyncio.gather(*(self.start_host(p) for p in self.places))
+        self._sampler = asyncio.create_task(self._sample_always())
+
+    async def start_host(self, place: HostPlace) -> HostProcess:
+        """Starts a host with its relay and lists it."""
+        self.relays.forget(place.name)
+        settings = Settings(
+            place.name,
+            place.region,
+            self.store.url,
+            self.vmlist.url,
+            failure_domain=place.failure_domain,
+            shards_per_region=SHARDS,
+        )
+        folder = pathlib.Path(self._scratch.name)
+        path = folder / f"{place.name}.json"
+        path.write_text(encode_settings(settings))
+        log = folder / f"{place.name}.log"
+        program = await Program.start("dragonflybank.host", str(path), log=log)
+        host = HostProcess(place, program, log)
+        self.hosts[place.name] = host
+        self.gone.discard(place.name)
+        port = await self.relays.add(place.name, program.ports["peer_port"])
+        self.vmlist.put(
+            VmInfo(
+                place.name,
+                "127.0.0.1",
+                port,
+                place.region,
+                place.failure_domain,
+                role=VmRole.HOST,
+            )
+        )
+        return host
+
+    def list_worker(self, name: str) -> None:
+        """Puts a worker into the VM list."""
+        region = self._regions.get(name, HOME_REGION)
+        worker = self.workers[name]
+        self.vmlist.put(
+            VmInfo(
+                name,
+                "127.0.0.1",
+                worker.port,
+                region,
+                region,
+                rack=f"rack-{name}",
+                size=SIZE,
+            )
+        )
+
+    def arm(self, trap: Trap) -> Trap:
+        """Arms a trap and returns it."""
+        self._traps.append(trap)
+        return trap
+
+    def live(self) -> list[str]:
+        """Returns the names of the hosts that run and are not leaving."""
+        return [
+            name
+            for name, host in self.hosts.items()
+            if host.program.is_running and name not in self.gone
+        ]
+
+    def urls(self) -> list[str]:
+        """Returns the URLs of the hosts that the balancer serves."""
+        return [self.hosts[name].url for name in self.live()]
+
+    def home(self, team: str = TEAM) -> str:
+        """Returns the host that should keep a team's shard."""
+        shard = f"{HOME_REGION}/{shard_of(team, 'x', SHARDS)}"
+        near = [
+            name
+            for name in self.live()
+            if self.hosts[name].place.region == HOME_REGION
+        ]
+        return ranked(shard, near)[0]
+
+    def entry(self, team: str = TEAM) -> str:
+        """Returns a live host that is not the home, if there is one."""
+        home = self.home(team)
+        return next((name for name in self.live() if name != home), home)
+
+    def worker_of(self, host: str) -> str:
+        """Returns the worker for which a host ranks first at the start."""
+        names = [place.name for place in self.places]
+        place = names.index(host) if host in names else 0
+        return list(self.workers)[place]
+
+    def kill(self, name: str) -> None:
+        """Kills a host."""
+        self.gone.add(name)
+        self.hosts[name].program.signal(signal.SIGKILL)
+
+    def pause(self, name: str) -> None:
+        """Pauses a host."""
+        self._paused[name] = float("inf")
+        self.hosts[name].program.signal(signal.SIGSTOP)
+
+    def wake(self, name: str) -> None:
+        """Lets a paused host continue."""
+        self._paused[name] = time.time() + CATCH_UP_S
+        self.hosts[name].program.signal(signal.SIGCONT)
+
+    async def drain(self, name: str) -> None:
+        """Shuts a host down gracefully and records it."""
+        host = self.hosts[name]
+        began_at = time.time()
+        self.gone.add(name)
+        host.program.signal(signal.SIGTERM)
+        if await host.program.wait() == 0:
+            self.log.add(HostDrained(began_at, host.url, time.time()))
+
+    async def wait_ready(self) -> None:
+        """Waits until each live host is ready and all workers are owned."""
+        await wait_until(self._is_ready, limit_s=READY_LIMIT_S)
+
+    async def metrics(self, name: str) -> str:
+        """Returns the metrics of a host, empty if it does not answer."""
+        try:
+            url = f"{self.hosts[name].url}/metrics"
+            async with self.http.get(url) as resp:
+                return await resp.text()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return ""
+
+    async def generation(self, name: str) -> int:
+        """Returns the generation in force at a host, 0 if it is unknown."""
+        text = await self.metrics(name)
+        return int(_metric(text, "dragonflybank_config_generation"))
+
+    def records(self) -> Sequence[Record]:
+        """Returns all records."""
+        return self.log.all()
+
+    def keep_logs(self, folder: pathlib.Path) -> None:
+        """Copies the hosts' logs and writes the records to a folder."""
+        shutil.copytree(self._scratch.name, folder, dirs_exist_ok=True)
+        lines = "\n".join(str(record) for record in self.records())
+        (folder / "records.txt").write_text(lines)
+
+    async def stop_hosts(self) -> None:
+        """Kills all hosts."""
+        if self._sampler is not None:
+            self._sampler.cancel()
+        for host in self.hosts.values():
+            host.program.signal(signal.SIGKILL)
+        for host in self.hosts.values():
+            await host.program.wait()
+
+    async def close(self) -> None:
+        """Closes relays and stand-ins after the hosts were stopped."""
+        await self.relays.close()
+        for server in (self.store, self.vmlist, *self.workers.values()):
+            await server.close()
+        if self.http is not None:
+            await self.http.close()
+        self._scratch.cleanup()
+
+    async def _is_ready(self) -> bool:
+        names = self.live()
+        texts = [await self.metrics(name) for name in names]
+        owned = sum(_metric(t, "dragonflybank_owned_workers") for t in texts)
+        generations = [
+            _metric(t, "dragonflybank_config_generation") for t in texts
+        ]
+        shards = sum(_metric(t, "dragonflybank_open_shards") for t in texts)
+        regions = {place.region for place in self.places}
+        return (
+            all(generations)
+            and owned >= len(self.workers)
+            and shards >= SHARDS * len(regions)
+        )
+
+    async def _write_config(self) -> None:
+        regions = {place.region for place in self.places}
+        teams = (
+            Team(TEAM, HOME_REGION, lookups_per_s=1000),
+            Team("tight", HOME_REGION, max_running=2),
+            *(Team("far", region) for region in regions - {HOME_REGION}),
+        )
+        cfg = OperatorConfig(1, CLASSES, teams, breaks=ALWAYS_OPEN)
+        store = HttpConfigStore(self.store.url)
+        (await ConfigEditor(store).create(cfg)).unwrap()
+        await store.close()
+
+    def _tap(self, server, points) -> None:
+        for point in points:
+            for when in When:
+                server.arm(_tap_of(self, server.name, point, when))
+
+    async def reached(self, point: Point, when: When, server: str) -> None:
+        """Springs the trap if it waits for this call."""
+        for trap in self._traps:
+            is_due = (trap.point, trap.when) == (point, when)
+            if is_due and not trap.fired.is_set() and trap.accepts(server):
+                trap.fired.set()
+                await trap.act(server)
+
+    async def _on_request(self, sender: str, receiver: str, kind: str) -> None:
+        await self.reached(Point("peer", str(kind)), When.BEFORE, receiver)
+
+    async def _sample_always(self) -> None:
+        """Records the generation in force at each host."""
+        while True:
+            await asyncio.sleep(SAMPLE_S)
+            for name in self.live():
+                began_at = time.time()
+                if began_at < self._paused.get(name, 0.0):
+                    continue
+                self._paused.pop(name, None)
+                number = await self.generation(name)
+                if number and name not in self._paused:
+                    pid = str(self.hosts[name].program.pid)
+                    self.log.add(GenerationSeen(began_at, name, number, pid))
+
+
+@attrs.define(eq=False)
+class _Tap(Hook):
+    def counts(self, kind: str, path: str) -> bool:
+        """See `Hook.counts`; a tap fires at each call."""
+        return kind == self.kind and path.startswith(self.path)
+
+
+def _tap_of(world: World, server: str, point: Point, when: When) -> Hook:
+    async def run() -> None:
+        await world.reached(point, when, server)
+
+    return _Tap(point.kind, when=when, path=point.path, run=run)
+
+
+def _one_for_each(places: Sequence[HostPlace]) -> list[str]:
+    """Returns a worker's name for each host, for which the host ranks first."""
+    names = []
+    for place in places:
+        near = [p.name for p in places if p.region == place.region]
+        numbers = (f"w{number}" for number in range(10 * len(places), 1000))
+        names.append(
+            next(
+                name
+                for name in numbers
+                if ranked(name, near)[0] == place.name and name not in names
+            )
+        )
+    return names
+
+
+def _metric(text: str, name: str) -> float:
+    lines = (line for line in text.splitlines() if line.startswith(name + " "))
+    return float(next(lines, f"{name} 0").split()[1])
