--- a/libs/jobs/dragonflybank/jobs/admission.py
+++ b/libs/jobs/dragonflybank/jobs/admission.py
@@ -1,15 +1,17 @@
 """Whether a shard takes a new job."""
 
-__all__ = ["check_room", "check_spec"]
+__all__ = ["check_repeated", "check_room", "check_spec"]
 
 import msgspec
 from returns.result import Result
 
+from dragonflybank.jobs.entries import Tombstone
 from dragonflybank.jobs.journal import Journal
+from dragonflybank.jobs.retention import spec_digest
 from dragonflybank.jobs.runner import HomeRules
 from dragonflybank.jobs.size import ACCEPT_LIMIT_BYTES, MAX_SPEC_BYTES
 from dragonflybank.jobs.transitions import accepted_entry
-from dragonflybank.jobs.value import KeptItem
+from dragonflybank.jobs.value import Item, KeptItem
 from dragonflybank.model.codes import Code, problem
 from dragonflybank.model.resources import fits
 from dragonflybank.model.work import JobSpec, WorkClass, WorkKind
@@ -80,6 +82,22 @@
     )
 
 
+def check_repeated(spec: JobSpec, present: Item) -> Result | None:
+    """Returns why a job is refused whose key was used before, or None."""
+    used_for = (
+        present.spec_digest
+        if isinstance(present, Tombstone)
+        else spec_digest(present.record.spec)
+    )
+    if used_for == spec_digest(spec):
+        return None
+    return problem(
+        Code.KEY_REUSED,
+        f"{spec.team}/{spec.key} was used for something else",
+        field="key",
+    )
+
+
 def _projected_bytes(spec: JobSpec) -> int:
     kept = KeptItem.of(accepted_entry(spec, WorkClass(spec.work_class), 0.0))
     return len(kept.encoded) + kept.growth
--- /dev/null
+++ b/libs/jobs/dragonflybank/jobs/batch.py
@@ -0,0 +1,39 @@
+"""The changes that one write of a shard's value carries."""
+
+__all__ = ["Batch"]
+
+import asyncio
+
+import attrs
+from returns.result import Result
+
+from dragonflybank.jobs.entries import Key
+from dragonflybank.jobs.value import KeptItem
+from dragonflybank.model.codes import Problem
+
+
+@attrs.define
+class Batch:
+    """Changes of one write, and its outcome once callers are answered.
+
+    Attributes:
+        items: Changed items by key; None stands for a removed one.
+        at: Latest time of a change, seconds since 1970.
+        outcome: What callers are told; None while they wait.
+    """
+
+    items: dict[Key, KeptItem | None] = attrs.field(factory=dict)
+    at: float = 0.0
+    outcome: Result[None, Problem] | None = None
+    _answered: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def answer(self, outcome: Result[None, Problem]) -> None:
+        """Answers the callers, unless they already have an answer."""
+        if self.outcome is None:
+            self.outcome = outcome
+            self._answered.set()
+
+    async def wait(self) -> Result[None, Problem]:
+        """Waits for the answer."""
+        await self._answered.wait()
+        return self.outcome
--- a/libs/jobs/dragonflybank/jobs/home.py
+++ b/libs/jobs/dragonflybank/jobs/home.py
@@ -9,13 +9,17 @@
 import contextlib
 import random
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 
 from returns.result import Failure, Result, Success
 
-from dragonflybank.jobs.admission import check_room, check_spec
+from dragonflybank.jobs.admission import (
+    check_repeated,
+    check_room,
+    check_spec,
+)
 from dragonflybank.jobs.context import HomeContext
-from dragonflybank.jobs.entries import Entry, Key, Tombstone
+from dragonflybank.jobs.entries import Entry, Tombstone
 from dragonflybank.jobs.journal import Journal
 from dragonflybank.jobs.outcomes import Stopper, apply_event
 from dragonflybank.jobs.placement import Placement
@@ -23,12 +27,12 @@
 from dragonflybank.jobs.results import ResultStore
 from dragonflybank.jobs.retention import (
     Retention,
-    spec_digest,
     tombstone_record,
 )
 from dragonflybank.jobs.runner import HomeRules, TaskRunner
 from dragonflybank.jobs.transitions import accepted_entry, request_cancel
 from dragonflybank.jobs.value import Item
+from dragonflybank.jobs.waiters import Waiters
 from dragonflybank.model.codes import Code, Problem, problem, proves_not_run
 from dragonflybank.model.decisions import Decision, log_decision
 from dragonflybank.model.leases import TaskEvent
@@ -77,8 +81,9 @@
     ):
         self._clock = clock
         self._sleep = sleep
+        self._waiters = Waiters()
         self._journal = Journal(
-            store, shard, host, sleep=sleep, on_settled=self._notify
+            store, shard, host, sleep=sleep, on_settled=self._waiters.notify
         )
         self._table = self._journal.table
         self._ctx = HomeContext(
@@ -93,7 +98,6 @@
         self._placement = Placement(self._ctx, self._resolver)
         self._stopper = Stopper(self._ctx)
         self._retention = Retention(self._ctx)
-        self._waiters: dict[Key, asyncio.Event] = {}
         self._work = asyncio.Event()
         self._retained_at = 0.0
 
@@ -136,7 +140,9 @@
         key = spec.team, spec.key
         present = self._table.latest(key)
         if present is not None:
-            return await self._accepted_before(present, spec)
+            return check_repeated(spec, present) or (
+                await self._accepted_before(present)
+            )
         refused = check_spec(spec, self._ctx.rules) or check_room(
             spec, self._journal
         )
@@ -205,16 +211,13 @@
             The record, final unless the time ran out; None if the job is
             not known or the shard was lost.
         """
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout_s):
-                while self._table.latest((team, key)) is not None:
-                    record = self.record(team, key)
-                    if record is not None and is_final(record.state):
-                        return record
-                    changed = self._waiters.setdefault(
-                        (team, key), asyncio.Event()
-                    )
-                    await changed.wait()
+
+        def is_over() -> bool:
+            record = self.record(team, key)
+            known = self._table.latest((team, key)) is not None
+            return not known or (record and is_final(record.state))
+
+        await self._waiters.wait((team, key), is_over, timeout_s=timeout_s)
         return self.record(team, key)
 
     async def finished(self, event: TaskEvent, now: float) -> bool:
@@ -269,20 +272,7 @@
         await self._journal.close(self._clock())
         self._work.set()
 
-    async def _accepted_before(
-        self, present: Item, spec: JobSpec
-    ) -> Result[JobRecord, Problem]:
-        used_for = (
-            present.spec_digest
-            if isinstance(present, Tombstone)
-            else spec_digest(present.record.spec)
-        )
-        if used_for != spec_digest(spec):
-            return problem(
-                Code.KEY_REUSED,
-                f"{spec.team}/{spec.key} was used for something else",
-                field="key",
-            )
+    async def _accepted_before(self, present: Item) -> Result:
         if self.record(*present.key) is None:
             outcome = await self._journal.settle(present.key)
             if isinstance(outcome, Failure):
@@ -290,12 +280,6 @@
         # A settled job is reported even if a later change of it fails.
         return Success(self.record(*present.key))
 
-    def _notify(self, keys: Iterable[Key]) -> None:
-        for key in keys:
-            event = self._waiters.pop(key, None)
-            if event is not None:
-                event.set()
-
 
 def _record_of(item: Item) -> JobRecord:
     if isinstance(item, Tombstone):
--- a/libs/jobs/dragonflybank/jobs/journal.py
+++ b/libs/jobs/dragonflybank/jobs/journal.py
@@ -11,10 +11,10 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 
-import attrs
 import msgspec
 from returns.result import Failure, Result, Success
 
+from dragonflybank.jobs.batch import Batch
 from dragonflybank.jobs.entries import Key
 from dragonflybank.jobs.table import ShardTable
 from dragonflybank.jobs.value import (
@@ -35,20 +35,6 @@
 RETRY_AFTER_S = 1.0
 
 
-@attrs.define
-class _Batch:
-    # None stands for a removed item.
-    items: dict[Key, KeptItem | None] = attrs.field(factory=dict)
-    at: float = 0.0
-    outcome: Result[None, Problem] | None = None
-    answered: asyncio.Event = attrs.field(factory=asyncio.Event)
-
-    def answer(self, outcome: Result[None, Problem]) -> None:
-        if self.outcome is None:
-            self.outcome = outcome
-            self.answered.set()
-
-
 class Journal:
     """The entries of a shard and their commits.
 
@@ -90,8 +76,8 @@
         self._on_settled = on_settled
         self._version = 0
         self._closing = False
-        self._in_flight: _Batch | None = None
-        self._pending: _Batch | None = None
+        self._in_flight: Batch | None = None
+        self._pending: Batch | None = None
         self._flushing: asyncio.Task | None = None
 
     async def open(
@@ -157,13 +143,12 @@
         if refused is not None:
             return refused
         self.table.change(changes)
-        batch = self._pending = self._pending or _Batch()
+        batch = self._pending = self._pending or Batch()
         batch.items.update(changes)
         batch.at = max(batch.at, now)
         if self._flushing is None or self._flushing.done():
             self._flushing = asyncio.create_task(self._flush())
-        await batch.answered.wait()
-        return batch.outcome
+        return await batch.wait()
 
     async def settle(self, key: Key) -> Result[None, Problem]:
         """Waits until the changes of a key are settled."""
@@ -171,9 +156,9 @@
         # is refused as not made while that write is not settled.
         for batch in (self._in_flight, self._pending):
             if batch is not None and key in batch.items:
-                await batch.answered.wait()
-                if isinstance(batch.outcome, Failure):
-                    return batch.outcome
+                outcome = await batch.wait()
+                if isinstance(outcome, Failure):
+                    return outcome
         if not self.is_open:
             return problem(Code.NOT_HOME, f"{self.shard} has another home")
         return Success(None)
@@ -183,7 +168,7 @@
         self._closing = True
         for batch in (self._in_flight, self._pending):
             if batch is not None:
-                await batch.answered.wait()
+                await batch.wait()
         if self.is_open and not self.is_stalled:
             mark = writer_mark()
             await self._put(
@@ -237,7 +222,7 @@
             self._lose(Problem(Code.WRITE_UNSETTLED, repr(exc)))
             raise
 
-    async def _write(self, batch: _Batch) -> None:
+    async def _write(self, batch: Batch) -> None:
         mark = writer_mark()
         value = self.table.encoded(self.shard, self.host, mark, batch.at)
         outcome = await self._put(value, mark, attempts=ATTEMPTS_BEFORE_ANSWER)
@@ -256,7 +241,7 @@
             case Failure(failed):
                 self._roll_back(failed)
 
-    def _accept_write(self, batch: _Batch, version: int) -> None:
+    def _accept_write(self, batch: Batch, version: int) -> None:
         self._version, self.written_at = version, batch.at
         self.table.settle(batch.items)
         self._in_flight = None
@@ -287,7 +272,7 @@
             batch.answer(problem(code, failed.detail))
         self._on_settled(keys)
 
-    def _take_batches(self) -> list[_Batch]:
+    def _take_batches(self) -> list[Batch]:
         batches = (self._in_flight, self._pending)
         self._in_flight = self._pending = None
         return [batch for batch in batches if batch is not None]
--- a/libs/jobs/dragonflybank/jobs/placement.py
+++ b/libs/jobs/dragonflybank/jobs/placement.py
@@ -33,25 +33,21 @@
     def __init__(self, ctx: HomeContext, resolver: Resolver):
         self._ctx = ctx
         self._starter = Starter(ctx, resolver)
-        self._lock = asyncio.Lock()
         self._tries: dict[Key, int] = {}
         self._retry_at: dict[Key, float] = {}
 
     @property
     def is_placing(self) -> bool:
         """Whether a round is still reserving or journalling."""
-        return self._lock.locked()
+        return self._starter.is_placing
 
     async def round(self, now: float) -> None:
         """Reserves room, journals the starts and sends them."""
-        async with self._lock:
-            if not self._ctx.can_start(now):
-                return
-            held = await self._reserve_in_order(now)
-            placed = await self._starter.journal(held, now)
-        await self._starter.send(placed, now)
+        await self._starter.round(lambda: self._reserve_in_order(now), now)
 
     async def _reserve_in_order(self, now: float) -> list[Held]:
+        if not self._ctx.can_start(now):
+            return []
         entries = self._ctx.journal.table.unfinished()
         self._forget({entry.key for entry in entries})
         room = room_of_teams(entries, self._ctx)
--- a/libs/jobs/dragonflybank/jobs/starts.py
+++ b/libs/jobs/dragonflybank/jobs/starts.py
@@ -3,7 +3,7 @@
 __all__ = ["Held", "Starter"]
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
 from returns.result import Failure, Result, Success
@@ -59,17 +59,39 @@
     def __init__(self, ctx: HomeContext, resolver: Resolver):
         self._ctx = ctx
         self._resolver = resolver
+        self._lock = asyncio.Lock()
 
-    async def journal(self, held: Iterable[Held], now: float) -> list[Placed]:
-        """Journals starts in one write and returns those to be sent.
+    @property
+    def is_placing(self) -> bool:
+        """Whether a round is still holding room or journalling."""
+        return self._lock.locked()
 
-        Reservations without a start are released.
+    async def round(
+        self, hold: Callable[[], Awaitable[list[Held]]], now: float
+    ) -> None:
+        """Holds room, journals the starts in one write and sends them.
+
+        Args:
+            hold: Coroutine function that holds room for jobs.
+            now: Present time, seconds since 1970.
         """
+        placed: list[Placed] = []
+        try:
+            # A second round meanwhile would ask for the same room.
+            async with self._lock:
+                await self._journal(await hold(), placed, now)
+            await asyncio.gather(*(self._send(one, now) for one in placed))
+        finally:
+            # Starts that a cancelled round did not send are looked up.
+            self._ctx.sending -= {one.start.task_id for one in placed}
+
+    async def _journal(
+        self, held: Iterable[Held], placed: list[Placed], now: float
+    ) -> None:
         # Nothing waits between the check of an entry and its change, so a
         # cancellation comes either before, and is seen, or after the start.
         unused: list[Reservation] = []
         changed: list[Entry] = []
-        placed: list[Placed] = []
         for item in held:
             entry = self._ctx.journal.table.latest(item.key)
             if not _can_use(entry, item):
@@ -80,28 +102,18 @@
             placed += map(Placed, added, item.reservations)
             unused += item.reservations[len(added) :]
             changed.append(after)
-        if changed and not await self._commit(changed, placed, now):
-            unused += [one.reservation for one in placed]
-            placed = []
-        if unused:
-            await self._ctx.runner.release(unused)
-        return placed
-
-    async def send(self, placed: Iterable[Placed], now: float) -> None:
-        """Sends starts and journals the answers."""
-        await asyncio.gather(*(self._send(one, now) for one in placed))
-
-    async def _commit(self, changed, placed, now) -> bool:
-        ids = {one.start.task_id for one in placed}
-        self._ctx.sending |= ids
-        outcome = await self._ctx.commit(*changed, now=now)
-        if isinstance(outcome, Failure):
-            self._ctx.sending -= ids
-            return False
+        self._ctx.sending |= {one.start.task_id for one in placed}
+        if changed:
+            outcome = await self._ctx.commit(*changed, now=now)
+            if isinstance(outcome, Failure):
+                self._ctx.sending -= {one.start.task_id for one in placed}
+                unused += [one.reservation for one in placed]
+                placed.clear()
         for one in placed:
             task, worker = one.start.task_id, one.start.worker
             self._ctx.note(now, "place", key_of(task), worker, task)
-        return True
+        if unused:
+            await self._ctx.runner.release(unused)
 
     async def _send(self, placed: Placed, now: float) -> None:
         start = placed.start
