Test a cancelled round and unreachable workers; move failure rules out

Cause: no test cancelled a round while its starts were journalled, and no drawn step cut a worker off before its leases had expired, so UNDECIDED never came up.

Ruled out: reducing finished records before their hour when a shard is full.

--- a/libs/jobs/dragonflybank/jobs/context.py
+++ b/libs/jobs/dragonflybank/jobs/context.py
@@ -9,10 +9,10 @@
 from returns.result import Failure, Result, Success
 
 from dragonflybank.jobs.entries import Entry, Key
+from dragonflybank.jobs.failures import EventContext
 from dragonflybank.jobs.journal import Journal
 from dragonflybank.jobs.results import ResultStore
 from dragonflybank.jobs.runner import HomeRules, TaskRunner
-from dragonflybank.jobs.transitions import EventContext
 from dragonflybank.model.codes import Code, Problem
 from dragonflybank.model.decisions import Decision
 from dragonflybank.model.work import WorkClass, WorkKind
--- a/libs/jobs/dragonflybank/jobs/entries.py
+++ b/libs/jobs/dragonflybank/jobs/entries.py
@@ -17,12 +17,18 @@
     "must_stop",
     "task_index",
     "waiting_indexes",
+    "with_record",
 ]
 
 import attrs
 
 from dragonflybank.model.codes import Problem
-from dragonflybank.model.work import JobRecord, JobState, StartRecord, is_final
+from dragonflybank.model.work import (
+    JobRecord,
+    JobState,
+    StartRecord,
+    is_final,
+)
 
 Key = tuple[str, str]
 
@@ -125,7 +131,13 @@
 
 
 def waiting_indexes(entry: Entry) -> tuple[int, ...]:
-    """Returns the indexes of the tasks that have no start."""
+    """Returns the indexes of the tasks that have no start.
+
+    Example:
+        >>> from dragonflybank.model.work import JobSpec
+        >>> waiting_indexes(Entry(JobRecord(JobSpec("t", "k", "c", tasks=2))))
+        (0, 1)
+    """
     # Most jobs have no start or all of them; a round asks this of each job.
     if not entry.record.starts:
         return tuple(range(entry.record.spec.tasks))
@@ -157,6 +169,11 @@
     )
 
 
+def with_record(entry: Entry, **changes) -> Entry:
+    """Returns the entry with fields of its record changed."""
+    return attrs.evolve(entry, record=attrs.evolve(entry.record, **changes))
+
+
 def key_of(started: str) -> Key:
     """Returns team and key of a task id.
 
@@ -169,7 +186,12 @@
 
 
 def task_index(started: str) -> int:
-    """Returns the index of a task within its job."""
+    """Returns the index of a task within its job.
+
+    Example:
+        >>> task_index("courts/a/b/2/0")
+        0
+    """
     return int(started.rsplit("/", 1)[1])
 
 
--- a/libs/jobs/dragonflybank/jobs/results.py
+++ b/libs/jobs/dragonflybank/jobs/results.py
@@ -57,6 +57,13 @@
 
         Returns:
             None, and takes no token, if the wait would be too long.
+
+        Example:
+            >>> bucket = TokenBucket(2.0)
+            >>> [bucket.take(10.0, max_wait_s=1.0) for _ in range(6)]
+            [0.0, 0.0, 0.0, 0.5, 1.0, None]
+            >>> bucket.take(11.0, max_wait_s=1.0)
+            0.5
         """
         next_at = max(self._next_at, now - 1.0)
         wait_s = max(0.0, next_at - now)
--- a/libs/jobs/dragonflybank/jobs/retention.py
+++ b/libs/jobs/dragonflybank/jobs/retention.py
@@ -120,6 +120,11 @@
 
     The digest is that of the spec as it is read from the journal: a whole
     number in a float field is encoded differently after it was decoded.
+
+    Example:
+        >>> spec = JobSpec("courts", "k1", "sweep", expected_s=10)
+        >>> spec_digest(spec) == spec_digest(JobSpec("courts", "k1", "sweep"))
+        True
     """
     encoded = msgspec.msgpack.encode(spec)
     decoded = msgspec.msgpack.decode(encoded, type=JobSpec)
--- a/libs/jobs/dragonflybank/jobs/tests/fakes.py
+++ b/libs/jobs/dragonflybank/jobs/tests/fakes.py
@@ -15,11 +15,11 @@
 from dragonflybank.model.leases import (
     Reservation,
     Resolution,
-    ResolutionKind,
     StartReply,
     TaskEvent,
     TaskState,
 )
+from dragonflybank.model.leases import ResolutionKind as Kind
 from dragonflybank.model.resources import Resources
 from dragonflybank.model.work import JobSpec, WorkClass, WorkKind
 from dragonflybank.platform.store import ConfigStore, Stored
@@ -41,8 +41,7 @@
     """Counts the steps of a scenario and stops for good at one of them."""
 
     def __init__(self):
-        self.stop_at = None
-        self.count = 0
+        self.stop_at, self.count = None, 0
         self.stopped = asyncio.Event()
 
     async def pass_one(self):
@@ -65,11 +64,9 @@
         self.faults = collections.deque()
         self.gate = asyncio.Event()
         self.writes = []
-        self.largest_bytes = 0
-        self.deletes_fail = False
+        self.largest_bytes, self.deletes_fail = 0, False
         self.steps = Steps()
-        self._values = {}
-        self._late = []
+        self._values, self._late = {}, []
 
     async def get(self, key):
         await asyncio.sleep(0)
@@ -88,17 +85,14 @@
         fault = self.faults.popleft() if self.faults else self.mode
         self.writes.append(key)
         self.largest_bytes = max(self.largest_bytes, len(value))
-        if fault == "down":
-            return DOWN
         if fault == "slow":
             await self.gate.wait()
         if fault == "late":
             self._late.append((key, value, version))
-        if fault in ("ok", "slow", "effect"):
-            outcome = self._put(key, value, version)
-            if fault != "effect":
-                return outcome
-        return problem(Code.TIMED_OUT, fault, retry_after_s=1.0)
+        effect = fault in ("ok", "slow", "effect")
+        outcome = self._put(key, value, version) if effect else DOWN
+        lost = problem(Code.TIMED_OUT, fault, retry_after_s=1.0)
+        return outcome if fault in ("ok", "slow", "down") else lost
 
     async def delete(self, key, *, version):
         await asyncio.sleep(0)
@@ -157,10 +151,9 @@
         self.workers = {n: Worker(n) for n in names or ("w1", "w2", "w3")}
         self.room = room
         self.faults = collections.deque()
-        self.before_start = None
         self.ran, self.stops, self.resolves = [], [], []
         self.reserved, self.released = [], []
-        self.refusal = None
+        self.refusal = self.before_start = None
         self.steps = Steps()
         self._late = []
         self._ids = itertools.count(1)
@@ -195,11 +188,9 @@
         fault = self.faults.popleft() if self.faults else "ok"
         if fault == "late":
             self._late.append(start)
-        if fault in ("ok", "answer"):
-            outcome = self._start(start)
-            if fault == "ok":
-                return outcome
-        return problem(Code.TIMED_OUT, fault)
+        lost = problem(Code.TIMED_OUT, fault)
+        outcome = self._start(start) if fault in ("ok", "answer") else lost
+        return outcome if fault == "ok" else lost
 
     async def stop(self, starts):
         self.stops.append([start.task_id for start in starts])
@@ -210,18 +201,19 @@
     async def resolve(self, start, *, now):
         await asyncio.sleep(0)
         self.resolves.append(start.task_id)
-        worker = self.workers[start.worker]
+        return Success(self._resolution(start, self.workers[start.worker]))
+
+    def _resolution(self, start, worker):
         if worker.lapsed or (worker.reachable and self._is_replaced(start)):
-            return Success(Resolution(ResolutionKind.LEASE_LAPSED))
+            return Resolution(Kind.LEASE_LAPSED)
         if not worker.reachable:
-            return Success(Resolution(ResolutionKind.UNDECIDED))
+            return Resolution(Kind.UNDECIDED)
         worker.epoch = max(worker.epoch, start.epoch + 1)
         if start.task_id not in worker.tasks:
-            return Success(Resolution(ResolutionKind.NOT_STARTED))
+            return Resolution(Kind.NOT_STARTED)
         event = worker.tasks[start.task_id]
-        if event is None:
-            return Success(Resolution(ResolutionKind.ADOPTED))
-        return Success(Resolution(ResolutionKind.FINISHED, event))
+        kind = Kind.ADOPTED if event is None else Kind.FINISHED
+        return Resolution(kind, event)
 
     def deliver(self):
         late, self._late = self._late, []
@@ -229,12 +221,9 @@
             self._start(start)
 
     def live(self):
-        return [
-            task
-            for worker in self.workers.values()
-            for task, event in worker.tasks.items()
-            if event is None
-        ]
+        held = [w.tasks.items() for w in self.workers.values()]
+        tasks = itertools.chain.from_iterable(held)
+        return [task for task, event in tasks if event is None]
 
     def lose(self, name):
         """Cuts a worker off; its tasks stop as their leases expire."""
@@ -247,6 +236,9 @@
         incarnation = self.workers[name].incarnation + "1"
         self.workers[name] = Worker(name, incarnation=incarnation)
 
+    def cut(self, name):
+        self.workers[name].reachable = False
+
     def rejoin(self, name):
         worker = self.workers[name]
         worker.reachable, worker.lapsed = True, False
--- a/libs/jobs/dragonflybank/jobs/tests/test_faults.py
+++ b/libs/jobs/dragonflybank/jobs/tests/test_faults.py
@@ -12,6 +12,7 @@
     opened,
     spec_of,
     take_over,
+    until,
 )
 from dragonflybank.model.codes import Code
 from dragonflybank.model.work import JobState
@@ -144,6 +145,17 @@
         await home.schedule(2.0)
         self.assertEqual(([], [FIRST]), (runner.resolves, runner.ran))
 
+    async def test_start_of_a_cancelled_round_is_looked_up(self):
+        home, runner, store = await opened(spec_of("k", "simulation"))
+        store.faults.append("slow")
+        scheduling = asyncio.create_task(home.schedule(2.0))
+        await until(lambda: len(store.writes) == 3)
+        scheduling.cancel()
+        store.gate.set()
+        await asyncio.wait([scheduling])
+        await drive(home, runner)
+        self.assertEqual([SECOND], runner.ran)
+
     async def test_partly_started_billed_gang_fails_and_is_not_repeated(self):
         spec = spec_of("k", "billed_ring", tasks=2)
         record = await self.check(
--- a/libs/jobs/dragonflybank/jobs/tests/test_home.py
+++ b/libs/jobs/dragonflybank/jobs/tests/test_home.py
@@ -4,13 +4,7 @@
 
 from testtools.matchers import MatchesStructure
 
-from dragonflybank.jobs.tests.fakes import (
-    LoopCase,
-    Rules,
-    code_of,
-    opened,
-    spec_of,
-)
+from dragonflybank.jobs.tests import fakes
 from dragonflybank.model.codes import Code
 from dragonflybank.model.leases import TaskState
 from dragonflybank.model.resources import Resources
@@ -19,44 +13,46 @@
 TASK = "courts/k/1/0"
 
 
-class TestAccept(LoopCase):
+class TestAccept(fakes.LoopCase):
     """Guards against work accepted twice or promised without a journal."""
 
     async def test_same_key_and_payload_is_one_job(self):
-        home, runner, _ = await opened()
+        home, runner, _ = await fakes.opened()
         await asyncio.gather(
-            *(home.accept(spec_of("k"), float(n)) for n in range(3))
+            *(home.accept(fakes.spec_of("k"), float(n)) for n in range(3))
         )
         await home.schedule(1.0)
         await home.schedule(2.0)
         self.assertEqual([TASK], runner.ran)
 
     async def test_key_with_another_payload_is_refused(self):
-        home, _, _ = await opened(spec_of("k"))
-        outcome = await home.accept(spec_of("k", payload="x"), 0.0)
-        self.assertEqual(Code.KEY_REUSED, code_of(outcome))
+        home, _, _ = await fakes.opened(fakes.spec_of("k"))
+        outcome = await home.accept(fakes.spec_of("k", payload="x"), 0.0)
+        self.assertEqual(Code.KEY_REUSED, fakes.code_of(outcome))
 
     async def test_job_larger_than_every_worker_is_refused_as_not_run(self):
-        home, _, _ = await opened(rules=Rules(size=Resources(cores=4)))
-        spec = spec_of("k", size=Resources(cores=8))
+        home, _, _ = await fakes.opened(
+            rules=fakes.Rules(size=Resources(cores=4))
+        )
+        spec = fakes.spec_of("k", size=Resources(cores=8))
         self.assertEqual(
-            Code.CAN_NEVER_RUN, code_of(await home.accept(spec, 0.0))
+            Code.CAN_NEVER_RUN, fakes.code_of(await home.accept(spec, 0.0))
         )
 
     async def test_lookup_classes_are_not_patient_work(self):
-        home, _, _ = await opened()
-        outcome = await home.accept(spec_of("k", "die_lookup"), 0.0)
+        home, _, _ = await fakes.opened()
+        outcome = await home.accept(fakes.spec_of("k", "die_lookup"), 0.0)
         wanted = {"code": Code.BAD_REQUEST, "field": "work_class"}
         self.assertThat(
             outcome.failure(), MatchesStructure.byEquality(**wanted)
         )
 
 
-class TestFinish(LoopCase):
+class TestFinish(fakes.LoopCase):
     """Guards against lost, doubled or early reported outcomes."""
 
     async def test_waiter_gets_the_result(self):
-        home, runner, _ = await opened(spec_of("k"))
+        home, runner, _ = await fakes.opened(fakes.spec_of("k"))
         waiter = asyncio.create_task(home.wait("courts", "k", timeout_s=60.0))
         await home.schedule(1.0)
         self.assertTrue(await home.finished(runner.end(TASK), 2.0))
@@ -65,7 +61,7 @@
         self.assertEqual(("r",), results.unwrap())
 
     async def test_outcome_is_counted_once(self):
-        home, runner, _ = await opened(spec_of("k"))
+        home, runner, _ = await fakes.opened(fakes.spec_of("k"))
         await home.schedule(1.0)
         event = runner.end(TASK, TaskState.FAILED)
         kept = await asyncio.gather(
@@ -77,24 +73,24 @@
         self.assertEqual(JobState.QUEUED, record.state)
 
     async def test_event_of_an_unknown_job_stays_at_the_worker(self):
-        home, runner, _ = await opened(spec_of("k"))
+        home, runner, _ = await fakes.opened(fakes.spec_of("k"))
         await home.schedule(1.0)
-        other, _, _ = await opened()
+        other, _, _ = await fakes.opened()
         self.assertFalse(await other.finished(runner.end(TASK), 2.0))
 
 
-class TestCancel(LoopCase):
+class TestCancel(fakes.LoopCase):
     """Guards against an answer "not run" for work that ran."""
 
     async def test_queued_job_is_cancelled_before_start(self):
-        home, runner, _ = await opened(spec_of("k"))
+        home, runner, _ = await fakes.opened(fakes.spec_of("k"))
         record = (await home.cancel("courts", "k", 1.0)).unwrap()
         await home.schedule(2.0)
         self.assertEqual(Code.CANCELLED_BEFORE_START, record.problem.code)
         self.assertEqual([], runner.ran)
 
     async def test_running_job_is_stopped_and_reported_as_started(self):
-        home, runner, _ = await opened(spec_of("k"))
+        home, runner, _ = await fakes.opened(fakes.spec_of("k"))
         await home.schedule(1.0)
         pending = (await home.cancel("courts", "k", 2.0)).unwrap()
         self.assertEqual(JobState.RUNNING, pending.state)
--- a/libs/jobs/dragonflybank/jobs/tests/test_journal.py
+++ b/libs/jobs/dragonflybank/jobs/tests/test_journal.py
@@ -3,14 +3,7 @@
 import asyncio
 
 from dragonflybank.jobs.journal import Journal
-from dragonflybank.jobs.tests.fakes import (
-    FakeStore,
-    LoopCase,
-    code_of,
-    no_sleep,
-    spec_of,
-    until,
-)
+from dragonflybank.jobs.tests import fakes
 from dragonflybank.jobs.transitions import accepted_entry, request_cancel
 from dragonflybank.model.codes import Code
 from dragonflybank.model.work import WorkClass
@@ -19,10 +12,10 @@
 
 
 def entry_of(key="k"):
-    return accepted_entry(spec_of(key), WorkClass("sweep"), 1.0)
+    return accepted_entry(fakes.spec_of(key), WorkClass("sweep"), 1.0)
 
 
-async def opened(store, host="h1", sleep=no_sleep):
+async def opened(store, host="h1", sleep=fakes.no_sleep):
     journal = Journal(store, "oulu/0", host, sleep=sleep)
     (await journal.open(0.0)).unwrap()
     return journal
@@ -32,18 +25,18 @@
     return (await opened(store, "h2")).table.settled(KEY)
 
 
-class TestGroupCommit(LoopCase):
+class TestGroupCommit(fakes.LoopCase):
     """Guards against store writes that grow with the load."""
 
     async def test_changes_during_a_write_share_the_next_one(self):
-        store = FakeStore()
+        store = fakes.FakeStore()
         journal = await opened(store)
         store.faults.append("slow")
         changes = [
             asyncio.create_task(journal.commit(entry_of(str(n)), now=1.0))
             for n in range(50)
         ]
-        await until(lambda: len(store.writes) == 2)
+        await fakes.until(lambda: len(store.writes) == 2)
         changes.append(
             asyncio.create_task(journal.commit(entry_of("last"), now=2.0))
         )
@@ -55,7 +48,7 @@
         self.assertEqual(3, len(store.writes))
 
     async def test_writes_wait_for_the_interval(self):
-        store, gate, waits = FakeStore(), asyncio.Event(), []
+        store, gate, waits = fakes.FakeStore(), asyncio.Event(), []
 
         async def sleep(seconds):
             waits.append(seconds)
@@ -72,15 +65,15 @@
         self.assertEqual(3, len(store.writes))
 
 
-class TestStoreFaults(LoopCase):
+class TestStoreFaults(fakes.LoopCase):
     """Guards against an untrue answer about a write."""
 
     async def test_write_without_effect_is_taken_back(self):
-        store = FakeStore()
+        store = fakes.FakeStore()
         journal = await opened(store)
         store.mode = "down"
         outcome = await journal.commit(entry_of(), now=1.0)
-        self.assertEqual(Code.STORE_UNAVAILABLE, code_of(outcome))
+        self.assertEqual(Code.STORE_UNAVAILABLE, fakes.code_of(outcome))
         self.assertIs(None, journal.table.latest(KEY))
         store.mode = "ok"
         (await journal.commit(entry_of("other"), now=2.0)).unwrap()
@@ -88,7 +81,7 @@
 
     async def test_lost_answers_are_settled(self):
         for faults in (["effect"], ["lost"], ["late"], ["lost", "effect"]):
-            store = FakeStore()
+            store = fakes.FakeStore()
             journal = await opened(store)
             store.faults.extend(faults)
             (await journal.commit(entry_of(), now=1.0)).unwrap()
@@ -97,7 +90,7 @@
             self.assertEqual(entry_of(), await reopened(store), str(faults))
 
     async def test_unsettled_write_is_never_refused_as_not_made(self):
-        store = FakeStore()
+        store = fakes.FakeStore()
         journal = await opened(store)
         store.mode = "late"
         changed = request_cancel(entry_of(), 2.0)
@@ -110,47 +103,47 @@
         unsettled = [Code.WRITE_UNSETTLED] * 3
         self.assertEqual(
             [*unsettled, Code.STORE_UNAVAILABLE],
-            [code_of(outcome) for outcome in outcomes],
+            [fakes.code_of(outcome) for outcome in outcomes],
         )
         store.deliver()
         store.mode = "ok"
-        await until(lambda: not journal.is_stalled)
+        await fakes.until(lambda: not journal.is_stalled)
         self.assertTrue(journal.is_open)
         self.assertEqual(entry_of(), await reopened(store))
 
     async def test_change_behind_an_unsettled_write_is_taken_back_alone(self):
-        store = FakeStore()
+        store = fakes.FakeStore()
         journal = await opened(store)
         store.faults.extend(["lost"] * 4)
         first = asyncio.create_task(journal.commit(entry_of(), now=1.0))
-        await until(lambda: len(store.writes) > 1)
+        await fakes.until(lambda: len(store.writes) > 1)
         changed = request_cancel(entry_of(), 2.0)
         later = asyncio.create_task(journal.commit(changed, now=2.0))
-        self.assertEqual(Code.WRITE_UNSETTLED, code_of(await first))
-        self.assertEqual(Code.STORE_UNAVAILABLE, code_of(await later))
-        await until(lambda: not journal.is_stalled)
+        self.assertEqual(Code.WRITE_UNSETTLED, fakes.code_of(await first))
+        self.assertEqual(Code.STORE_UNAVAILABLE, fakes.code_of(await later))
+        await fakes.until(lambda: not journal.is_stalled)
         self.assertEqual(entry_of(), journal.table.latest(KEY))
         self.assertEqual(entry_of(), await reopened(store))
 
 
-class TestFence(LoopCase):
+class TestFence(fakes.LoopCase):
     """Guards against two homes that both change a shard."""
 
     async def test_former_home_loses_the_shard(self):
-        store = FakeStore()
+        store = fakes.FakeStore()
         former = await opened(store)
         await former.commit(entry_of(), now=1.0)
         present = await opened(store, "h2")
         outcomes = await asyncio.gather(
             *(former.commit(entry_of(str(n)), now=2.0) for n in range(9))
         )
-        self.assertEqual({Code.NOT_HOME}, {code_of(o) for o in outcomes})
+        self.assertEqual({Code.NOT_HOME}, {fakes.code_of(o) for o in outcomes})
         self.assertEqual((False, True), (former.is_open, present.is_open))
         self.assertEqual([], list(former.table.items()))
 
     async def test_write_lost_to_another_home_stays_unsettled(self):
         # The late write came first and the new home read it.
-        store, gate = FakeStore(), asyncio.Event()
+        store, gate = fakes.FakeStore(), asyncio.Event()
 
         async def sleep(seconds):
             if len(store.writes) > 4:
@@ -159,29 +152,29 @@
         former = await opened(store, sleep=sleep)
         store.mode = "late"
         first = await former.commit(entry_of(), now=1.0)
-        await until(lambda: len(store.writes) > 4)
+        await fakes.until(lambda: len(store.writes) > 4)
         store.deliver()
         store.mode = "ok"
         self.assertEqual(entry_of(), await reopened(store))
         gate.set()
-        await until(lambda: not former.is_open)
-        self.assertEqual(Code.WRITE_UNSETTLED, code_of(first))
+        await fakes.until(lambda: not former.is_open)
+        self.assertEqual(Code.WRITE_UNSETTLED, fakes.code_of(first))
 
     async def test_shard_written_recently_is_left_to_its_home(self):
-        store = FakeStore()
+        store = fakes.FakeStore()
         await opened(store)
-        other = Journal(store, "oulu/0", "h2", sleep=no_sleep)
+        other = Journal(store, "oulu/0", "h2", sleep=fakes.no_sleep)
         early = await other.open(59.0, min_idle_s=60.0)
-        self.assertEqual(Code.NOT_HOME, code_of(early))
+        self.assertEqual(Code.NOT_HOME, fakes.code_of(early))
         (await other.open(61.0, min_idle_s=60.0)).unwrap()
 
     async def test_released_shard_is_taken_at_once(self):
-        store = FakeStore()
+        store = fakes.FakeStore()
         former = await opened(store)
         waiting = asyncio.create_task(former.commit(entry_of(), now=1.0))
         await asyncio.sleep(0)
         await former.close(2.0)
-        other = Journal(store, "oulu/0", "h2", sleep=no_sleep)
+        other = Journal(store, "oulu/0", "h2", sleep=fakes.no_sleep)
         (await other.open(3.0, min_idle_s=60.0)).unwrap()
         (await waiting).unwrap()
         self.assertEqual(entry_of(), other.table.settled(KEY))
--- a/libs/jobs/dragonflybank/jobs/tests/test_properties.py
+++ b/libs/jobs/dragonflybank/jobs/tests/test_properties.py
@@ -11,14 +11,7 @@
 
 from dragonflybank.jobs.entries import key_of, task_index
 from dragonflybank.jobs.home import ShardHome
-from dragonflybank.jobs.tests.fakes import (
-    FakeRunner,
-    FakeStore,
-    drive,
-    kill_others,
-    new_home,
-    spec_of,
-)
+from dragonflybank.jobs.tests import fakes
 from dragonflybank.model.codes import Code, proves_not_run
 from dragonflybank.model.leases import TaskState
 from dragonflybank.model.work import is_final
@@ -27,9 +20,9 @@
 # The class and the number of tasks are fixed for a key, so that a repeated
 # accept asks for the same work.
 SPECS = {
-    "a": spec_of("a", "simulation"),
-    "b": spec_of("b", "sweep", tasks=2),
-    "c": spec_of("c", "billed_ring", tasks=2),
+    "a": fakes.spec_of("a", "simulation"),
+    "b": fakes.spec_of("b", "sweep", tasks=2),
+    "c": fakes.spec_of("c", "billed_ring", tasks=2),
 }
 WORKERS = ("w1", "w2", "w3")
 STORE_FAULTS = ("down", "effect", "lost", "late")
@@ -51,7 +44,7 @@
     step_of(["store"], STORE_FAULTS),
     step_of(["starts"], START_FAULTS),
     step_of(["outage"], ("ok", "ok", *STORE_FAULTS)),
-    step_of(["lose", "replace", "rejoin", "rejoin"], WORKERS),
+    step_of(["cut", "lose", "replace", "rejoin", "rejoin"], WORKERS),
 )
 
 
@@ -59,8 +52,10 @@
 class Scenario:
     """A shard, its homes past and present, and what callers were told."""
 
-    store: FakeStore = attrs.field(factory=FakeStore)
-    runner: FakeRunner = attrs.field(factory=lambda: FakeRunner(*WORKERS))
+    store: fakes.FakeStore = attrs.field(factory=fakes.FakeStore)
+    runner: fakes.FakeRunner = attrs.field(
+        factory=lambda: fakes.FakeRunner(*WORKERS)
+    )
     homes: list[ShardHome] = attrs.field(factory=list)
     accepted: set[str] = attrs.field(factory=set)
     told_not_run: set[str] = attrs.field(factory=set)
@@ -92,11 +87,11 @@
                 self.runner.deliver()
             case "kill":
                 await yields(choice)
-                await kill_others()
+                await fakes.kill_others()
                 self.homes.clear()
             case "take_over":
                 await self.open_another()
-            case "lose" | "replace" | "rejoin":
+            case "cut" | "lose" | "replace" | "rejoin":
                 getattr(self.runner, kind)(choice)
 
     async def call(self, home, kind, key):
@@ -127,7 +122,7 @@
 
     async def open_another(self):
         """Opens a new home; the former ones do not notice."""
-        home = new_home(self.store, self.runner, host=f"h{self.now}")
+        home = fakes.new_home(self.store, self.runner, host=f"h{self.now}")
         if isinstance(await home.open(self.now), Success):
             self.homes.append(home)
 
@@ -139,7 +134,7 @@
             self.runner.rejoin(name)
         await self.open_another()
         await yields(200)
-        await drive(self.homes[-1], self.runner, start=self.now + 1000.0)
+        await fakes.drive(self.homes[-1], self.runner, start=self.now + 1000.0)
 
     def runs(self, key):
         ran = [task for task in self.runner.ran if key_of(task)[1] == key]
--- a/libs/jobs/dragonflybank/jobs/tests/test_retention.py
+++ b/libs/jobs/dragonflybank/jobs/tests/test_retention.py
@@ -4,18 +4,8 @@
 
 from testtools.matchers import LessThan
 
-from dragonflybank.jobs.results import ResultStore, TokenBucket
-from dragonflybank.jobs.tests.fakes import (
-    FakeRunner,
-    FakeStore,
-    LoopCase,
-    code_of,
-    no_sleep,
-    opened,
-    spec_of,
-    take_over,
-    until,
-)
+from dragonflybank.jobs.results import ResultStore
+from dragonflybank.jobs.tests import fakes
 from dragonflybank.model.codes import Code
 from dragonflybank.model.work import JobState
 
@@ -25,25 +15,25 @@
 
 async def finished():
     """Returns a home with a finished job that has a long result."""
-    home, runner, store = await opened(spec_of("k"))
+    home, runner, store = await fakes.opened(fakes.spec_of("k"))
     await home.schedule(2.0)
     kept = await home.finished(runner.end("courts/k/1/0", result=LONG), 3.0)
     assert kept
     return home, runner, store
 
 
-class TestLongResults(LoopCase):
+class TestLongResults(fakes.LoopCase):
     """Guards against lost or doubled long results."""
 
     async def test_long_result_has_its_own_key_and_survives_a_take_over(self):
         _, runner, store = await finished()
-        present = await take_over(store, runner)
+        present = await fakes.take_over(store, runner)
         self.assertEqual({}, present.record("courts", "k").results)
         results = await present.results("courts", "k")
         self.assertEqual((LONG,), results.unwrap())
 
     async def test_result_stays_at_the_worker_until_it_is_written(self):
-        home, runner, store = await opened(spec_of("k"))
+        home, runner, store = await fakes.opened(fakes.spec_of("k"))
         await home.schedule(5.0)
         event = runner.end("courts/k/1/0", result=LONG)
         store.faults.extend(["down"] * 3)
@@ -51,22 +41,16 @@
         store.faults.append("effect")
         self.assertTrue(await home.finished(event, 8.0))
 
-    def test_writes_are_paced(self):
-        bucket = TokenBucket(2.0)
-        waits = [bucket.take(10.0, max_wait_s=1.0) for _ in range(6)]
-        self.assertEqual([0.0, 0.0, 0.0, 0.5, 1.0, None], waits)
-        self.assertEqual(0.5, bucket.take(11.0, max_wait_s=1.0))
-
     async def test_results_of_a_job_with_a_longer_key_are_left_alone(self):
-        store = FakeStore()
-        results = ResultStore(store, sleep=no_sleep)
+        store = fakes.FakeStore()
+        results = ResultStore(store, sleep=fakes.no_sleep)
         await results.write("courts/k/1/0", "mine", 0.0)
         await results.write("courts/k/1/1/0", "of job k/1", 0.0)
         await results.delete(("courts", "k"), 1.0)
         self.assertEqual(["results/courts/k/1/1/0"], store.keys("results/"))
 
 
-class TestRetention(LoopCase):
+class TestRetention(fakes.LoopCase):
     """Guards against a shard that grows for ever, or forgets too early."""
 
     async def test_record_then_tombstone_then_nothing(self):
@@ -76,10 +60,10 @@
         await home.maintain(3700.0)
         self.assertEqual(Code.OK, home.record("courts", "k").problem.code)
         self.assertEqual([], store.keys("results/"))
-        again = await home.accept(spec_of("k"), 3701.0)
+        again = await home.accept(fakes.spec_of("k"), 3701.0)
         self.assertEqual(JobState.DONE, again.unwrap().state)
-        other = await home.accept(spec_of("k", payload="x"), 3702.0)
-        self.assertEqual(Code.KEY_REUSED, code_of(other))
+        other = await home.accept(fakes.spec_of("k", payload="x"), 3702.0)
+        self.assertEqual(Code.KEY_REUSED, fakes.code_of(other))
         await home.maintain(DAY_S + 3604.0)
         self.assertIs(None, home.record("courts", "k"))
 
@@ -93,14 +77,16 @@
         self.assertEqual([], store.keys("results/"))
 
 
-class TestSize(LoopCase):
+class TestSize(fakes.LoopCase):
     """Guards against a value that the store no longer takes."""
 
     async def test_new_work_is_refused_before_the_value_is_too_large(self):
-        home, runner, store = await opened(runner=FakeRunner(room=10**6))
+        home, runner, store = await fakes.opened(
+            runner=fakes.FakeRunner(room=10**6)
+        )
         number, refused = 0, None
         while refused is None:
-            spec = spec_of(f"k{number}", payload="x" * 2000, tasks=40)
+            spec = fakes.spec_of(f"k{number}", payload="x" * 2000, tasks=40)
             outcome = await home.accept(spec, 1.0)
             refused = outcome.swap().value_or(None)
             number += 1
@@ -117,18 +103,18 @@
         self.assertThat(store.largest_bytes, LessThan(720_000))
 
 
-class TestRun(LoopCase):
+class TestRun(fakes.LoopCase):
     """Guards against a loop that does not go on by itself."""
 
     async def test_run_starts_work_and_ends_when_the_shard_is_released(self):
-        home, runner, _ = await opened()
+        home, runner, _ = await fakes.opened()
         running = asyncio.create_task(home.run())
-        await home.accept(spec_of("k"), 0.0)
-        await until(runner.live)
+        await home.accept(fakes.spec_of("k"), 0.0)
+        await fakes.until(runner.live)
         await home.finished(runner.end("courts/k/1/0"), 1.0)
         record = await home.wait("courts", "k", timeout_s=60.0)
         self.assertEqual(JobState.DONE, record.state)
         await home.close()
         await running
-        late = await home.accept(spec_of("late"), 2.0)
-        self.assertEqual(Code.NOT_HOME, code_of(late))
+        late = await home.accept(fakes.spec_of("late"), 2.0)
+        self.assertEqual(Code.NOT_HOME, fakes.code_of(late))
--- a/libs/jobs/dragonflybank/jobs/transitions.py
+++ b/libs/jobs/dragonflybank/jobs/transitions.py
@@ -6,7 +6,6 @@
 """
 
 __all__ = [
-    "EventContext",
     "accepted_entry",
     "give_up",
     "request_cancel",
@@ -18,7 +17,7 @@
     "with_starts",
 ]
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 import attrs
 
@@ -30,10 +29,15 @@
     live_start,
     live_starts,
     waiting_indexes,
+    with_record,
+)
+from dragonflybank.jobs.failures import (
+    EventContext,
+    after_failure,
+    ends_unknown,
 )
 from dragonflybank.model.codes import Code, Problem
-from dragonflybank.model.leases import Reservation, TaskEvent, TaskState
-from dragonflybank.model.resources import Resources
+from dragonflybank.model.leases import Reservation, TaskEvent
 from dragonflybank.model.work import (
     JobRecord,
     JobSpec,
@@ -44,30 +48,6 @@
     task_id,
 )
 
-# Bounds the retries in a region that has too few workers for the rule of
-# unlike workers.
-MAX_FAILURES = 8
-MAX_REASON_CHARS = 200
-
-
-@attrs.frozen
-class EventContext:
-    """What a transition needs to know besides the entry.
-
-    Attributes:
-        now: Present time, seconds since 1970.
-        delay_s: Time before the next attempt, in seconds.
-        largest: What the largest worker can hold; None if not known.
-        counted: Whether a failure counts against the job.
-        exhausted: Whether the failures on these workers end the job.
-    """
-
-    now: float
-    delay_s: float = 0.0
-    largest: Resources | None = None
-    counted: bool = True
-    exhausted: Callable[[Sequence[str]], bool] = lambda workers: False
-
 
 def accepted_entry(spec: JobSpec, wc: WorkClass, now: float) -> Entry:
     """Returns the entry of a job that was just accepted.
@@ -106,7 +86,7 @@
         )
     )
     return _settled(
-        _evolve(entry, attempt=attempt, starts=record.starts + starts), now
+        with_record(entry, attempt=attempt, starts=record.starts + starts), now
     )
 
 
@@ -135,7 +115,7 @@
     """Returns the entry after the lease of a start expired unobserved."""
     if live_start(entry, lost) is None:
         return entry
-    if _ends_unknown(entry, lost):
+    if ends_unknown(entry, lost):
         problem = Problem(Code.WORKER_LOST, "the worker was lost")
         entry = attrs.evolve(entry, ending=Ending(JobState.UNKNOWN, problem))
     entry = attrs.evolve(entry, ran=True)
@@ -161,7 +141,7 @@
         entry = attrs.evolve(entry, stored=stored, has_result_keys=True)
     else:
         results = {**entry.record.results, event.task_id: event.result}
-        entry = _evolve(entry, results=results)
+        entry = with_record(entry, results=results)
     return _settled(entry, now)
 
 
@@ -172,14 +152,20 @@
         return entry
     entry = attrs.evolve(entry, ran=True)
     if entry.ending is None:
-        entry = _after_failure(entry, start, event, ctx)
+        entry = after_failure(entry, start, event, ctx)
     return _settled(
         _without_start(entry, start.task_id, ctx.now + ctx.delay_s), ctx.now
     )
 
 
 def request_cancel(entry: Entry, now: float) -> Entry:
-    """Returns the entry that ends as cancelled once no start is live."""
+    """Returns the entry that ends as cancelled once no start is live.
+
+    Example:
+        >>> entry = Entry(JobRecord(JobSpec("courts", "k1", "sweep")))
+        >>> request_cancel(entry, 1.0).record.problem.code.name
+        'CANCELLED_BEFORE_START'
+    """
     if entry.final or entry.ending is not None:
         return entry
     problem = Problem(Code.CANCELLED_AFTER_START, "cancelled by the caller")
@@ -203,50 +189,6 @@
     return _settled(attrs.evolve(entry, ending=ending), now)
 
 
-def _ends_unknown(entry: Entry, lost: str) -> bool:
-    if entry.ending is None:
-        return not entry.repeatable
-    # A cancelled job is known to have run only if a start was confirmed, and
-    # whether work that must not be repeated was completed matters.
-    return entry.ending.state is JobState.CANCELLED and (
-        not entry.repeatable or lost not in entry.running
-    )
-
-
-def _after_failure(entry, start, event, ctx) -> Entry:
-    if event.reason == "size_exceeded":
-        return _after_size_exceeded(entry, start, event, ctx)
-    if not entry.repeatable:
-        return _ends_failed(entry, Code.TASK_FAILED, event)
-    if event.state is TaskState.STOPPED or not ctx.counted:
-        return entry
-    workers = tuple(dict.fromkeys((*entry.record.failed_on, event.worker)))
-    failures = entry.failures + 1
-    entry = attrs.evolve(_evolve(entry, failed_on=workers), failures=failures)
-    if ctx.exhausted(workers):
-        return _ends_failed(entry, Code.FAILED_ON_UNLIKE_WORKERS, event)
-    if failures >= MAX_FAILURES:
-        return _ends_failed(entry, Code.TASK_FAILED, event)
-    return entry
-
-
-def _after_size_exceeded(entry, start, event, ctx) -> Entry:
-    # Only memory stops a task; processors are throttled.
-    granted_mb, largest = start.grant.memory_mb, ctx.largest
-    at_limit = largest is not None and granted_mb >= largest.memory_mb
-    if not entry.repeatable or at_limit or granted_mb <= 0:
-        return _ends_failed(entry, Code.SIZE_EXCEEDED, event)
-    return _evolve(entry, grant_factor=2 * entry.record.grant_factor)
-
-
-def _ends_failed(entry: Entry, code: Code, event: TaskEvent) -> Entry:
-    reason = event.reason or f"the task was {event.state}"
-    detail = f"{reason[:MAX_REASON_CHARS]} on {event.worker}"
-    return attrs.evolve(
-        entry, ending=Ending(JobState.FAILED, Problem(code, detail))
-    )
-
-
 def _settled(entry: Entry, now: float) -> Entry:
     live = live_starts(entry)
     if len(done_indexes(entry)) == entry.record.spec.tasks:
@@ -256,9 +198,9 @@
     if entry.ending is not None and not live:
         return _ended(entry, now)
     if any(start.task_id in entry.running for start in live):
-        return _evolve(entry, state=JobState.RUNNING)
+        return with_record(entry, state=JobState.RUNNING)
     state = JobState.STARTING if live else JobState.QUEUED
-    return _evolve(entry, state=state)
+    return with_record(entry, state=state)
 
 
 def _settled_gang(entry: Entry, live: Sequence[StartRecord]) -> Entry:
@@ -268,32 +210,28 @@
     if live or entry.ending is not None:
         return entry
     entry = attrs.evolve(entry, running=(), stored={})
-    return _evolve(entry, starts=(), results={})
+    return with_record(entry, starts=(), results={})
 
 
 def _ended(entry: Entry, now: float) -> Entry:
     state, problem = entry.ending.state, entry.ending.problem
     if state is JobState.CANCELLED and not entry.ran:
         problem = attrs.evolve(problem, code=Code.CANCELLED_BEFORE_START)
-    entry = attrs.evolve(_evolve(entry, results={}), stored={})
+    entry = attrs.evolve(with_record(entry, results={}), stored={})
     return _final(entry, state=state, problem=problem, finished_at=now)
 
 
 def _final(entry: Entry, **changes) -> Entry:
     # A finished job stays in the value for an hour without its starts.
-    return _evolve(attrs.evolve(entry, running=()), starts=(), **changes)
+    return with_record(attrs.evolve(entry, running=()), starts=(), **changes)
 
 
 def _without_start(entry: Entry, gone: str, not_before: float) -> Entry:
     starts = tuple(s for s in entry.record.starts if s.task_id != gone)
     running = tuple(r for r in entry.running if r != gone)
     entry = attrs.evolve(entry, running=running)
-    return _evolve(
+    return with_record(
         entry,
         starts=starts,
         not_before=max(entry.record.not_before, not_before),
     )
-
-
-def _evolve(entry: Entry, **changes) -> Entry:
-    return attrs.evolve(entry, record=attrs.evolve(entry.record, **changes))
--- a/libs/jobs/dragonflybank/jobs/value.py
+++ b/libs/jobs/dragonflybank/jobs/value.py
@@ -85,7 +85,12 @@
 
 
 def shard_key(shard: str) -> str:
-    """Returns the store key of a shard."""
+    """Returns the store key of a shard.
+
+    Example:
+        >>> shard_key("oulu/0")
+        'shards/oulu/0'
+    """
     return f"shards/{shard}"
 
 
