--- a/libs/jobs/dragonflybank/jobs/tests/test_faults.py
+++ b/libs/jobs/dragonflybank/jobs/tests/test_faults.py
@@ -15,6 +15,7 @@
     until,
 )
 from dragonflybank.model.codes import Code
+from dragonflybank.model.leases import TaskState
 from dragonflybank.model.work import JobState
 
 FIRST, SECOND = "courts/k/1/0", "courts/k/2/0"
@@ -157,11 +158,18 @@
         self.assertEqual([SECOND], runner.ran)
 
     async def test_partly_started_billed_gang_fails_and_is_not_repeated(self):
-        spec = spec_of("k", "billed_ring", tasks=2)
-        record = await self.check(
-            spec, "lost", ran=["courts/k/1/1"], state=JobState.FAILED
-        )
-        self.assertEqual(Code.TASK_FAILED, record.problem.code)
+        for last_state in (TaskState.RUNNING, TaskState.DONE):
+            spec = spec_of("k", "billed_ring", tasks=2)
+            home, runner, _ = await opened(spec)
+            runner.faults.append("lost")
+            await home.schedule(2.0)
+            if last_state is TaskState.DONE:
+                runner.end("courts/k/1/1")
+                await runner.report(home, 3.0)
+            await drive(home, runner)
+            record = home.record("courts", "k")
+            self.assertEqual(Code.TASK_FAILED, record.problem.code)
+            self.assertEqual(["courts/k/1/1"], runner.ran)
 
     async def test_running_task_unknown_to_its_worker_is_not_unstarted(self):
         home, runner, store = await opened(spec_of("k", "simulation"))
