--- a/libs/jobs/dragonflybank/jobs/starts.py
+++ b/libs/jobs/dragonflybank/jobs/starts.py
@@ -23,6 +23,7 @@
     task_started,
     with_starts,
 )
+from dragonflybank.model.codes import Problem
 from dragonflybank.model.leases import Reservation, StartReply
 from dragonflybank.model.work import StartRecord
 
@@ -128,7 +129,7 @@
 
     async def _send_wanted(
         self, placed: Placed, now: float
-    ) -> Result[StartReply, object] | None:
+    ) -> Result[StartReply, Problem] | None:
         start = placed.start
         entry = self._entry_of(start)
         if entry is None:
--- a/libs/jobs/dragonflybank/jobs/value.py
+++ b/libs/jobs/dragonflybank/jobs/value.py
@@ -96,7 +96,8 @@
 
 def _without_defaults(item: Item) -> dict:
     # Fields at their default are left out and filled in by the decoder; with
-    # all field names a queued job takes three times as many bytes.
+    # all field names a queued job takes three times as many bytes. A default
+    # must therefore not change while shards hold items.
     return attrs.asdict(item, filter=_is_set)
 
 
