--- a/libs/jobs/dragonflybank/jobs/value.py
+++ b/libs/jobs/dragonflybank/jobs/value.py
@@ -85,13 +85,19 @@
 
 
 def shard_key(shard: str) -> str:
-    """Returns the store key of a shard."""
+    """Returns the store key of a shard.
+
+    Example:
+        >>> shard_key("oulu/0")
+        'shards/oulu/0'
+    """
     return f"shards/{shard}"
 
 
 def _without_defaults(item: Item) -> dict:
     # Fields at their default are left out and filled in by the decoder; with
-    # all field names a queued job takes three times as many bytes.
+    # all field names a queued job takes three times as many bytes. A default
+    # must therefore not change while shards hold items.
     return attrs.asdict(item, filter=_is_set)
 
 
