Decide that a lease has lapsed only when no other host can be the owner

Cause: a simulation of three hosts with random pauses, cut paths to workers and lost answers found tasks that ran after they had been resolved as lapsed. A host that was paused, lost its worker meanwhile and then could not reach it counted the worst case from its own last renewal.

Change: before a lease is taken for lapsed, every host in view must deny that it owns the worker; an owner that was paused keeps a worker only if the worker confirms it, else it starts again as a takeover; a start of a later epoch proves that the ownership is stale. Tasks of a dropped ownership are reported once the takeover's worst case has passed.

Ruled out: to stop renewals when an owner hears no other host. The last host of a deployment would then stop all running work.

Conclusion: still open is a host that is cut off from all other hosts and from the worker at once but reaches the store; it cannot tell a dead owner from one it cannot hear.

--- a/libs/cluster/dragonflybank/cluster/claims.py
+++ b/libs/cluster/dragonflybank/cluster/claims.py
@@ -63,16 +63,18 @@
     Returns:
         The resolution; ``NOT_OWNER`` if another host must decide.
     """
+    if _is_overtaken(worker, start):
+        worker.drop(DropReason.STALE)
     known = _known(worker, start)
     if known is not None:
         return Success(known)
     if not worker.owned:
-        return _by_lease(worker, start, now)
+        return await _by_lease(worker, start, now)
     fenced = await _fence(worker, start)
     if is_problem(fenced, Code.NOT_OWNER):
         return fenced
     if isinstance(fenced, Failure):
-        return _by_lease(worker, start, now)
+        return await _by_lease(worker, start, now)
     known = _known(worker, start)
     return Success(known or Resolution(_absent(worker, start)))
 
@@ -110,6 +112,12 @@
     return ResolutionKind.NOT_STARTED
 
 
+def _is_overtaken(worker: OwnedWorker, start: StartRecord) -> bool:
+    # A later epoch of the same VM proves that another host was the owner.
+    is_later = _is_comparable(worker, start) and start.epoch > worker.epoch
+    return worker.owned and is_later
+
+
 def _is_comparable(worker: OwnedWorker, start: StartRecord) -> bool:
     return is_same_incarnation(worker.epoch, start.epoch)
 
@@ -130,10 +138,10 @@
     return None
 
 
-def _by_lease(
+async def _by_lease(
     worker: OwnedWorker, start: StartRecord, now: float
 ) -> Result[Resolution, Problem]:
-    if worker.contact.has_lapsed(now, owned=worker.owned):
+    if await worker.has_lapsed(now):
         worker.given_up.add(start.task_id)
         return Success(Resolution(ResolutionKind.LEASE_LAPSED))
     if worker.owned or worker.contact.taken_over_at is not None:
--- a/libs/cluster/dragonflybank/cluster/contact.py
+++ b/libs/cluster/dragonflybank/cluster/contact.py
@@ -25,6 +25,8 @@
         taken_over_at: Time since which this host alone is responsible for a
             worker that it could not claim, or None.
         attended_at: Time of the last ownership step.
+        must_verify: Whether this host may have lost the worker while it was
+            paused; it then stays the owner only if the worker confirms it.
     """
 
     failures: int = 0
@@ -32,6 +34,7 @@
     lease_from: float = 0.0
     taken_over_at: float | None = None
     attended_at: float = 0.0
+    must_verify: bool = False
 
     @property
     def is_reachable(self) -> bool:
@@ -42,6 +45,7 @@
         """Notes an answer of the worker."""
         self.failures = 0
         self.is_unconfirmed = False
+        self.must_verify = False
         self.taken_over_at = None
 
     def failed(self) -> None:
@@ -49,7 +53,8 @@
         self.failures += 1
 
     def suspect(self) -> None:
-        """Treats the worker as unreachable until it answers a probe."""
+        """Treats the worker as unreachable until it confirms the owner."""
+        self.must_verify = True
         self.failures = max(self.failures, FAILURES_BEFORE_UNREACHABLE)
         self.is_unconfirmed = True
 
--- a/libs/cluster/dragonflybank/cluster/owned.py
+++ b/libs/cluster/dragonflybank/cluster/owned.py
@@ -29,12 +29,22 @@
     STALE = "stale epoch"
     RELEASED = "handed over"
     REPLACED = "worker replaced"
+    UNVERIFIED = "not confirmed after a pause"
     FAILED = "session failed"
 
 
 class OwnedWorker:
     """One worker, its capacity and the epoch under which it is owned.
 
+    Args:
+        info: The worker's row of the VM list.
+        client: The worker.
+        host: Name of the own host.
+        lookup_reserve: Slots that patient work cannot take.
+        is_denied: Asks all hosts in view at the present time and returns
+            whether each denies that it owns the worker; None if there is no
+            other host.
+
     Attributes:
         info: The worker's row of the VM list.
         host: Name of the own host.
@@ -65,6 +75,7 @@
         *,
         host: str,
         lookup_reserve: int = 2,
+        is_denied: Callable[[float], Awaitable[bool]] | None = None,
     ):
         self.info = info
         self.client = client
@@ -76,6 +87,7 @@
         self.contact = Contact()
         self.ended = EndedTasks()
         self.lock = asyncio.Lock()
+        self._is_denied = is_denied
         self.unreported: set[str] = set()
         self.lost: dict[str, TaskEvent] = {}
         self.given_up: set[str] = set()
@@ -187,6 +199,16 @@
             self._lose(task_id, reason)
             self.ledger.end(task_id)
 
+    async def has_lapsed(self, now: float) -> bool:
+        """Returns whether every lease of the worker has surely ended.
+
+        Time alone does not tell: while this host was paused, another one may
+        have become the owner. So every host in view must deny that it is.
+        """
+        if not self.contact.has_lapsed(now, owned=self.owned):
+            return False
+        return self._is_denied is None or await self._is_denied(now)
+
     def note_vm(self, incarnation: str) -> None:
         """Compares the worker's present incarnation with the one owned last.
 
@@ -194,12 +216,19 @@
         its incarnation tells that the tasks are gone.
         """
         if self.incarnation and incarnation != self.incarnation:
-            for task_id in self._left_tasks:
-                self._lose(task_id, "worker replaced")
+            self.lose_left_tasks("worker replaced")
+        self._left_tasks = ()
+
+    def lose_left_tasks(self, reason: str) -> None:
+        """Takes the tasks of a dropped ownership for ended."""
+        for task_id in self._left_tasks:
+            self._lose(task_id, reason)
         self._left_tasks = ()
 
     def drop(self, reason: DropReason) -> None:
         """Stops being the owner."""
+        if not self.owned:
+            return
         self.epoch = 0
         self._left_tasks = tuple(self.tasks)
         self.drop_reason = reason
--- a/libs/cluster/dragonflybank/cluster/ownership.py
+++ b/libs/cluster/dragonflybank/cluster/ownership.py
@@ -20,7 +20,7 @@
 from dragonflybank.cluster.roster import OwnershipConfig, Roster, Seat
 from dragonflybank.cluster.sessions import WorkerSession
 from dragonflybank.cluster.summaries import summarise
-from dragonflybank.cluster.takeover import Taken, take
+from dragonflybank.cluster.takeover import Taken, is_denied, take
 from dragonflybank.cluster.unlisted import Unlisted
 from dragonflybank.model.codes import Problem
 from dragonflybank.model.leases import Resolution
@@ -61,10 +61,10 @@
         self._on_finished = on_finished
         self._peers = peers
         self._rng = rng or random.Random()
-        self._roster = Roster(cfg, clients)
+        self._roster = Roster(cfg, clients, self._is_denied)
         self.sessions = self._roster.sessions
         self._claims = asyncio.Semaphore(cfg.claims_at_once)
-        self._unlisted = Unlisted(self._roster, membership, peers)
+        self._unlisted = Unlisted(self._roster, self._is_denied)
         self._stepped_at: float | None = None
         self._wakes = membership.wakes
 
@@ -245,6 +245,9 @@
             return False
         return seat.task is None and seat.backoff.not_before <= now
 
+    async def _is_denied(self, worker: str, now: float) -> bool:
+        return await is_denied(worker, self._membership, self._peers, now)
+
     def _owns(self, worker: str) -> bool:
         session = self.sessions.get(worker)
         return session is not None and session.owned
--- a/libs/cluster/dragonflybank/cluster/renewals.py
+++ b/libs/cluster/dragonflybank/cluster/renewals.py
@@ -79,7 +79,7 @@
         return
     if isinstance(reply, Failure):
         worker.contact.is_unconfirmed = True
-        _missed(worker, now)
+        await _missed(worker, now)
     elif _is_same_vm(worker, reply.unwrap()):
         worker.contact.answered()
         worker.refresh(reply.unwrap())
@@ -115,7 +115,7 @@
     if worker.epoch != epoch:
         return False
     if isinstance(look, Failure):
-        _missed(worker, now)
+        await _missed(worker, now)
         return False
     state = look.unwrap()
     if not _is_same_vm(worker, state):
@@ -137,9 +137,13 @@
         )
 
 
-def _missed(worker: OwnedWorker, now: float) -> None:
+async def _missed(worker: OwnedWorker, now: float) -> None:
     worker.contact.failed()
-    if worker.contact.has_lapsed(now, owned=True):
+    if worker.contact.must_verify:
+        # Another host may be the owner; only a takeover can count the time.
+        worker.drop(DropReason.UNVERIFIED)
+        return
+    if worker.tasks and await worker.has_lapsed(now):
         worker.lose_tasks("lease lapsed")
 
 
--- a/libs/cluster/dragonflybank/cluster/roster.py
+++ b/libs/cluster/dragonflybank/cluster/roster.py
@@ -3,7 +3,8 @@
 __all__ = ["OwnershipConfig", "Roster", "Seat"]
 
 import asyncio
-from collections.abc import Callable, Iterable
+import functools
+from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
 
@@ -67,6 +68,7 @@
         self,
         cfg: OwnershipConfig,
         clients: Callable[[VmInfo], WorkerClient],
+        is_denied: Callable[[str, float], Awaitable[bool]],
     ):
         self.sessions: dict[str, WorkerSession] = {}
         self.seats: dict[str, Seat] = {}
@@ -74,6 +76,7 @@
         self._rows: dict[str, VmInfo] = {}
         self._region = cfg.region
         self._clients = clients
+        self._is_denied = is_denied
         self._host = cfg.host
         self._lookup_reserve = cfg.lookup_reserve
         self._unused: list[WorkerClient] = []
@@ -147,6 +150,7 @@
             self._clients(vm),
             host=self._host,
             lookup_reserve=self._lookup_reserve,
+            is_denied=functools.partial(self._is_denied, vm.name),
         )
         if seat is not None:
             session.inherit(seat.session)
--- a/libs/cluster/dragonflybank/cluster/takeover.py
+++ b/libs/cluster/dragonflybank/cluster/takeover.py
@@ -118,5 +118,7 @@
     now = clock.now()
     if denied and {entry.host for entry in membership.peers(now)} <= asked:
         worker.contact.take_over(now)
+        if worker.contact.has_lapsed(now, owned=False):
+            worker.lose_left_tasks("lease lapsed")
     else:
         worker.contact.taken_over_at = None
--- a/libs/cluster/dragonflybank/cluster/unlisted.py
+++ b/libs/cluster/dragonflybank/cluster/unlisted.py
@@ -2,12 +2,11 @@
 
 __all__ = ["Unlisted"]
 
+from collections.abc import Awaitable, Callable
+
 from returns.result import Result, Success
 
-from dragonflybank.cluster.membership import Membership
-from dragonflybank.cluster.peers import Peers
 from dragonflybank.cluster.roster import Roster
-from dragonflybank.cluster.takeover import is_denied
 from dragonflybank.model.codes import Code, Problem, problem
 from dragonflybank.model.leases import (
     LEASE_MARGIN_S,
@@ -21,10 +20,13 @@
 class Unlisted:
     """Decides what became of starts on workers without a session."""
 
-    def __init__(self, roster: Roster, membership: Membership, peers: Peers):
+    def __init__(
+        self,
+        roster: Roster,
+        is_denied: Callable[[str, float], Awaitable[bool]],
+    ):
         self._roster = roster
-        self._membership = membership
-        self._peers = peers
+        self._is_denied = is_denied
         self._asked_at: dict[str, float] = {}
 
     async def resolve(
@@ -44,8 +46,6 @@
         asked_at = self._asked_at.setdefault(start.worker, now)
         if listed_at < asked_at + LEASE_S + LEASE_MARGIN_S:
             return missing
-        if not await is_denied(
-            start.worker, self._membership, self._peers, now
-        ):
+        if not await self._is_denied(start.worker, now):
             return missing
         return Success(Resolution(ResolutionKind.LEASE_LAPSED))
