Confirm at the store that a job is unknown before it is denied

The former home learns of its loss only at its next write, here 2.7 s after it woke. Change: before 210 and before a refusal of a submission the home reads the shard's value and checks that it is still named in it; otherwise it answers 506, which callers see as unknown, ask again. Ruled out: a time limit since the last write, since a pause can come between the check and the answer. Conclusion: a job is denied only while the store names the host as home.

--- a/libs/host/dragonflybank/host/jobs_front.py
+++ b/libs/host/dragonflybank/host/jobs_front.py
@@ -173,7 +173,7 @@
     if found is None and not home.is_open:
         return problem(Code.NOT_HOME, "the shard moved away", retry_after_s=0.5)
     if found is None:
-        return problem(Code.UNKNOWN_JOB, f"no job {req.team}/{req.key}")
+        return await home.unknown(req.team, req.key)
     if not is_final(found.state) and req.wait_s > 0:
         ended = await home.wait(req.team, req.key, timeout_s=req.wait_s)
         found = ended or found
--- a/libs/jobs/dragonflybank/jobs/home.py
+++ b/libs/jobs/dragonflybank/jobs/home.py
@@ -148,7 +148,7 @@
             spec, self._journal, now
         )
         if refused is not None:
-            return refused
+            return await self._refused(spec, refused)
         wc = self._ctx.rules.work_class(spec.work_class)
         entry = accepted_entry(spec, wc, now)
         outcome = await self._ctx.commit(entry, now=now)
@@ -168,7 +168,7 @@
         """
         item = self._table.latest((team, key))
         if item is None and self.is_open:
-            return problem(Code.UNKNOWN_JOB, f"no job {team}/{key}")
+            return await self.unknown(team, key)
         if isinstance(item, Entry) and not item.final:
             changed = request_cancel(item, now)
             outcome = await self._ctx.commit_changed(item, changed, now)
@@ -186,6 +186,21 @@
         item = self._table.settled((team, key))
         return None if item is None else _record_of(item)
 
+    async def unknown(self, team: str, key: str) -> Result[JobRecord, Problem]:
+        """Returns ``UNKNOWN_JOB`` if no home knows a job.
+
+        Returns:
+            ``NOT_HOME`` if another host may be the home by now; the record
+            if the job was accepted meanwhile.
+        """
+        confirmed = await self._journal.confirm()
+        if isinstance(confirmed, Failure):
+            return confirmed
+        record = self.record(team, key)
+        if record is not None:
+            return Success(record)
+        return problem(Code.UNKNOWN_JOB, f"no job {team}/{key}")
+
     def records(self) -> list[JobRecord]:
         """Returns the jobs of the shard, without those only remembered."""
         settled = (self._table.settled(i.key) for i in self._table.items())
@@ -276,6 +291,18 @@
         await self._journal.close(self._clock())
         self._work.set()
 
+    async def _refused(
+        self, spec: JobSpec, refused: Failure
+    ) -> Result[JobRecord, Problem]:
+        # An earlier submission may have been accepted by another home.
+        confirmed = await self._journal.confirm()
+        if isinstance(confirmed, Failure):
+            return confirmed
+        present = self._table.latest((spec.team, spec.key))
+        if present is not None:
+            return await self._accepted_before(present, spec)
+        return refused
+
     async def _accepted_before(
         self, present: Item, spec: JobSpec
     ) -> Result[JobRecord, Problem]:
--- a/libs/jobs/dragonflybank/jobs/journal.py
+++ b/libs/jobs/dragonflybank/jobs/journal.py
@@ -21,6 +21,7 @@
     Item,
     KeptItem,
     decode_shard,
+    home_of,
     mark_of,
     shard_key,
 )
@@ -184,6 +185,25 @@
             return problem(Code.NOT_HOME, f"{self.shard} has another home")
         return Success(None)
 
+    async def confirm(self) -> Result[None, Problem]:
+        """Asks the store whether this host is still the home.
+
+        A home that was paused does not know of jobs that another home has
+        accepted meanwhile.
+
+        Returns:
+            ``NOT_HOME`` if it is not, or if the store does not tell.
+        """
+        found = await self._store.get(shard_key(self.shard))
+        raw = found.map(lambda stored: stored.value).value_or(None)
+        if self.is_open and raw is not None and home_of(raw) == self.host:
+            return Success(None)
+        return problem(
+            Code.NOT_HOME,
+            f"{self.shard} may have another home",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
     async def close(self, now: float) -> None:
         """Waits for the changes in progress and releases the shard."""
         self._closing = True
--- a/libs/jobs/dragonflybank/jobs/value.py
+++ b/libs/jobs/dragonflybank/jobs/value.py
@@ -5,6 +5,7 @@
     "KeptItem",
     "ShardValue",
     "decode_shard",
+    "home_of",
     "mark_of",
     "shard_key",
 ]
@@ -78,9 +79,14 @@
     return value, [*entries, *stones]
 
 
+def home_of(raw: bytes) -> str:
+    """Returns the home of an encoded shard value."""
+    return msgspec.msgpack.decode(raw, type=_Head).home
+
+
 def mark_of(raw: bytes) -> str:
     """Returns the writer's mark of an encoded shard value."""
-    return msgspec.msgpack.decode(raw, type=_Mark).mark
+    return msgspec.msgpack.decode(raw, type=_Head).mark
 
 
 def shard_key(shard: str) -> str:
@@ -89,5 +95,6 @@
 
 
 @attrs.frozen
-class _Mark:
+class _Head:
+    home: str = ""
     mark: str = ""
