--- a/libs/cluster/dragonflybank/cluster/tests/fakes.py
+++ b/libs/cluster/dragonflybank/cluster/tests/fakes.py
@@ -1,8 +1,9 @@
 """A worker, peers and a clock in process, with faults that tests switch on."""
 
-__all__ = ["FakeClock", "FakePeers", "FakeWorker", "row"]
+__all__ = ["FakeClock", "FakePeers", "FakeWorker", "look", "on_worker", "row"]
 
 import asyncio
+import functools
 import heapq
 import itertools
 
@@ -12,7 +13,7 @@
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.cluster.peers import Peers
 from dragonflybank.model.codes import Code, problem
-from dragonflybank.model.leases import StartReply, TaskEvent, TaskState
+from dragonflybank.model.leases import LEASE_S, StartReply, TaskEvent, TaskState
 from dragonflybank.model.resources import Resources
 from dragonflybank.model.topology import VmInfo
 from dragonflybank.platform.worker import (
@@ -25,13 +26,32 @@
 SIZE = Resources(32, 65536, 4, 8, 64)
 # Turns of the event loop after which every woken task waits again; the
 # longest chain of calls in process takes about 20.
-SETTLE_TURNS = 100
+SETTLE_TURNS = 40
 
 
 def row(name="w1", region="north", address="127.0.0.1", **kwargs):
     return VmInfo(name, address, 1, region, size=SIZE, **kwargs)
 
 
+def on_worker(test):
+    """Runs an async test method with a fake worker of its own."""
+
+    @functools.wraps(test)
+    def run(self):
+        async def main():
+            await test(self, FakeWorker(FakeClock()))
+
+        asyncio.run(main())
+
+    return run
+
+
+async def look(session, timeout_s=1.0, now=1000.0):
+    return await session.execute(
+        "r", work_class="l", payload="x", timeout_s=timeout_s, now=now
+    )
+
+
 class FakeClock(Clock):
     """A clock that moves only when a test says so."""
 
@@ -96,6 +116,7 @@
         self.calls = []
         self.ran = []
         self.renewed_at = 0.0
+        self.leases = {}
         self.changed = asyncio.Event()
         self.gate = None
 
@@ -109,6 +130,12 @@
         self.incarnation += "'"
         self.tasks, self.ends = {}, {}
 
+    def lapse(self):
+        """Stops the tasks whose lease has ended, as a worker does itself."""
+        for task_id in list(self.tasks):
+            if self.clock.at > self.leases.get(task_id, 0.0) + LEASE_S:
+                self.finish(task_id, TaskState.LAPSED, "")
+
     def finish(self, task_id, state=TaskState.DONE, result="ok"):
         self.tasks.pop(task_id)
         self.ends[task_id] = TaskEvent(task_id, "w1", state, result)
@@ -127,19 +154,21 @@
             if task_id in self.tasks or task_id in self.ends:
                 return Success(StartReply.KNOWN)
             self.ran.append(task_id)
+            self.leases[task_id] = self.clock.at
             self.tasks[task_id] = RunningTask(
                 task_id, work_class, TaskState.RUNNING, grant, self.clock.at
             )
             return Success(StartReply.STARTED)
 
-        return await self._do("start", lambda: self._fenced(epoch, act))
+        return await self._guarded("start", epoch, act)
 
     async def renew(self, *, epoch, lease_s):
         def act():
             self.renewed_at = self.clock.at
+            self.leases = dict.fromkeys(self.tasks, self.clock.at)
             return Success(self._state())
 
-        return await self._do("renew", lambda: self._fenced(epoch, act))
+        return await self._guarded("renew", epoch, act)
 
     async def events(self, *, epoch, wait_s):
         if not self.ends and "events" not in self.faults:
@@ -153,11 +182,8 @@
             finally:
                 for wait in waits:
                     wait.cancel()
-        return await self._do(
-            "events",
-            lambda: self._fenced(
-                epoch, lambda: Success(tuple(self.ends.values()))
-            ),
+        return await self._guarded(
+            "events", epoch, lambda: Success(tuple(self.ends.values()))
         )
 
     async def ack(self, task_ids, *, epoch):
@@ -166,7 +192,7 @@
                 self.ends.pop(task_id, None)
             return Success(None)
 
-        return await self._do("ack", lambda: self._fenced(epoch, act))
+        return await self._guarded("ack", epoch, act)
 
     async def stop(self, task_ids, *, epoch):
         def act():
@@ -174,7 +200,7 @@
                 self.finish(task_id, TaskState.STOPPED, "")
             return Success(None)
 
-        return await self._do("stop", lambda: self._fenced(epoch, act))
+        return await self._guarded("stop", epoch, act)
 
     throttle = checkpoint = stop
 
@@ -183,13 +209,13 @@
     ):
         if self.gate is not None:
             await self.gate.wait()
-        return await self._do(
-            "execute",
-            lambda: self._fenced(epoch, lambda: Success(payload.upper())),
+        return await self._guarded(
+            "execute", epoch, lambda: Success(payload.upper())
         )
 
     async def _do(self, name, act):
         await asyncio.sleep(0)
+        self.lapse()
         fault = self.faults.get(name) or self.faults.get("all")
         if fault == "refuse":
             return problem(Code.UNREACHABLE, name)
@@ -205,10 +231,11 @@
             self.epoch, self.owner = epoch + 1, host
         return Success(Claimed(won, self._state()))
 
-    def _fenced(self, epoch, act):
-        if epoch != self.epoch:
-            return problem(Code.STALE_EPOCH)
-        return act()
+    async def _guarded(self, name, epoch, act):
+        def fenced():
+            return act() if epoch == self.epoch else problem(Code.STALE_EPOCH)
+
+        return await self._do(name, fenced)
 
     def _state(self):
         ended = (
--- a/libs/cluster/dragonflybank/cluster/tests/test_spread.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_spread.py
@@ -1,6 +1,7 @@
 """Tests of the spreading of the configuration."""
 
 import asyncio
+import functools
 import itertools
 import random
 
@@ -81,6 +82,7 @@
     """Hosts in process that all hear each other."""
 
     def __init__(self, store, names, region="north"):
+        self.store, self.clock = store, store.clock
         self.spreads, self.members = {}, {}
         peers = _Peers(self.spreads)
         for i, name in enumerate(names):
@@ -106,111 +108,104 @@
     def generations(self):
         return {s.holder.generation for s in self.spreads.values()}
 
-    async def run(self, clock, body):
+    async def run(self, body):
         async def keep_gossiping():
             while True:
-                self.gossip(clock.now())
-                await clock.sleep(0.5)
+                self.gossip(self.clock.now())
+                await self.clock.sleep(0.5)
 
         tasks = [asyncio.create_task(keep_gossiping())]
         tasks += [
-            asyncio.create_task(s.run(clock)) for s in self.spreads.values()
+            asyncio.create_task(s.run(self.clock))
+            for s in self.spreads.values()
         ]
         try:
-            return await body()
+            await body()
         finally:
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def _run(body, *, value=b"1", names="abcd"):
-    async def main():
-        clock = FakeClock(T0)
-        store = _Store(clock, value)
-        hosts = _Hosts(store, names)
-        return await hosts.run(clock, lambda: body(clock, store, hosts))
+def with_hosts(test):
+    """Runs an async test method with four hosts and a store."""
 
-    return asyncio.run(main())
-
-
-class TestSpread(testtools.TestCase):
-    """Guards against hosts that stay behind or go back (I8)."""
-
-    def test_a_change_reaches_every_host_by_watch_and_gossip(self):
-        async def body(clock, store, hosts):
-            await clock.until(lambda: hosts.generations() == {1})
-            store.write(b"2")
-            return await clock.until(lambda: hosts.generations() == {2})
-
-        self.assertThat(_run(body), LessThan(3.0))
+    @functools.wraps(test)
+    def run(self):
+        async def main():
+            hosts = _Hosts(_Store(FakeClock(T0), b"1"), "abcd")
+            await hosts.run(lambda: test(self, hosts))
 
-    def test_a_silent_watch_is_made_up_for_by_polls(self):
-        async def body(clock, store, hosts):
-            await clock.until(lambda: hosts.generations() == {1})
-            store.mode = "silent"
-            store.write(b"2")
-            return await clock.until(lambda: hosts.generations() == {2})
+        asyncio.run(main())
 
-        self.assertThat(_run(body), LessThan(IN_FORCE_S))
+    return run
 
-    def test_a_change_spreads_while_the_store_is_down(self):
-        async def body(clock, store, hosts):
-            await clock.until(lambda: hosts.generations() == {1})
-            store.mode = "down"
-            hosts.spreads["c"].offer(b"2")
-            return await clock.until(lambda: hosts.generations() == {2})
 
-        self.assertThat(_run(body), LessThan(3.0))
+class TestSpread(testtools.TestCase):
+    """Guards against hosts that stay behind or go back (I8)."""
 
-    def test_a_generation_never_goes_back(self):
-        async def body(clock, store, hosts):
-            store.write(b"7")
-            await clock.until(lambda: hosts.generations() == {7})
-            store.write(b"3")
-            store.write(b"not a configuration")
-            await clock.advance(30.0)
-            return hosts.generations()
+    @with_hosts
+    async def test_a_change_reaches_every_host_by_watch_and_gossip(self, hosts):
+        await hosts.clock.until(lambda: hosts.generations() == {1})
+        hosts.store.write(b"2")
+        self.assertThat(
+            await hosts.clock.until(lambda: hosts.generations() == {2}),
+            LessThan(3.0),
+        )
 
-        self.assertThat(_run(body), Equals({7}))
+    @with_hosts
+    async def test_a_silent_watch_is_made_up_for_by_polls(self, hosts):
+        await hosts.clock.until(lambda: hosts.generations() == {1})
+        hosts.store.mode = "silent"
+        hosts.store.write(b"2")
+        self.assertThat(
+            await hosts.clock.until(lambda: hosts.generations() == {2}),
+            LessThan(IN_FORCE_S),
+        )
 
-    def test_two_hosts_of_a_region_watch(self):
-        async def body(clock, store, hosts):
-            await clock.advance(1.0)
-            return [n for n, s in hosts.spreads.items() if s.is_watcher(T0)]
+    @with_hosts
+    async def test_a_change_spreads_while_the_store_is_down(self, hosts):
+        await hosts.clock.until(lambda: hosts.generations() == {1})
+        hosts.store.mode = "down"
+        hosts.spreads["c"].offer(b"2")
+        self.assertThat(
+            await hosts.clock.until(lambda: hosts.generations() == {2}),
+            LessThan(3.0),
+        )
 
-        self.assertThat(_run(body), HasLength(2))
+    @with_hosts
+    async def test_a_generation_never_goes_back(self, hosts):
+        hosts.store.write(b"7")
+        await hosts.clock.until(lambda: hosts.generations() == {7})
+        hosts.store.write(b"3")
+        hosts.store.write(b"not a configuration")
+        await hosts.clock.advance(30.0)
+        self.assertThat(hosts.generations(), Equals({7}))
+
+    @with_hosts
+    async def test_two_hosts_of_a_region_watch(self, hosts):
+        await hosts.clock.advance(1.0)
+        self.assertThat(
+            [n for n, s in hosts.spreads.items() if s.is_watcher(T0)],
+            HasLength(2),
+        )
 
     def test_a_remote_value_is_first_fetched_by_a_watcher_only(self):
-        async def body(clock, store, hosts):
-            store.mode = "down"
-            member = hosts.members
+        async def check(hosts):
             remote = Entry("r", 1, 1, "south", address="r:1", generation=9)
+            spreads = dict(hosts.spreads)
             hosts.spreads["r"] = _Answering(ConfigValue(9, b"9"))
-            fetched = {}
-            for name in "abcd":
-                member[name].merge([remote], clock.now())
-                spread = hosts.spreads[name]
-                before = await spread.catch_up(clock.now())
-                fetched[name] = (before, spread.is_watcher(clock.now()))
-            late = [
-                await hosts.spreads[n].catch_up(clock.now() + 2.0)
-                for n, (done, _) in fetched.items()
-                if not done
-            ]
-            del hosts.spreads["r"]
-            return fetched, late
-
-        async def main():
-            clock = FakeClock(T0)
-            store = _Store(clock)
-            return await body(clock, store, _Hosts(store, "abcd"))
-
-        fetched, late = asyncio.run(main())
-        self.assertThat(
-            [d == w for d, w in fetched.values()], Equals([True] * 4)
-        )
-        self.assertThat(late, Equals([True, True]))
+            for member in hosts.members.values():
+                member.merge([remote], T0)
+            return [
+                [await s.catch_up(now) for s in spreads.values()]
+                for now in (T0, T0 + 2.0)
+            ], [s.is_watcher(T0) for s in spreads.values()]
+
+        hosts = _Hosts(_Store(FakeClock(T0)), "abcd")
+        (first, later), watchers = asyncio.run(check(hosts))
+        self.assertThat(first, Equals(watchers))
+        self.assertThat(later, Equals([not w for w in watchers]))
 
 
 class _Answering:
