--- a/libs/bench/dragonflybank/bench/__main__.py
+++ b/libs/bench/dragonflybank/bench/__main__.py
@@ -11,13 +11,18 @@
 from collections.abc import Callable, Sequence
 
 from dragonflybank.bench.blocking import blocking
+from dragonflybank.bench.control import control_cost
 from dragonflybank.bench.crest import crest
 from dragonflybank.bench.decisions import (
     backlog_decisions,
     lookup_decisions,
     placement_decisions,
 )
+from dragonflybank.bench.failover import host_failover
+from dragonflybank.bench.latency import lookup_latency
+from dragonflybank.bench.mixed import lookups_behind_patient_work
 from dragonflybank.bench.packing import packing
+from dragonflybank.bench.spread import apply_in_force
 from dragonflybank.bench.table import Row, missed, render, write_json
 
 Benchmark = Callable[[], list[Row]]
@@ -29,6 +34,11 @@
     packing,
     blocking,
     crest,
+    lookup_latency,
+    lookups_behind_patient_work,
+    control_cost,
+    apply_in_force,
+    host_failover,
 )
 JSON_PATH = pathlib.Path("build/bench.json")
 
--- a/libs/cluster/dragonflybank/cluster/links.py
+++ b/libs/cluster/dragonflybank/cluster/links.py
@@ -6,7 +6,15 @@
 ones work.
 """
 
-__all__ = ["Handler", "PeerLink", "PeerServer", "ask", "typed"]
+__all__ = [
+    "CountBytes",
+    "Handler",
+    "PeerLink",
+    "PeerServer",
+    "ask",
+    "not_counted",
+    "typed",
+]
 
 import asyncio
 import contextlib
@@ -22,9 +30,12 @@
     encode_request,
 )
 from dragonflybank.cluster.server import (
+    FRAME_BYTES,
     MAX_MESSAGE_BYTES,
+    CountBytes,
     Handler,
     PeerServer,
+    not_counted,
     typed,
 )
 from dragonflybank.model.codes import Code, Problem, problem
@@ -60,14 +71,26 @@
     Attributes:
         address: Address and port, as ``127.0.0.1:7000``.
         redials: Number of times the socket was replaced as silent.
+
+    Args:
+        sender: Name of the own host.
+        address: Address and port of the peer.
+        contexts: Number of calls at once.
+        on_bytes: Called with the address and the bytes of each exchange.
     """
 
     def __init__(
-        self, sender: str, address: str, *, contexts: int = LINK_CONTEXTS
+        self,
+        sender: str,
+        address: str,
+        *,
+        contexts: int = LINK_CONTEXTS,
+        on_bytes: CountBytes = not_counted,
     ):
         self.address = address
         self.redials = 0
         self._sender = sender
+        self._on_bytes = on_bytes
         self._slots = asyncio.Semaphore(contexts)
         self._timeouts = 0
         self._dialled: _Dialled | None = None
@@ -129,6 +152,7 @@
             async with asyncio.timeout_at(deadline):
                 with dialled.sock.new_context() as ctx:
                     await ctx.asend(raw)
+                    self._on_bytes(self.address, len(raw) + FRAME_BYTES, 0)
                     reply = await ctx.arecv()
         except TimeoutError:
             self._count_timeout(dialled)
@@ -136,6 +160,7 @@
         except pynng.NNGException as exc:
             return problem(Code.TIMED_OUT, f"{self.address}: {exc}")
         self._timeouts = 0
+        self._on_bytes(self.address, 0, len(reply) + FRAME_BYTES)
         return Success(reply)
 
     def _count_timeout(self, dialled: "_Dialled") -> None:
--- a/libs/cluster/dragonflybank/cluster/server.py
+++ b/libs/cluster/dragonflybank/cluster/server.py
@@ -1,6 +1,14 @@
 """The answering end of the connections between scheduler hosts."""
 
-__all__ = ["MAX_MESSAGE_BYTES", "Handler", "PeerServer", "typed"]
+__all__ = [
+    "FRAME_BYTES",
+    "MAX_MESSAGE_BYTES",
+    "CountBytes",
+    "Handler",
+    "PeerServer",
+    "not_counted",
+    "typed",
+]
 
 import asyncio
 import contextlib
@@ -24,9 +32,14 @@
 _log = logging.getLogger(__name__)
 
 Handler = Callable[[str, bytes], Awaitable[bytes]]
+# Takes the peer, bytes sent and bytes received.
+CountBytes = Callable[[str, int, int], None]
 
 # Larger than a store value (1 MB) and its envelope.
 MAX_MESSAGE_BYTES = 4_000_000
+# nng puts a length of 8 bytes and a request number of 4 bytes before each
+# message; headers of TCP and IP are not counted.
+FRAME_BYTES = 12
 SERVER_CONTEXTS = 256
 # nng reports a reply as sent before the kernel has all of it.
 LINGER_S = 0.1
@@ -36,6 +49,10 @@
 CONTROL_KINDS = frozenset({Kind.GOSSIP, Kind.FETCH_CONFIG, Kind.HANDOVER})
 
 
+def not_counted(peer: str, sent: int, received: int) -> None:
+    """Counts no bytes."""
+
+
 def typed(
     request_class: type, answer: Callable[[str, Any], Awaitable[Result]]
 ) -> Handler:
@@ -61,14 +78,27 @@
     Attributes:
         port: The port in use once it serves, chosen by the kernel if 0 was
             given.
+
+    Args:
+        address: IP number to listen on.
+        port: TCP port; 0 lets the kernel choose.
+        contexts: Number of requests that are answered at once.
+        on_bytes: Called with the sender's name and the bytes of each
+            exchange.
     """
 
     def __init__(
-        self, address: str, port: int, *, contexts: int = SERVER_CONTEXTS
+        self,
+        address: str,
+        port: int,
+        *,
+        contexts: int = SERVER_CONTEXTS,
+        on_bytes: CountBytes = not_counted,
     ):
         self.port = port
         self._address = address
         self._contexts = contexts
+        self._on_bytes = on_bytes
         self._ordinary_limit = max(1, contexts - CONTROL_CONTEXTS)
         self._ordinary = 0
         self._busy = 0
@@ -133,6 +163,13 @@
         if isinstance(read, Failure):
             return encode_reply(read)
         req = read.unwrap()
+        reply = await self._reply(req, handlers)
+        self._on_bytes(
+            req.sender, len(reply) + FRAME_BYTES, len(raw) + FRAME_BYTES
+        )
+        return reply
+
+    async def _reply(self, req: Envelope, handlers) -> bytes:
         handler = handlers.get(req.kind)
         if handler is None:
             return encode_reply(
--- a/libs/jobs/dragonflybank/jobs/tests/test_faults.py
+++ b/libs/jobs/dragonflybank/jobs/tests/test_faults.py
@@ -12,8 +12,10 @@
     opened,
     spec_of,
     take_over,
+    until,
 )
 from dragonflybank.model.codes import Code
+from dragonflybank.model.leases import TaskState
 from dragonflybank.model.work import JobState
 
 FIRST, SECOND = "courts/k/1/0", "courts/k/2/0"
@@ -144,12 +146,30 @@
         await home.schedule(2.0)
         self.assertEqual(([], [FIRST]), (runner.resolves, runner.ran))
 
+    async def test_start_of_a_cancelled_round_is_looked_up(self):
+        home, runner, store = await opened(spec_of("k", "simulation"))
+        store.faults.append("slow")
+        scheduling = asyncio.create_task(home.schedule(2.0))
+        await until(lambda: len(store.writes) == 3)
+        scheduling.cancel()
+        store.gate.set()
+        await asyncio.wait([scheduling])
+        await drive(home, runner)
+        self.assertEqual([SECOND], runner.ran)
+
     async def test_partly_started_billed_gang_fails_and_is_not_repeated(self):
-        spec = spec_of("k", "billed_ring", tasks=2)
-        record = await self.check(
-            spec, "lost", ran=["courts/k/1/1"], state=JobState.FAILED
-        )
-        self.assertEqual(Code.TASK_FAILED, record.problem.code)
+        for last_state in (TaskState.RUNNING, TaskState.DONE):
+            spec = spec_of("k", "billed_ring", tasks=2)
+            home, runner, _ = await opened(spec)
+            runner.faults.append("lost")
+            await home.schedule(2.0)
+            if last_state is TaskState.DONE:
+                runner.end("courts/k/1/1")
+                await runner.report(home, 3.0)
+            await drive(home, runner)
+            record = home.record("courts", "k")
+            self.assertEqual(Code.TASK_FAILED, record.problem.code)
+            self.assertEqual(["courts/k/1/1"], runner.ran)
 
     async def test_running_task_unknown_to_its_worker_is_not_unstarted(self):
         home, runner, store = await opened(spec_of("k", "simulation"))
