Keep a worker that is called while its owner raises the epoch

Cause: resolve raises the epoch by a claim; a renewal or poll with the former epoch that the worker refuses before the claim's answer is here dropped the ownership. The claim's answer then made the host the owner again without the loops that renew leases and fetch results: tasks lapsed after 15 s and their jobs stayed queued or starting for ever (accepted work lost). Change: a stale answer while an own claim is in flight drops nothing, and the answer to a claim does not revive a worker that was dropped meanwhile. Ruled out: taking the lock in each fenced call, since starts hold it.

--- a/libs/cluster/dragonflybank/cluster/claims.py
+++ b/libs/cluster/dragonflybank/cluster/claims.py
@@ -37,11 +37,18 @@
     The worker's list is final with respect to every earlier epoch then, which
     settles all starts without an answer.
     """
-    reply = await _claim_again(worker)
+    worker.is_claiming = True
+    try:
+        reply = await _claim_again(worker)
+    finally:
+        worker.is_claiming = False
     if isinstance(reply, Failure):
         worker.contact.failed()
         return reply
     claimed = reply.unwrap()
+    if not worker.owned:
+        # Nothing renews the leases of a worker that was dropped meanwhile.
+        return problem(Code.NOT_OWNER, f"{worker.name} was dropped")
     if not claimed.won:
         worker.drop(DropReason.STALE)
         return problem(Code.NOT_OWNER, f"{worker.name} has another owner")
--- a/libs/cluster/dragonflybank/cluster/owned.py
+++ b/libs/cluster/dragonflybank/cluster/owned.py
@@ -65,6 +65,8 @@
         dropped: Set while this host is not the owner.
         closing_until: Time until which a handover keeps new work away.
         claimed_at: Time of the last claim.
+        is_claiming: Whether a claim that raises the own epoch has no answer
+            yet.
         drop_reason: Why the ownership ended last.
     """
 
@@ -93,6 +95,7 @@
         self.given_up: set[str] = set()
         self.dropped = asyncio.Event()
         self.dropped.set()
+        self.is_claiming = False
         self.drop_reason: DropReason | None = None
         self._told_leaving = False
         self._left_tasks: tuple[str, ...] = ()
@@ -244,7 +247,9 @@
         if not epoch:
             return problem(Code.NOT_OWNER, f"{self.name} is not owned here")
         reply = await call(worker_epoch(epoch))
-        if is_problem(reply, Code.STALE_EPOCH) and self.epoch == epoch:
+        is_stale = is_problem(reply, Code.STALE_EPOCH) and self.epoch == epoch
+        # A claim of this host on its way may have raised the epoch.
+        if is_stale and not self.is_claiming:
             self.drop(DropReason.STALE)
         return reply
 
--- a/libs/cluster/dragonflybank/cluster/renewals.py
+++ b/libs/cluster/dragonflybank/cluster/renewals.py
@@ -121,7 +121,8 @@
     if not _is_same_vm(worker, state):
         return False
     if state.epoch != worker_epoch(epoch):
-        worker.drop(DropReason.STALE)
+        if not worker.is_claiming:
+            worker.drop(DropReason.STALE)
         return False
     worker.contact.answered()
     return True
