Give the reason for a waiting job in one decision line

Cause: a job without room got two wait decisions, of which the runner's named neither a reason nor the alternatives. Change: the reason of the placement policy reaches the home, which writes the one decision.

--- a/libs/host/dragonflybank/host/dispatch.py
+++ b/libs/host/dragonflybank/host/dispatch.py
@@ -82,18 +82,16 @@
         """Holds room once for each request identity."""
         held = self._reserved.get(req.request_id)
         if held is None:
-            held = tuple(
-                reserve_here(
-                    self._host,
-                    req.need,
-                    req.count,
-                    avoid=req.avoid,
-                    now=self._host.clock(),
-                    policy=self._host.policy,
-                    subject=f"{sender}/{req.request_id}",
-                    hold_s=req.hold_s,
-                )
-            )
+            held = reserve_here(
+                self._host,
+                req.need,
+                req.count,
+                avoid=req.avoid,
+                now=self._host.clock(),
+                policy=self._host.policy,
+                subject=f"{sender}/{req.request_id}",
+                hold_s=req.hold_s,
+            ).held
             self._reserved[req.request_id] = held
             if len(self._reserved) > REMEMBERED_RESERVES:
                 self._reserved.popitem(last=False)
--- a/libs/host/dragonflybank/host/runner.py
+++ b/libs/host/dragonflybank/host/runner.py
@@ -1,6 +1,6 @@
 """Reserves, starts, stops and resolves tasks at owned and remote workers."""
 
-__all__ = ["HostTaskRunner", "reserve_here"]
+__all__ = ["HostTaskRunner", "Room", "reserve_here"]
 
 import asyncio
 import itertools
@@ -8,6 +8,7 @@
 import secrets
 from collections.abc import Collection, Sequence
 
+import attrs
 from returns.result import Failure, Result, Success
 
 from dragonflybank.cluster import messages
@@ -26,6 +27,19 @@
 RESOLVE_TIMEOUT_S = 6.0
 
 
+@attrs.frozen
+class Room:
+    """Room held for tasks of a job.
+
+    Attributes:
+        held: Reservations.
+        why: Why there are no more, empty if there are enough.
+    """
+
+    held: tuple[Reservation, ...]
+    why: str = ""
+
+
 def reserve_here(
     host,
     need: Resources,
@@ -36,7 +50,7 @@
     policy: PlacementPolicy,
     subject: str,
     hold_s: float,
-) -> list[Reservation]:
+) -> "Room":
     """Holds room on the workers that a host owns.
 
     Args:
@@ -50,9 +64,10 @@
         hold_s: Time for which the room is held, in seconds.
 
     Returns:
-        At most ``count`` reservations.
+        At most ``count`` reservations, and why there are not more.
     """
     held: list[Reservation] = []
+    why = ""
     refused: set[str] = set()
     while len(held) < count:
         candidates = [
@@ -62,6 +77,7 @@
         if isinstance(chosen, Failure):
             chosen = policy.choose(need, candidates, now)
         if isinstance(chosen, Failure):
+            why = chosen.failure().detail
             break
         choice = chosen.unwrap()
         room = host.owner.session(choice.name).reserve(need, now, hold_s=hold_s)
@@ -79,7 +95,7 @@
                 choice.passed_over,
             )
         )
-    return held
+    return Room(tuple(held), why)
 
 
 class HostTaskRunner(TaskRunner):
@@ -104,12 +120,13 @@
         """See `TaskRunner.reserve`."""
         subject = f"{spec.team}/{spec.key}"
         held: list[Reservation] = []
+        why = "no host has summarised enough room"
         for owner in self._owners_to_ask(size, now):
             missing = count - len(held)
             if missing <= 0:
                 break
             if owner == self._host.name:
-                held += reserve_here(
+                here = reserve_here(
                     self._host,
                     size,
                     missing,
@@ -119,12 +136,15 @@
                     subject=subject,
                     hold_s=self._host.settings.intervals.hold_s,
                 )
+                held += here.held
+                why = here.why or why
             else:
                 held += await self._reserve_at(owner, wc, size, missing, avoid)
         self._owners.update({r.worker: r.host for r in held})
         if held:
             return Success(tuple(held))
-        return self._no_room(subject, size, now)
+        # The home writes the decision to wait, with this reason.
+        return problem(Code.NO_WORKER, why, retry_after_s=0.5)
 
     async def release(self, reservations: Sequence[Reservation]) -> None:
         """See `TaskRunner.release`."""
@@ -218,18 +238,6 @@
         )
         return reply.map(lambda found: list(found.reservations)).value_or([])
 
-    def _no_room(self, subject, size, now) -> Result:
-        self._host.decisions.add(
-            Decision(
-                now,
-                "wait",
-                subject,
-                reason="no worker has room",
-                code=int(Code.NO_WORKER),
-            )
-        )
-        return problem(Code.NO_WORKER, "no worker has room", retry_after_s=0.5)
-
     def _owner_of(self, worker: str, now: float) -> str:
         session = self._host.owner.session(worker)
         if session is not None and session.owned:
