Measure slopes of control cost, model the design size, profile a host

Cause: docs/design.md names slopes in docs/CAPACITY.md that nothing measured.

Change: `control_slopes` measures idle intervals with 3 to 24 hosts, 24 to 384 workers, 0 to 500 running tasks and 500 waiting jobs and fits lines. `capacity_model` measures VM list reads, gossip messages and shard values in process with the real types. `bench.profiling` runs a host under cProfile.

Ruled out: a run of 1,600 workers, which one machine cannot hold together with its hosts; one line through all numbers of hosts for gossip, whose targets depend on the hosts of a region, so the rows give each point.

--- a/libs/bench/dragonflybank/bench/__main__.py
+++ b/libs/bench/dragonflybank/bench/__main__.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Sequence
 
 from dragonflybank.bench.blocking import blocking
+from dragonflybank.bench.capacity import capacity_model
 from dragonflybank.bench.control import control_cost
 from dragonflybank.bench.crest import crest
 from dragonflybank.bench.decisions import (
@@ -22,6 +23,7 @@
 from dragonflybank.bench.latency import lookup_latency
 from dragonflybank.bench.mixed import lookups_behind_patient_work
 from dragonflybank.bench.packing import packing
+from dragonflybank.bench.slopes import control_slopes
 from dragonflybank.bench.spread import apply_in_force
 from dragonflybank.bench.table import Row, missed, render, write_json
 
@@ -37,6 +39,8 @@
     lookup_latency,
     lookups_behind_patient_work,
     control_cost,
+    control_slopes,
+    capacity_model,
     apply_in_force,
     host_failover,
 )
--- /dev/null
+++ b/libs/bench/dragonflybank/bench/capacity.py
@@ -0,0 +1,317 @@
+"""Model calculations for the size to design for, measured in process.
+
+A run of 1,600 workers is too large for one machine. These functions measure
+the encoded sizes and the processor time of single steps with the real types.
+docs/CAPACITY.md combines them with the slopes of `slopes`.
+"""
+
+__all__ = ["capacity_model"]
+
+import json
+import time
+from collections.abc import Callable
+
+from dragonflybank.bench.control import BUDGET, BYTES_BOUND, PROCESSOR_BOUND
+from dragonflybank.bench.slopes import slope
+from dragonflybank.bench.table import Better, Row
+from dragonflybank.cluster.entries import Entry as HostEntry
+from dragonflybank.cluster.gossip import FANOUT, ROUND_S, to_message
+from dragonflybank.cluster.membership import Membership
+from dragonflybank.cluster.messages import encode, encode_request
+from dragonflybank.cluster.server import FRAME_BYTES
+from dragonflybank.jobs.entries import Entry
+from dragonflybank.jobs.journal import WRITE_INTERVAL_S
+from dragonflybank.jobs.retention import tombstone_of
+from dragonflybank.jobs.size import ACCEPT_LIMIT_BYTES
+from dragonflybank.jobs.table import ShardTable
+from dragonflybank.jobs.value import KeptItem, decode_shard
+from dragonflybank.model.resources import Resources
+from dragonflybank.model.topology import CapacitySummary, VmInfo, VmRole
+from dragonflybank.model.work import JobRecord, JobSpec, JobState, StartRecord
+from dragonflybank.platform.vmlist import decode_vm, encode_vm
+
+SIZE = "size to design for"
+WORKERS = 1600
+HOSTS = (6, 12, 24, 48, 96)
+REGIONS = ("north", "south")
+SHARDS = 8 * len(REGIONS)
+STARTS_PER_S = 270
+RUNNING_TASKS = 6400
+JOBS_PER_DAY = 21_000
+HOURS_PER_DAY = 24
+TASK_COUNTS = (50, 100, 200, 400, 800)
+TASKS_OF_A_JOB = 10
+VMLIST_INTERVAL_S = 1.0
+NOW = 1_800_000_000.0
+GRANT = Resources(4, 8192, 1, 1, 1)
+REPEATS = 20
+MS_PER_S = 1e3
+STORE_SOURCE = "platform: several hundred writes a second, taken as 300"
+
+
+def capacity_model() -> list[Row]:
+    """Returns the figures of all models."""
+    return [*_vm_list(), *_gossip(), *_journal()]
+
+
+def _vm_list() -> list[Row]:
+    """Bytes and processor time of reading the list once a second."""
+    vms = [_vm(n) for n in range(WORKERS)]
+    body = json.dumps({"vms": [encode_vm(vm) for vm in vms]}, default=str)
+
+    def read() -> None:
+        for row in json.loads(body)["vms"]:
+            decode_vm(row)
+
+    seconds = _best_s(read)
+    return [
+        _row(
+            "VM list traffic of a host",
+            "B/s",
+            len(body) / VMLIST_INTERVAL_S,
+            BYTES_BOUND,
+            BUDGET,
+            f"{WORKERS} rows of {len(body) / WORKERS:.0f} B, once a second",
+        ),
+        _row(
+            "processor of a host for the VM list",
+            "cores",
+            seconds / VMLIST_INTERVAL_S,
+            PROCESSOR_BOUND,
+            BUDGET,
+            "JSON and rows only, without HTTP",
+        ),
+    ]
+
+
+def _gossip() -> list[Row]:
+    """Bytes a second of gossip at one host as the table grows."""
+    sizes = {n: _gossip_bytes(n) for n in HOSTS}
+    rates = {n: _gossip_rate(n, sizes[n]) for n in HOSTS}
+    note = ", ".join(f"{n}: {rate:.0f}" for n, rate in rates.items())
+    largest = HOSTS[-1]
+    return [
+        _row(
+            f"gossip traffic of a host, {largest} hosts",
+            "B/s",
+            rates[largest],
+            BYTES_BOUND,
+            BUDGET,
+            f"sent and received, {sizes[largest]} B for a message with its"
+            f" reply; half is sent; by hosts: {note}",
+        )
+    ]
+
+
+def _gossip_rate(hosts: int, size: int) -> float:
+    """Returns bytes a second of the messages to and from near peers."""
+    near = hosts // len(REGIONS) - 1
+    return 2 * min(FANOUT, near) * size / ROUND_S
+
+
+def _gossip_bytes(hosts: int) -> int:
+    """Returns the bytes of a message and its reply."""
+    membership = Membership("host-000", REGIONS[0], "127.0.0.1:7000", now=NOW)
+    summary = CapacitySummary(
+        "host-000", REGIONS[0], NOW, 40, GRANT, GRANT, 0.0
+    )
+    membership.update_own(summary=summary, generation=1200)
+    others = (
+        HostEntry(
+            f"host-{n:03}",
+            int(NOW * 1000),
+            100_000,
+            REGIONS[n % len(REGIONS)],
+            address=f"127.0.0.1:{7000 + n}",
+            generation=1200,
+        )
+        for n in range(1, hosts)
+    )
+    for entry in others:
+        membership.merge((entry,), NOW)
+    body = encode(to_message(membership.message(NOW)))
+    message = len(encode_request("gossip", "host-000", body)) + FRAME_BYTES
+    reply = len(encode((None, to_message(())))) + FRAME_BYTES
+    return message + reply
+
+
+def _journal() -> list[Row]:
+    """Size and processor time of a shard's value."""
+    running = [(float(n), float(len(_value(n)))) for n in TASK_COUNTS]
+    per_task, _ = slope(running)
+    ended = [(float(n), float(len(_value(n, done=True)))) for n in TASK_COUNTS]
+    per_ended, _ = slope(ended)
+    stones = [(float(n), float(len(_stones(n)))) for n in TASK_COUNTS]
+    per_stone, _ = slope(stones)
+    tasks = RUNNING_TASKS / SHARDS
+    jobs_an_hour = JOBS_PER_DAY / HOURS_PER_DAY / SHARDS
+    held = (
+        tasks * per_task
+        + jobs_an_hour * TASKS_OF_A_JOB * per_ended
+        + JOBS_PER_DAY / SHARDS * per_stone
+    )
+    free = ACCEPT_LIMIT_BYTES - held
+    peak_s = free * SHARDS / (STARTS_PER_S * per_ended)
+    note = f"{SHARDS} shards of equal load"
+    return [
+        _row("bytes of a running task in its shard", "B", per_task, note=note),
+        _row("bytes of an ended task, kept 1 h", "B", per_ended),
+        _row("bytes of a tombstone, kept 24 h", "B", per_stone),
+        _row(
+            "shard value",
+            "B",
+            held,
+            float(ACCEPT_LIMIT_BYTES),
+            "D3: 1 MB values; new work is refused above 700 KB",
+            f"{note}: {tasks:.0f} running tasks, an hour of jobs of"
+            f" {TASKS_OF_A_JOB} tasks, a day of tombstones",
+        ),
+        _row(
+            f"time at {STARTS_PER_S} starts a second until shards refuse work",
+            "s",
+            peak_s,
+            note="the page does not say how long the peak lasts; tasks that end"
+            " at once; the rest as in the row before",
+            better=Better.HIGHER,
+        ),
+        *_journal_cost(int(tasks)),
+        _row(
+            "store writes of all journals, at most",
+            "calls/s",
+            SHARDS / WRITE_INTERVAL_S,
+            300.0,
+            STORE_SOURCE,
+            note,
+        ),
+    ]
+
+
+def _journal_cost(tasks: int) -> list[Row]:
+    """Processor time of commits and of a takeover at one shard."""
+    table = _table(tasks, done=False)
+    job = next(iter(table.items()))
+
+    def commit() -> None:
+        table.change({job.key: KeptItem.of(job)})
+        table.encoded("north/0", "host-000", "mark", NOW)
+
+    value = table.encoded("north/0", "host-000", "mark", NOW)
+    commit_s = _best_s(commit)
+    per_s = min(1 / WRITE_INTERVAL_S, STARTS_PER_S / SHARDS)
+    return [
+        _row(
+            "processor of a shard's home for commits",
+            "cores",
+            commit_s * per_s,
+            PROCESSOR_BOUND,
+            BUDGET,
+            f"{commit_s * MS_PER_S:.2f} ms for {len(value)} B,"
+            f" {per_s:.0f} times a second, without HTTP",
+        ),
+        _row(
+            "bytes to the store for one shard's commits",
+            "B/s",
+            len(value) * per_s,
+            BYTES_BOUND,
+            BUDGET,
+            "the whole value is written each time",
+        ),
+        _row(
+            "reading a shard at a takeover",
+            "ms",
+            MS_PER_S * _best_s(lambda: decode_shard(value)),
+        ),
+    ]
+
+
+def _row(
+    measure: str,
+    unit: str,
+    value: float,
+    bound: float | None = None,
+    source: str = "",
+    note: str = "",
+    better: Better = Better.LOWER,
+) -> Row:
+    return Row(
+        measure,
+        unit,
+        SIZE,
+        value,
+        better=better,
+        bound=bound,
+        bound_source=source,
+        note=note,
+    )
+
+
+def _table(tasks: int, *, done: bool) -> ShardTable:
+    table = ShardTable()
+    size = TASKS_OF_A_JOB
+    jobs = (_job(n, size, done=done) for n in range(tasks // size))
+    table.change({job.key: KeptItem.of(job) for job in jobs})
+    return table
+
+
+def _value(tasks: int, *, done: bool = False) -> bytes:
+    table = _table(tasks, done=done)
+    return table.encoded("north/0", "host-000", "mark", NOW)
+
+
+def _stones(count: int) -> bytes:
+    table = ShardTable()
+    stones = (tombstone_of(_job(n, 1, done=True)) for n in range(count))
+    table.change({stone.key: KeptItem.of(stone) for stone in stones})
+    return table.encoded("north/0", "host-000", "mark", NOW)
+
+
+def _job(number: int, tasks: int, *, done: bool) -> Entry:
+    """Returns a job all of whose tasks run, or have ended."""
+    spec = JobSpec("team-07", f"job-{number:06}", "training", "x", tasks)
+    starts = tuple(
+        StartRecord(
+            f"{spec.team}/{spec.key}/1/{index}",
+            f"worker-{index:04}",
+            3,
+            GRANT,
+            NOW,
+            f"host-000-{number}",
+            f"worker-{index:04}-1800000000000000000",
+        )
+        for index in range(tasks)
+    )
+    results = {s.task_id: "x" * 80 for s in starts} if done else {}
+    record = JobRecord(
+        spec,
+        JobState.DONE if done else JobState.RUNNING,
+        accepted_at=NOW,
+        attempt=1,
+        starts=() if done else starts,
+        results=results,
+        finished_at=NOW if done else 0.0,
+    )
+    running = () if done else tuple(s.task_id for s in starts)
+    return Entry(record, running=running, ran=True)
+
+
+def _vm(number: int) -> VmInfo:
+    return VmInfo(
+        f"worker-{number:04}",
+        "10.0.0.1",
+        7000,
+        REGIONS[number % len(REGIONS)],
+        "north-a",
+        "north-r12",
+        VmRole.WORKER,
+        size=Resources(64, 262_144, 4, 8, 64),
+    )
+
+
+def _best_s(step: Callable[[], None]) -> float:
+    """Returns the shortest of several runs, the least disturbed, in seconds."""
+    times = []
+    for _ in range(REPEATS):
+        begin = time.perf_counter()
+        step()
+        times.append(time.perf_counter() - begin)
+    return min(times)
--- a/libs/bench/dragonflybank/bench/deployment.py
+++ b/libs/bench/dragonflybank/bench/deployment.py
@@ -185,12 +185,16 @@
         path = self.folder / f"{place.name}.json"
         path.write_text(encode_settings(settings))
         log = self.folder / f"{place.name}.log"
-        program = await Program.start("dragonflybank.host", str(path), log=log)
+        program = await self.start_program(str(path), log)
         host = HostProcess(place, program, log)
         self.hosts[place.name] = host
         await self.put_vms([_host_vm(place, program.ports["peer_port"])])
         return host
 
+    async def start_program(self, path: str, log: pathlib.Path) -> Program:
+        """Starts the daemon of a host with its settings file."""
+        return await Program.start("dragonflybank.host", path, log=log)
+
     async def put_vms(self, vms: list[VmInfo]) -> None:
         """Adds or replaces rows of the VM list."""
         await self._control(
