--- a/libs/bench/dragonflybank/bench/slopes.py
+++ b/libs/bench/dragonflybank/bench/slopes.py
@@ -74,11 +74,12 @@
         (n, base if n == FIXED_HOSTS else await _idle(n, FIXED_WORKERS))
         for n in HOSTS
     ]
+    by_tasks, by_jobs = await _with_tasks()
+    # Two sizes were measured already.
+    known = {FIXED_WORKERS: base, TASK_WORKERS: by_tasks[0][1]}
     by_workers = [
-        (n, base if n == FIXED_WORKERS else await _idle(FIXED_HOSTS, n))
-        for n in WORKERS
+        (n, known.get(n) or await _idle(FIXED_HOSTS, n)) for n in WORKERS
     ]
-    by_tasks, by_jobs = await _with_tasks()
     return [
         *_rows("host", f"{FIXED_WORKERS} workers", by_hosts),
         *_rows("worker", f"{FIXED_HOSTS} hosts", by_workers),
--- a/libs/bench/dragonflybank/bench/spread.py
+++ b/libs/bench/dragonflybank/bench/spread.py
@@ -17,22 +17,26 @@
 LIMIT_S = 40.0
 SETTLE_S = 2.0
 CHANGES = 5
+MANY_HOSTS = 24
 
 
 def apply_in_force() -> list[Row]:
-    """Returns the rows of both deployments."""
-    return [row for f in FOLDERS for row in asyncio.run(_apply(f))]
+    """Returns the rows of both deployments, and of one with more hosts."""
+    rows = [row for f in FOLDERS for row in asyncio.run(_apply(f))]
+    return [*rows, *asyncio.run(_apply(FOLDERS[0], hosts=MANY_HOSTS))]
 
 
-async def _apply(folder: pathlib.Path) -> list[Row]:
-    async with open_run(folder) as (deployment, callers):
+async def _apply(
+    folder: pathlib.Path, *, hosts: int | None = None
+) -> list[Row]:
+    async with open_run(folder, hosts=hosts) as (deployment, callers):
         await asyncio.sleep(SETTLE_S)
         usual = [
             await _one_change(deployment, callers, number, store_lost=False)
             for number in range(CHANGES)
         ]
         lost = await _one_change(deployment, callers, CHANGES, store_lost=True)
-        hosts = len(deployment.hosts)
+        count = len(deployment.hosts)
     where = deployment.topology.name
     return [
         Row(
@@ -48,9 +52,9 @@
             (
                 "store up",
                 max(usual),
-                f"{hosts} hosts; the longest of {CHANGES} changes",
+                f"{count} hosts; the longest of {CHANGES} changes",
             ),
-            ("store lost after the answer", lost, f"{hosts} hosts; one change"),
+            ("store lost after the answer", lost, f"{count} hosts; one change"),
         )
     ]
 
