Keep a shard until the store takes its release

Cause: a home that was no longer first gave its shard up although the store was down, so the store went on naming it; no other host takes a shard from a home that lives, and the shard was kept by nobody (cell store_down__restart: jobs queued for ever). Change: outside a drain the shard stays open until the release is certain; a release that may have had an effect is repeated. Ruled out: a release in the background, which could not reach a stalled write's version.

--- a/libs/bench/dragonflybank/bench/matrix/faults.py
+++ b/libs/bench/dragonflybank/bench/matrix/faults.py
@@ -25,6 +25,8 @@
 
 # Longer than a lease of 15 s, so that everything held lapses.
 PAST_LEASES_S = 17.0
+# Longer than a lease with its margin.
+OUTAGE_S = 21.0
 # Longer than the detection of a dead host (3 s) and the first claims after.
 PAST_TAKEOVER_S = 6.0
 # The store's time-out is 2 s; slower answers come after the asker gave up.
@@ -132,7 +134,7 @@
 async def _store_down(scene: Scene) -> None:
     await scene.world.store.set_faults(down=True)
     scene.in_force.set()
-    await asyncio.sleep(PAST_LEASES_S)
+    await asyncio.sleep(OUTAGE_S)
     await scene.world.store.set_faults(down=False)
 
 
--- a/libs/bench/dragonflybank/bench/matrix/runner.py
+++ b/libs/bench/dragonflybank/bench/matrix/runner.py
@@ -19,8 +19,8 @@
 from dragonflybank.standins.invariants import check_all
 
 # Most of a cell's time is spent waiting for leases and dead hosts.
-CELLS_AT_ONCE = 16
-BOOTS_AT_ONCE = 6
+CELLS_AT_ONCE = 32
+BOOTS_AT_ONCE = 8
 # Far above the 15 s of a lease and the longest outage of 17 s.
 CELL_LIMIT_S = 150.0
 SPREAD_LIMIT_S = 40.0
--- a/libs/bench/dragonflybank/bench/matrix/steps.py
+++ b/libs/bench/dragonflybank/bench/matrix/steps.py
@@ -13,7 +13,7 @@
 from dragonflybank.bench.matrix.scene import Scene
 from dragonflybank.bench.matrix.world import (
     BILLED,
-    FAR_REGION,
+    FAR_TEAM,
     STORE_POINTS,
     TABLE,
     Point,
@@ -78,7 +78,7 @@
         Job("table", TABLE, run_s=RUN_S, tasks=TASKS),
     ]
     if scene.fault.two_regions:
-        jobs.append(Job("far-table", TABLE, run_s=RUN_S, team=FAR_REGION))
+        jobs.append(Job("far-table", TABLE, run_s=RUN_S, team=FAR_TEAM))
     await asyncio.gather(*(scene.calls.job(job) for job in jobs))
 
 
--- a/libs/bench/dragonflybank/bench/matrix/world.py
+++ b/libs/bench/dragonflybank/bench/matrix/world.py
@@ -45,6 +45,7 @@
 from dragonflybank.standins.worker_server import WorkerServer
 
 TEAM = "makers"
+FAR_TEAM = "far"
 HOME_REGION = "north"
 FAR_REGION = "south"
 SHARDS = 2
@@ -357,7 +358,7 @@
         teams = (
             Team(TEAM, HOME_REGION, lookups_per_s=1000),
             Team("tight", HOME_REGION, max_running=2),
-            *(Team("far", region) for region in regions - {HOME_REGION}),
+            *(Team(FAR_TEAM, region) for region in regions - {HOME_REGION}),
         )
         cfg = OperatorConfig(1, CLASSES, teams, breaks=ALWAYS_OPEN)
         store = HttpConfigStore(self.store.url)
--- a/libs/host/dragonflybank/host/shards.py
+++ b/libs/host/dragonflybank/host/shards.py
@@ -76,8 +76,13 @@
             return
         self._note_gone(set(self._host.membership.live(None, now)))
         wanted = {s for s in self._shards() if self._first(s, now) == self.name}
-        for shard in self._open.keys() - wanted:
-            await self._close(shard)
+        for shard, home in list(self._open.items()):
+            if shard in wanted and not home.is_releasing:
+                continue
+            # Without a release the next home would wait for ever.
+            released = await home.release(now)
+            if released and self._open.get(shard) is home:
+                await self._close(shard)
         for shard in wanted - self._open.keys() - self._opening.keys():
             if now >= self._retry_at.get(shard, 0.0):
                 task = asyncio.create_task(self._open_shard(shard))
--- a/libs/jobs/dragonflybank/jobs/home.py
+++ b/libs/jobs/dragonflybank/jobs/home.py
@@ -295,6 +295,17 @@
                     async with asyncio.timeout(TICK_S):
                         await self._work.wait()
 
+    @property
+    def is_releasing(self) -> bool:
+        """Whether `release` is to be called again, see `Journal.release`."""
+        return self._journal.is_releasing
+
+    async def release(self, now: float) -> bool:
+        """Releases the shard; returns whether the store took the release."""
+        released = await self._journal.release(now)
+        self._work.set()
+        return released
+
     async def close(self) -> None:
         """Finishes the changes in progress and releases the shard."""
         await self._journal.close(self._clock())
--- a/libs/jobs/dragonflybank/jobs/journal.py
+++ b/libs/jobs/dragonflybank/jobs/journal.py
@@ -189,17 +189,42 @@
             retry_after_s=RETRY_AFTER_S,
         )
 
-    async def close(self, now: float) -> None:
-        """Waits for the changes in progress and releases the shard."""
+    @property
+    def is_releasing(self) -> bool:
+        """Whether a release may have had an effect and is to be repeated."""
+        return self._closing
+
+    async def release(self, now: float) -> bool:
+        """Waits for the changes in progress and releases the shard.
+
+        Returns:
+            False if the store did not take the release; the shard stays here
+            then, since no other host takes it from a home that lives.
+        """
         self._closing = True
         for batch in (self._in_flight, self._pending):
             if batch is not None:
                 await batch.wait()
+        self._closing = not self.is_stalled
         if self.is_open and not self.is_stalled:
             mark = writer_mark()
-            await self._put(
-                self.table.encoded(self.shard, "", mark, now), mark, attempts=1
-            )
+            value = self.table.encoded(self.shard, "", mark, now)
+            outcome = await self._put(value, mark, attempts=1)
+            failed = isinstance(outcome, Failure)
+            code = outcome.failure().code if failed else Code.OK
+            if code in (Code.OK, Code.CAS_CONFLICT):
+                self._end()
+            # A release that may have had an effect has to be repeated.
+            self._closing = code is not Code.STORE_UNAVAILABLE
+        return not self.is_open
+
+    async def close(self, now: float) -> None:
+        """Releases the shard, or gives it up if the store does not answer."""
+        await self.release(now)
+        if self.is_open:
+            self._end()
+
+    def _end(self) -> None:
         if self._flushing is not None:
             self._flushing.cancel()
         self._lose(Problem(Code.NOT_HOME, f"{self.shard} was released"))
--- a/libs/jobs/dragonflybank/jobs/tests/test_former_home.py
+++ b/libs/jobs/dragonflybank/jobs/tests/test_former_home.py
@@ -53,3 +53,24 @@
     def test_present_home_denies_and_refuses(self):
         expected = [Code.UNKNOWN_JOB, Code.UNKNOWN_JOB, Code.CAN_NEVER_RUN]
         self.assertThat(self.codes(is_replaced=False), Equals(expected))
+
+
+class TestRelease(testtools.TestCase):
+    """Guards against a shard that a living host neither keeps nor releases."""
+
+    def test_release_is_repeated_until_the_store_takes_it(self):
+        async def run():
+            store = FakeStore()
+            former = new_home(store, FakeRunner(), host="h1")
+            present = new_home(store, FakeRunner(), host="h2")
+            (await former.open(0.0)).unwrap()
+            found = []
+            for fault in ("down", "lost", "ok"):
+                store.faults.append(fault)
+                released = await former.release(1.0)
+                opened = await present.open(2.0, is_dead=lambda host: False)
+                found.append((released, opened.map(lambda _: "open")))
+            return [(r, o.value_or("refused")) for r, o in found]
+
+        expected = [(False, "refused"), (False, "refused"), (True, "open")]
+        self.assertThat(asyncio.run(run()), Equals(expected))
