Measure the product's placement and order of jobs in the benchmarks

Cause: the benchmarks of decisions measured an index of candidates and a heap of waiting jobs that no scheduler host runs, and reported their bounds as met. The modules gangs, backlog and placement_index and their tests are removed, since nothing else used them. Ruled out: putting the index into the product, which is a change of behaviour; a rule without a host, which would leave out the cost of HostRules.

--- a/libs/policy/dragonflybank/policy/placement.py
+++ b/libs/policy/dragonflybank/policy/placement.py
@@ -3,7 +3,7 @@
 Best fit keeps large rooms whole over all resources of a worker. First fit,
 least loaded and random placement are the baselines that it is measured
 against. `LookupPolicy` chooses an executor for a lookup by the power of two
-choices (Mitzenmacher 2001). `placement_index` serves large fleets.
+choices (Mitzenmacher 2001).
 """
 
 __all__ = [
