Count lookup slots in the benchmarks with the ledger of the product

Cause: the benchmarks of packing and blocking kept slots for lookups with policy.reserves, while scheduler hosts keep them in cluster.ledger. The two differ: reserves also kept cores and memory, the ledger keeps slots and connections only. Ruled out: keeping reserves as data only, since a number of slots is enough. Conclusion: both benchmarks measure what runs.

--- a/libs/bench/dragonflybank/bench/blocking.py
+++ b/libs/bench/dragonflybank/bench/blocking.py
@@ -17,17 +17,14 @@
 from returns.pipeline import is_successful
 
 from dragonflybank.bench import deployments
-from dragonflybank.bench.deployments import (
-    DEPLOYMENTS,
-    LOOKUP_NEED,
-    Deployment,
-)
+from dragonflybank.bench.deployments import DEPLOYMENTS, Deployment
 from dragonflybank.bench.events import EventLoop
 from dragonflybank.bench.table import Better, Row
-from dragonflybank.model.resources import minus, plus, scaled, total
+from dragonflybank.cluster.ledger import Ledger
+from dragonflybank.host.lookups import LOOKUP_NEED
+from dragonflybank.model.resources import scaled, total
 from dragonflybank.policy.admission import FcfsQueue, Waiting
 from dragonflybank.policy.placement import BestFitPolicy, LookupPolicy
-from dragonflybank.policy.reserves import Reserve, room_for
 
 SEED = 30
 DURATION_S = 60.0
@@ -61,7 +58,7 @@
     """Returns the waits of lookups with the reserve against those without."""
     rows = []
     for deployment, load in itertools.product(DEPLOYMENTS, LOOKUP_LOADS):
-        kept = simulate(deployment, deployment.reserve.slots, load)
+        kept = simulate(deployment, deployment.lookup_reserve, load)
         none = simulate(deployment, 0, load)
         where = f"{deployment.name}, lookups need {load:.0%} of the reserve"
         rows += _rows(where, kept, none)
@@ -95,10 +92,12 @@
         self.loop = EventLoop()
         self.lookup_rng = random.Random(seed)
         self.patient_rng = random.Random(seed + 1)
-        self.reserves = [Reserve(deployment.lookup, reserved, LOOKUP_NEED)]
         self.workers = deployments.workers_of(deployment)
         self.places = {w.name: i for i, w in enumerate(self.workers)}
-        self.lookups = [0] * len(self.workers)
+        self.ledgers = [
+            Ledger(w.size, lookup_reserve=reserved) for w in self.workers
+        ]
+        self.numbers = itertools.count()
         size = self.workers[0].size
         part = 1.0 / size.slots
         self.patient_need = attrs.evolve(
@@ -131,7 +130,7 @@
         )
 
     def _plan_arrival(self):
-        slots = len(self.workers) * self.deployment.reserve.slots
+        slots = len(self.workers) * self.deployment.lookup_reserve
         rate = self.load * slots / self.deployment.lookup_s
         self.loop.after(self.lookup_rng.expovariate(rate), self._arrive)
 
@@ -152,16 +151,17 @@
             req = self.queue.take(self.loop.now).request
             self._record(req)
             place = self.places[outcome.unwrap().name]
-            self.lookups[place] += 1
-            self._change(place, minus, LOOKUP_NEED)
+            key = next(self.numbers)
+            self.ledgers[place].enter(key, LOOKUP_NEED)
+            self._note_free(place)
             service_s = self.lookup_rng.expovariate(
                 1.0 / self.deployment.lookup_s
             )
-            self.loop.after(service_s, self._lookup_ends, place)
+            self.loop.after(service_s, self._lookup_ends, place, key)
 
-    def _lookup_ends(self, place):
-        self.lookups[place] -= 1
-        self._change(place, plus, LOOKUP_NEED)
+    def _lookup_ends(self, place, key):
+        self.ledgers[place].leave(key)
+        self._note_free(place)
         self._serve()
         self._start_patient([place])
 
@@ -174,30 +174,29 @@
             if not is_successful(outcome):
                 return
             place = self.places[outcome.unwrap().name]
-            self._change(place, minus, need)
+            task_id = str(next(self.numbers))
+            self.ledgers[place].send(task_id, need, self.loop.now)
+            self._note_free(place)
             run_s = self.patient_rng.expovariate(1.0 / self.patient_s)
             if self.patient_rng.random() < STRAGGLERS:
                 run_s *= STRAGGLER_FACTOR
             left_s = self.duration_s - self.loop.now
             self.core_s += need.cores * min(run_s, left_s)
-            self.loop.after(run_s, self._patient_ends, place, need)
+            self.loop.after(run_s, self._patient_ends, place, task_id)
 
-    def _patient_ends(self, place, need):
-        self._change(place, plus, need)
+    def _patient_ends(self, place, task_id):
+        self.ledgers[place].end(task_id)
+        self._note_free(place)
         self._serve()
         self._start_patient([place])
 
     def _patient_room(self, place):
-        worker = self.workers[place]
-        running = {self.deployment.lookup: self.lookups[place]}
-        room = room_for("", worker.free, running, self.reserves)
-        return attrs.evolve(worker, free=room)
-
-    def _change(self, place, change, need):
-        worker = self.workers[place]
-        self.workers[place] = attrs.evolve(
-            worker, free=change(worker.free, need)
-        )
+        room = self.ledgers[place].free_for_tasks
+        return attrs.evolve(self.workers[place], free=room)
+
+    def _note_free(self, place):
+        free = self.ledgers[place].free
+        self.workers[place] = attrs.evolve(self.workers[place], free=free)
 
     def _record(self, req):
         wait_s = self.loop.now - (req.deadline - START_BOUND_S)
--- a/libs/bench/dragonflybank/bench/crest_simulation.py
+++ b/libs/bench/dragonflybank/bench/crest_simulation.py
@@ -13,8 +13,9 @@
 from hdrh.histogram import HdrHistogram
 from returns.pipeline import is_successful
 
-from dragonflybank.bench.deployments import LOOKUP_NEED, Deployment
+from dragonflybank.bench.deployments import Deployment
 from dragonflybank.bench.events import EventLoop
+from dragonflybank.host.lookups import LOOKUP_NEED
 from dragonflybank.model.resources import Resources
 from dragonflybank.model.work import WorkClass
 from dragonflybank.policy import preemption
@@ -104,7 +105,7 @@
         self.loop = EventLoop()
         self.rng = random.Random(seed)
         workers = deployment.workers // deployment.hosts
-        self.slots = workers * deployment.reserve.slots
+        self.slots = workers * deployment.lookup_reserve
         self.base_rate = BASE_LOAD * self.slots / deployment.lookup_s
         self.busy = 0
         self.queue = (
--- a/libs/bench/dragonflybank/bench/decisions.py
+++ b/libs/bench/dragonflybank/bench/decisions.py
@@ -26,6 +26,7 @@
 from dragonflybank.config.operator import Team
 from dragonflybank.host.fleet import Fleet
 from dragonflybank.host.learned import Learned
+from dragonflybank.host.lookups import LOOKUP_NEED
 from dragonflybank.host.rules import HostRules
 from dragonflybank.jobs.context import HomeContext
 from dragonflybank.jobs.entries import Entry
@@ -76,7 +77,7 @@
 def lookup_decisions() -> list[Row]:
     """Returns the time to choose an executor for a lookup."""
     rng = random.Random(SEED)
-    need = deployments.LOOKUP_NEED
+    need = LOOKUP_NEED
     rows = []
     for count in (SIZES[0], SIZES[-1]):
         workers = deployments.workers_of(CELL, count=count)
--- a/libs/bench/dragonflybank/bench/deployments.py
+++ b/libs/bench/dragonflybank/bench/deployments.py
@@ -7,7 +7,6 @@
 __all__ = [
     "CELL",
     "DEPLOYMENTS",
-    "LOOKUP_NEED",
     "REGISTER",
     "TOOLING",
     "Deployment",
@@ -22,7 +21,6 @@
 
 from dragonflybank.model.resources import Resources
 from dragonflybank.policy.placement import Candidate
-from dragonflybank.policy.reserves import Reserve
 
 RACK_SIZE = 8
 
@@ -59,7 +57,7 @@
         lookup_s: Mean service time of a lookup in seconds.
         client_s: One-way latency to clients in seconds.
         tasks: Shapes of the patient tasks.
-        reserve: Reserve of each executor for lookups.
+        lookup_reserve: Slots of each executor that are kept for lookups.
     """
 
     name: str
@@ -70,7 +68,7 @@
     lookup_s: float
     client_s: float
     tasks: tuple[TaskShape, ...]
-    reserve: Reserve
+    lookup_reserve: int
 
 
 def _size(cores, memory_gb, accelerators=0):
@@ -81,9 +79,6 @@
     return Resources(cores, 1024 * memory_gb, accelerators, 1, 1)
 
 
-# What a lookup takes of its executor.
-LOOKUP_NEED = Resources(cores=1, memory_mb=256, slots=1, connections=1)
-
 REGISTER = Deployment(
     "register",
     (_size(64, 256),),
@@ -96,7 +91,7 @@
         TaskShape("verification", 0.5, _task(2, 30), _task(8, 90), 20.0),
         TaskShape("sweep", 0.5, _task(10, 16), _task(20, 48), 120.0),
     ),
-    Reserve("availability_lookup", 2, LOOKUP_NEED),
+    2,
 )
 TOOLING = Deployment(
     "tooling",
@@ -110,7 +105,7 @@
         TaskShape("simulation", 0.6, _task(4, 6), _task(10, 24), 180.0),
         TaskShape("tonnage_table", 0.4, _task(1, 2), _task(3, 6), 15.0),
     ),
-    Reserve("die_lookup", 2, LOOKUP_NEED),
+    2,
 )
 # The size to design for: about 3,700 accelerators on 1,600 workers.
 CELL = Deployment(
@@ -125,7 +120,7 @@
         TaskShape("training", 0.5, _task(4, 16, 1), _task(16, 64, 2), 600.0),
         TaskShape("simulation", 0.5, _task(4, 8), _task(24, 96), 180.0),
     ),
-    Reserve("die_lookup", 2, LOOKUP_NEED),
+    2,
 )
 DEPLOYMENTS = (REGISTER, TOOLING)
 
--- a/libs/bench/dragonflybank/bench/packing.py
+++ b/libs/bench/dragonflybank/bench/packing.py
@@ -17,6 +17,7 @@
 from dragonflybank.bench import deployments
 from dragonflybank.bench.deployments import CELL, DEPLOYMENTS, Deployment
 from dragonflybank.bench.table import Better, Row
+from dragonflybank.cluster.ledger import Ledger
 from dragonflybank.model.resources import Resources, fits, minus, plus, total
 from dragonflybank.policy.placement import (
     BestFitPolicy,
@@ -24,7 +25,6 @@
     PlacementPolicy,
     RandomPolicy,
 )
-from dragonflybank.policy.reserves import room_for
 
 RUNS = 40
 # Part of the starts that are followed by the end of a random task.
@@ -120,9 +120,9 @@
 
 
 def _room_for_patient(deployment, count):
-    reserves = [deployment.reserve]
+    kept = deployment.lookup_reserve
     return [
-        attrs.evolve(w, free=room_for("", w.free, {}, reserves))
+        attrs.evolve(w, free=Ledger(w.size, lookup_reserve=kept).free_for_tasks)
         for w in deployments.workers_of(deployment, count=count)
     ]
 
--- a/libs/policy/dragonflybank/policy/admission.py
+++ b/libs/policy/dragonflybank/policy/admission.py
@@ -2,19 +2,16 @@
 
 `EdfQueue` orders by deadline (Liu and Layland 1973), estimates the wait from
 measured service times and refuses what cannot be served in time. `FcfsQueue`
-without a check of the wait is the baseline. `reserves` keeps slots that work
-of other classes cannot take.
+without a check of the wait is the baseline.
 """
 
 __all__ = [
     "AdmissionQueue",
     "EdfQueue",
     "FcfsQueue",
-    "Reserve",
     "ServiceTimes",
     "Taken",
     "Waiting",
-    "room_for",
 ]
 
 import abc
@@ -26,7 +23,6 @@
 from returns.result import Result, Success
 
 from dragonflybank.model.codes import Code, Problem, problem
-from dragonflybank.policy.reserves import Reserve, room_for
 from dragonflybank.policy.windows import Window
 
 # About 1 s of the peak load of one host; a longer queue cannot be served
