Define the calls of the worker client that name tasks once

Cause: ack, stop, throttle and checkpoint of HttpWorkerClient were the same four lines with another path. Change: the four are partial methods of _for_tasks. Conclusion: the interface is the same.

--- a/libs/platform/dragonflybank/platform/worker.py
+++ b/libs/platform/dragonflybank/platform/worker.py
@@ -9,6 +9,7 @@
 ]
 
 import abc
+import functools
 from collections.abc import Sequence
 
 import attrs
@@ -233,30 +234,6 @@
             lambda body: tuple(_event(self.name, e) for e in body["events"])
         )
 
-    async def ack(
-        self, task_ids: Sequence[str], *, epoch: int
-    ) -> Result[None, Problem]:
-        """See `WorkerClient.ack`."""
-        return await self._for_tasks("/v1/ack", task_ids, epoch)
-
-    async def stop(
-        self, task_ids: Sequence[str], *, epoch: int
-    ) -> Result[None, Problem]:
-        """See `WorkerClient.stop`."""
-        return await self._for_tasks("/v1/stop", task_ids, epoch)
-
-    async def throttle(
-        self, task_ids: Sequence[str], *, epoch: int
-    ) -> Result[None, Problem]:
-        """See `WorkerClient.throttle`."""
-        return await self._for_tasks("/v1/throttle", task_ids, epoch)
-
-    async def checkpoint(
-        self, task_ids: Sequence[str], *, epoch: int
-    ) -> Result[None, Problem]:
-        """See `WorkerClient.checkpoint`."""
-        return await self._for_tasks("/v1/checkpoint", task_ids, epoch)
-
     async def execute(
         self,
         request_id: str,
@@ -283,11 +260,16 @@
         return reply.bind(_accepted)
 
     async def _for_tasks(
-        self, path: str, task_ids: Sequence[str], epoch: int
+        self, path: str, task_ids: Sequence[str], *, epoch: int
     ) -> Result[None, Problem]:
         body = {"epoch": epoch, "task_ids": list(task_ids)}
         return (await self._post(path, body)).map(lambda _: None)
 
+    ack = functools.partialmethod(_for_tasks, "/v1/ack")
+    stop = functools.partialmethod(_for_tasks, "/v1/stop")
+    throttle = functools.partialmethod(_for_tasks, "/v1/throttle")
+    checkpoint = functools.partialmethod(_for_tasks, "/v1/checkpoint")
+
 
 def _accepted(reply) -> Result[dict, Problem]:
     if reply.status == 409:
