Work out the sizes of the cell once for each reading of the VM list

Cause: a scheduling round asked HostRules for the sizes and the largest worker for each waiting job, and both walked all 1,600 workers (24.7 and 12.5 of 38.8 ms for 64 jobs in a trial). Change: Fleet keeps the distinct sizes, the largest and the racks. Ruled out: a cache in HostRules, which would have to learn of each reading.

--- a/libs/host/dragonflybank/host/rules.py
+++ b/libs/host/dragonflybank/host/rules.py
@@ -34,14 +34,11 @@
 
     def largest(self) -> Resources | None:
         """See `HomeRules.largest`."""
-        sizes = [vm.size for vm in self._host.fleet.workers]
-        if not sizes:
-            return None
-        return max(sizes, key=lambda s: (s.memory_mb, s.cores))
+        return self._host.fleet.largest
 
     def grant_size(self, spec: JobSpec, wc: WorkClass) -> Resources:
         """See `HomeRules.grant_size`."""
-        sizes = {vm.size for vm in self._host.fleet.workers}
+        sizes = self._host.fleet.sizes
         grant = self._host.learned.sizes.grant(wc.name, spec.size, sizes)
         return grant.value_or(spec.size)
 
@@ -57,5 +54,4 @@
     def rack_count(self) -> int:
         """See `HomeRules.rack_count`."""
         region = self._host.settings.region
-        rows = self._host.fleet.workers
-        return len({vm.rack for vm in rows if vm.region == region}) or 1
+        return self._host.fleet.rack_count(region) or 1
