--- a/libs/jobs/dragonflybank/jobs/context.py
+++ b/libs/jobs/dragonflybank/jobs/context.py
@@ -95,11 +95,11 @@
         """Returns the class of a job, with the rules it was accepted by."""
         name = entry.record.spec.work_class
         known = self.rules.work_class(name) or WorkClass(name)
-        return attrs.evolve(
-            known,
-            repeatable=entry.repeatable,
-            kind=WorkKind.GANG if entry.gang else known.kind,
-        )
+        kind = WorkKind.GANG if entry.gang else known.kind
+        # A round asks this of each waiting job; rules rarely change.
+        if known.repeatable == entry.repeatable and known.kind is kind:
+            return known
+        return attrs.evolve(known, repeatable=entry.repeatable, kind=kind)
 
     def event_context(
         self, entry: Entry, worker: str, now: float
