Remove the second rule for jobs that fail on unlike workers

Cause: policy.health.may_retry had no caller; jobs.context decides the same with the racks that the home knows, and its tests cover unlike workers and workers of one rack, and that billed work is not tried again. Measured: 67 tests of libs/policy pass.

--- a/libs/policy/dragonflybank/policy/health.py
+++ b/libs/policy/dragonflybank/policy/health.py
@@ -1,23 +1,16 @@
-"""Sick workers and sick jobs, told apart (D15).
+"""Sick workers, told apart from sick jobs (D15).
 
-A worker is sick if unlike jobs fail on it; a job is sick if it fails on
-unlike workers.
+A worker is sick if unlike jobs fail on it. A job that fails on unlike workers
+is stopped by its home (`jobs.failures`).
 """
 
-__all__ = ["WorkerHealth", "may_retry", "quarantine_limit"]
+__all__ = ["WorkerHealth", "quarantine_limit"]
 
 import collections
-from collections.abc import Collection, Mapping
 
 import attrs
-from returns.result import Result, Success
-
-from dragonflybank.model.codes import Code, Problem, problem
-from dragonflybank.model.work import WorkClass
 
 UNLIKE_JOBS = 3
-UNLIKE_WORKERS = 3
-UNLIKE_RACKS = 2
 EVIDENCE_S = 60.0
 QUARANTINE_SHARE = 0.1
 # The first probe comes after half of the evidence window; the wait doubles
@@ -126,41 +119,6 @@
         held.probe_at = now + held.wait_s
 
 
-def may_retry(
-    work_class: WorkClass,
-    failed_on: Collection[str],
-    racks: Mapping[str, str],
-    *,
-    quarantined: Collection[str] = (),
-) -> Result[None, Problem]:
-    """Decides whether a job whose task failed is tried again.
-
-    Args:
-        work_class: Class of the job.
-        failed_on: Workers on which an attempt failed.
-        racks: Rack of each live worker of the region.
-        quarantined: Workers in quarantine; failures there do not count.
-
-    Returns:
-        ``TASK_FAILED`` for work that is not repeatable;
-        ``FAILED_ON_UNLIKE_WORKERS`` if the job itself is the likely cause.
-    """
-    if not work_class.repeatable:
-        return problem(Code.TASK_FAILED, "the work is not repeatable")
-    counted = set(failed_on) - set(quarantined)
-    seen = {racks[name] for name in counted if name in racks}
-    # In a region with fewer workers or racks than the limits a sick job
-    # would be tried for ever.
-    workers_needed = min(UNLIKE_WORKERS, max(1, len(racks)))
-    racks_needed = min(UNLIKE_RACKS, len(set(racks.values())))
-    if len(counted) < workers_needed or len(seen) < racks_needed:
-        return Success(None)
-    return problem(
-        Code.FAILED_ON_UNLIKE_WORKERS,
-        f"failed on {', '.join(sorted(counted))}",
-    )
-
-
 def quarantine_limit(region_workers: int) -> int:
     """Returns how many workers of a region may be in quarantine.
 
--- a/libs/policy/dragonflybank/policy/tests/test_health.py
+++ b/libs/policy/dragonflybank/policy/tests/test_health.py
@@ -1,15 +1,11 @@
-"""Tests of sick workers and sick jobs."""
+"""Tests of sick workers."""
 
 import testtools
-from returns.pipeline import is_successful
-from testtools.matchers import Equals, Is
+from testtools.matchers import Equals
 
-from dragonflybank.model.codes import Code
-from dragonflybank.model.work import WorkClass
 from dragonflybank.policy import health
 
 RACKS = {f"w{i}": f"r{i // 8}" for i in range(24)}
-SWEEP = WorkClass("sweep")
 
 
 class TestWorkerHealth(testtools.TestCase):
@@ -72,33 +68,3 @@
         self.fail("w1", "t1", 30.0)
         self.assertThat(self.health.probes_due(89.0), Equals([]))
         self.assertThat(self.health.probes_due(90.0), Equals(["w1"]))
-
-
-class TestMayRetry(testtools.TestCase):
-    """Guards against a sick job that is tried for ever."""
-
-    def code(self, failed_on, racks=RACKS, **kwargs):
-        outcome = health.may_retry(SWEEP, failed_on, racks, **kwargs)
-        return None if is_successful(outcome) else outcome.failure().code
-
-    def test_unlike_workers_stop_a_job(self):
-        self.assertThat(
-            self.code(["w1", "w2", "w9"]), Is(Code.FAILED_ON_UNLIKE_WORKERS)
-        )
-
-    def test_one_worker_or_one_rack_does_not_stop_a_job(self):
-        self.assertThat(self.code(["w1", "w1", "w1"]), Is(None))
-        self.assertThat(self.code(["w1", "w2", "w3"]), Is(None))
-
-    def test_failures_on_quarantined_workers_do_not_count(self):
-        found = self.code(["w1", "w2", "w9"], quarantined={"w9"})
-        self.assertThat(found, Is(None))
-
-    def test_region_of_one_worker_does_not_try_for_ever(self):
-        found = self.code(["w1"], racks={"w1": "r0"})
-        self.assertThat(found, Is(Code.FAILED_ON_UNLIKE_WORKERS))
-
-    def test_work_that_is_not_repeatable_is_never_tried_again(self):
-        billed = WorkClass("simulation", repeatable=False)
-        outcome = health.may_retry(billed, ["w1"], RACKS)
-        self.assertThat(outcome.failure().code, Is(Code.TASK_FAILED))
