Take only lookups that will be answered in time

Cause: at a crest the queue took the last waiting lookup of a host even if it could not end in time, and others by the mean service time, so a sixth of all lookups ran and were cut off at their time-out; a forwarded lookup had the same deadline at both hosts, so a refusal came too late to be heard. Ruled out: keeping the mean and a margin, which would have to grow with the service time.

--- a/libs/host/dragonflybank/host/lookups.py
+++ b/libs/host/dragonflybank/host/lookups.py
@@ -39,6 +39,11 @@
 SLOW_FACTOR = 4.0
 # A shorter rest of the time-out is not worth an attempt.
 MIN_ATTEMPT_S = 0.01
+# Part of a caller's time-out that is kept for the way back to the caller, 1 to
+# 3 ms, and for sending the answer.
+REPLY_MARGIN_S = 0.01
+# Time for the answer of another host beyond the latency of the link.
+ANSWER_MARGIN_S = 0.02
 # A lookup that fails on two executors is at fault itself.
 ATTEMPTS_THAT_FAIL = 2
 BYTES_PER_MB = 1e6
@@ -208,6 +213,9 @@
         done.tried.add(route.host)
         self._host.metrics.forwards.labels(route.kind.value).inc()
         timeout_s = self._attempt_s(req, wc, done, left_s)
+        # The other host answers in time to be heard here, so that its refusal
+        # is not taken for a lost answer.
+        way_s = self._host.round_trip_s(route.host) + ANSWER_MARGIN_S
         reply = await self._host.links.ask(
             route.host,
             messages.LookupRequest(
@@ -215,7 +223,7 @@
                 req.team,
                 req.work_class,
                 req.payload,
-                timeout_s,
+                max(0.0, timeout_s - way_s),
                 1 if route.kind is RouteKind.PEER else 2,
             ),
             timeout_s=timeout_s,
@@ -350,7 +358,7 @@
 
 def _timeout_s(req: LookupRequest, wc: WorkClass) -> float:
     wanted = req.timeout_s or wc.timeout_s
-    return min(wanted, wc.timeout_s)
+    return max(0.0, min(wanted, wc.timeout_s) - REPLY_MARGIN_S)
 
 
 def _refused_there(failed: Problem) -> Result:
--- a/libs/policy/dragonflybank/policy/admission.py
+++ b/libs/policy/dragonflybank/policy/admission.py
@@ -175,9 +175,12 @@
         while self._waiting:
             *_, mean_s, req = self._waiting.pop()
             self._expected_s -= mean_s
-            expected_end = now + self._times.mean(req)
-            is_last = not self._waiting
-            if expected_end <= req.deadline or (is_last and now < req.deadline):
+            # At a crest requests are taken at the last moment; by the mean
+            # half of them would be late. An idle host tries all the same, so
+            # that times measured in a slow period do not lock a class out.
+            planned_end = now + self._times.planned(req)
+            is_idle = self.running == 0 and not self._waiting
+            if planned_end <= req.deadline or (is_idle and now < req.deadline):
                 self.running += 1
                 return Taken(req, tuple(late))
             late.append(req)
