Tell a caller's own time-out from a cut and split the world module

Ruled out: dropping the check of drains for paused hosts; a closed connection still counts. The whole run was not repeated after this change.

--- a/libs/bench/dragonflybank/bench/matrix/calls.py
+++ b/libs/bench/dragonflybank/bench/matrix/calls.py
@@ -11,7 +11,13 @@
 import aiohttp
 import attrs
 
-from dragonflybank.bench.matrix.world import LOOKUP, TEAM, World
+from dragonflybank.bench.matrix.layout import (
+    LOOKUP,
+    TEAM,
+)
+from dragonflybank.bench.matrix.world import (
+    World,
+)
 from dragonflybank.model.codes import Code
 from dragonflybank.model.work import JobState, Outcome, is_final
 from dragonflybank.standins.answers import CallerAnswer, Violation
@@ -218,7 +224,10 @@
             self._note(method, url, job, fields)
         except aiohttp.ClientConnectorError:
             pass
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except TimeoutError:
+            # The caller gave up; a paused process has cut nothing off.
+            was_cut = url not in self._world.paused_urls
+        except (aiohttp.ClientError, OSError):
             was_cut = True
         self.answers.append(
             CallerAnswer(
--- a/libs/bench/dragonflybank/bench/matrix/scene.py
+++ b/libs/bench/dragonflybank/bench/matrix/scene.py
@@ -6,7 +6,13 @@
 from collections.abc import Callable
 
 from dragonflybank.bench.matrix.calls import Calls
-from dragonflybank.bench.matrix.world import Point, Trap, World
+from dragonflybank.bench.matrix.taps import (
+    Point,
+    Trap,
+)
+from dragonflybank.bench.matrix.world import (
+    World,
+)
 from dragonflybank.standins.faults import When
 from dragonflybank.standins.worker_server import WorkerServer
 
--- a/libs/bench/dragonflybank/bench/matrix/steps.py
+++ b/libs/bench/dragonflybank/bench/matrix/steps.py
@@ -10,12 +10,14 @@
 from dragonflybank.bench.deployment import wait_until
 from dragonflybank.bench.matrix.calls import Job
 from dragonflybank.bench.matrix.faults import ANY_END
-from dragonflybank.bench.matrix.scene import Scene
-from dragonflybank.bench.matrix.world import (
+from dragonflybank.bench.matrix.layout import (
     BILLED,
     FAR_TEAM,
-    STORE_POINTS,
     TABLE,
+)
+from dragonflybank.bench.matrix.scene import Scene
+from dragonflybank.bench.matrix.taps import (
+    STORE_POINTS,
     Point,
 )
 from dragonflybank.model.work import Outcome
