Deny no job of a team that this host does not know yet

Change: a host without a configuration answers 304; an unknown team is refused only after the store's present configuration was read, at most once a second. Ruled out: 304 for every unknown team, since a mistyped one must be refused. Conclusion: an unknown class at a host that is behind is still refused by the host's own generation.

--- a/libs/host/dragonflybank/host/http.py
+++ b/libs/host/dragonflybank/host/http.py
@@ -28,6 +28,9 @@
 MAX_BODY_BYTES = 900_000
 # A caller may wait for a job this long in one request, in seconds.
 MAX_WAIT_S = 30.0
+_NO_CONFIGURATION = Problem(
+    Code.ASK_AGAIN, "the host has no configuration yet", retry_after_s=0.5
+)
 JOB_PATH = "/v1/jobs/{team}/{key}"
 
 
@@ -83,6 +86,9 @@
     async def _submit(self, request: web.Request) -> web.Response:
         with self._counted():
             body = await _json_body(request)
+            if not self._host.active.generation:
+                # Another host may have accepted the same key.
+                return _answered(answer_for(_NO_CONFIGURATION))
             spec = body.bind(lambda b: self._spec(request, b))
             match spec:
                 case Success(job):
--- a/libs/host/dragonflybank/host/jobs_front.py
+++ b/libs/host/dragonflybank/host/jobs_front.py
@@ -32,6 +32,8 @@
 # do not use up the contexts of a link, and a drain is noticed in time.
 WAIT_SLICE_MIN_S = 0.1
 WAIT_SLICE_MAX_S = 1.0
+# Bounds the store reads that requests with an unknown team cause.
+CONFIRM_INTERVAL_S = 1.0
 
 
 class JobsFront:
@@ -40,6 +42,7 @@
     def __init__(self, host, shards: ShardTable):
         self._host = host
         self._shards = shards
+        self._confirmed_at = 0.0
 
     async def submit(self, spec: JobSpec) -> Answer:
         """Accepts a job under the caller's key; the same key is one job."""
@@ -145,16 +148,38 @@
                 return await home.cancel(team, key, now)
         return await _ask_home(home, req)
 
+    async def _unknown_team(self, team: str) -> Failure | None:
+        """Returns why a team is not known, None if it is known by now.
+
+        The configuration of a host that starts or was paused is older than
+        that of the others, which may have accepted work of the team. Only the
+        store's present configuration proves that the team does not exist.
+        """
+        now = self._host.clock()
+        if now - self._confirmed_at > CONFIRM_INTERVAL_S:
+            if not await self._host.spread.poll():
+                return problem(
+                    Code.ASK_AGAIN,
+                    "the configuration cannot be confirmed at present",
+                    retry_after_s=1.0,
+                )
+            self._confirmed_at = now
+        if self._shards.knows_team(team):
+            return None
+        return problem(
+            Code.BAD_REQUEST,
+            f"found {team!r}",
+            field="team",
+            accepted="a team of the configuration",
+        )
+
     async def _at_home(
         self, team: str, key: str, req, *, timeout_s: float
     ) -> Result[JobRecord, Problem]:
         if not self._shards.knows_team(team):
-            return problem(
-                Code.BAD_REQUEST,
-                f"found {team!r}",
-                field="team",
-                accepted="a team of the configuration",
-            )
+            unknown = await self._unknown_team(team)
+            if unknown is not None:
+                return unknown
         home = self._shards.home_of(team, key)
         if home == self._host.name:
             return await self.at_this_host(req)
--- a/libs/host/dragonflybank/host/lookups.py
+++ b/libs/host/dragonflybank/host/lookups.py
@@ -105,6 +105,14 @@
 
     async def answer(self, req: LookupRequest, *, now: float) -> Answer:
         """Serves a caller's lookup and returns the answer."""
+        if not self._host.active.generation:
+            return answer_for(
+                Problem(
+                    Code.NO_WORKER,
+                    "the host has no configuration yet",
+                    retry_after_s=0.5,
+                )
+            )
         found = self._host.active.work_class(req.work_class).bind(_only_lookup)
         if isinstance(found, Failure):
             return answer_for(found.failure())
--- a/libs/host/dragonflybank/host/tests/test_daemon.py
+++ b/libs/host/dragonflybank/host/tests/test_daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+import attrs
 import testtools
 from testtools.matchers import Equals, GreaterThan
 
@@ -43,6 +44,25 @@
 
         self.assertThat(asyncio.run(run()), Equals(False))
 
+    def test_host_without_configuration_denies_no_job(self):
+        # Guards against "refused" for a job that another host has run.
+        async def run():
+            async with running_cell("a", workers=1) as cell:
+                await cell.store.set_faults(down=True)
+                # The new host must not find the other one.
+                cell.vmlist.remove("a")
+                settings = attrs.evolve(cell.hosts["a"].settings, name="b")
+                host = SchedulerHost(settings)
+                await host.start()
+                cell.hosts["b"] = host
+                return [
+                    await cell.ask(host, "k", wait_s=0),
+                    await cell.submit(host, "k", "simulation"),
+                ]
+
+        outcomes = [answer["outcome"] for answer in asyncio.run(run())]
+        self.assertThat(outcomes, Equals(["unknown", "unknown"]))
+
 
 class TestDrain(testtools.TestCase):
     """Guards against requests that a graceful shutdown cuts off."""
