--- /dev/null
+++ b/libs/cell/dragonflybank/cell/board.py
@@ -0,0 +1,111 @@
+"""States of jobs as a host can tell them to callers.
+
+The leader writes its own board and numbers the changes; the other hosts ask
+it for the changes since the last ones they have.
+"""
+
+__all__ = ["Board"]
+
+import asyncio
+import collections
+import itertools
+
+from dragonflybank.cell.jobs import Phase
+from dragonflybank.cell.messages import SyncReply
+
+# A host that missed more changes than this gets the whole board.
+CHANGES_KEPT = 4000
+# States older than this are read from the store instead.
+FRESH_S = 2.0
+# Ended jobs beyond this number are forgotten here; the store has them.
+JOBS_KEPT = 20_000
+
+
+class Board:
+    """States of jobs, and numbers of jobs that wait.
+
+    Attributes:
+        epoch: Epoch of the leader that the states come from.
+        number: Number of the last change.
+        pending: Number of jobs without a started task, by queue.
+        fresh_at: Time at which the board was last in step with the leader.
+    """
+
+    def __init__(self):
+        self.epoch = 0
+        self.number = 0
+        self.pending: dict[str, int] = {}
+        self.fresh_at = float("-inf")
+        self._states: dict[str, Phase] = {}
+        self._changes: collections.deque[tuple[int, str]] = collections.deque(
+            maxlen=CHANGES_KEPT
+        )
+        self._changed = asyncio.Event()
+
+    def is_fresh(self, now: float) -> bool:
+        """Returns whether the states are recent."""
+        return now - self.fresh_at <= FRESH_S
+
+    def state(self, job_id: str, now: float) -> Phase | None:
+        """Returns a state that may be told, None if the store must be read."""
+        phase = self._states.get(job_id)
+        if phase is not None and (phase.is_final or self.is_fresh(now)):
+            return phase
+        return None
+
+    def publish(self, job_id: str, phase: Phase) -> None:
+        """Notes a state; final states never change, others only advance."""
+        known = self._states.get(job_id)
+        if known is not None and (
+            known.is_final or phase is known or phase is Phase.QUEUED
+        ):
+            return
+        self._states[job_id] = phase
+        self.number += 1
+        self._changes.append((self.number, job_id))
+        self._changed.set()
+        while len(self._states) > JOBS_KEPT:
+            self._states.pop(next(iter(self._states)))
+
+    def lead(self, epoch: int) -> None:
+        """Begins the numbering of a leadership."""
+        self.epoch = epoch
+
+    async def news(
+        self, epoch: int, number: int, *, wait_s: float
+    ) -> SyncReply:
+        """Returns the changes after a number, waiting for some if none."""
+        if epoch == self.epoch and number == self.number:
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        oldest = self._changes[0][0] if self._changes else self.number + 1
+        is_whole = epoch != self.epoch or number + 1 < oldest
+        if is_whole:
+            names = self._states.keys()
+        else:
+            newer = itertools.takewhile(
+                lambda change: change[0] > number, reversed(self._changes)
+            )
+            names = {job: None for _, job in newer}
+        states = tuple(
+            (name, self._states[name].value)
+            for name in names
+            if name in self._states
+        )
+        return SyncReply(
+            self.epoch, self.number, is_whole, states, dict(self.pending)
+        )
+
+    def take(self, reply: SyncReply, now: float) -> None:
+        """Takes in the leader's news."""
+        for name, phase in reply.states:
+            self.publish(name, Phase(phase))
+        self.epoch = reply.epoch
+        self.number = reply.number
+        self._changes.clear()
+        self.pending = reply.pending
+        self.fresh_at = now
--- /dev/null
+++ b/libs/cell/dragonflybank/cell/commits.py
@@ -0,0 +1,148 @@
+"""Group commit of the leader's progress records.
+
+Each transaction expects the leader's key, so that a former leader cannot
+write, and the revision of each record that it replaces, so that a transaction
+that is carried out late cannot bring back an older record.
+"""
+
+__all__ = ["Committer"]
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Callable
+
+from returns.result import Failure, Success
+
+from dragonflybank.cell.election import LEADER_KEY, Leadership
+from dragonflybank.cell.jobs import encode
+from dragonflybank.cell.keys import progress_key
+from dragonflybank.cell.ports import Store, Txn, TxnReply
+from dragonflybank.cell.state import JobState
+from dragonflybank.cluster.clock import Clock
+
+_log = logging.getLogger(__name__)
+
+# The store takes 32 rows in a transaction; a record needs two of them.
+RECORDS_PER_TXN = 15
+# Gathers the ends that arrive together; small against a lookup's objective.
+GATHER_S = 0.012
+RETRY_S = 0.1
+
+
+class Committer:
+    """Writes changed progress records, several in one transaction.
+
+    Attributes:
+        marked: Number of changes noted so far.
+        stored: Number of changes that are known to be stored.
+
+    Args:
+        store: The platform's store.
+        leadership: The leadership under which it writes.
+        clock: Clock of the host.
+        on_stored: Called with each job whose present record is stored.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        leadership: Leadership,
+        *,
+        clock: Clock,
+        on_stored: Callable[[JobState], None],
+    ):
+        self._store = store
+        self._leadership = leadership
+        self._clock = clock
+        self._on_stored = on_stored
+        self._dirty: dict[str, JobState] = {}
+        self._wake = asyncio.Event()
+        self._waiters: list[tuple[int, asyncio.Future]] = []
+        self.marked = 0
+        self.stored = 0
+
+    def mark(self, job: JobState) -> None:
+        """Notes that a job's record has changed."""
+        self._dirty[job.job.id] = job
+        self.marked += 1
+        self._wake.set()
+
+    async def settled(self) -> None:
+        """Waits until all changes noted so far are stored."""
+        if self.stored >= self.marked:
+            return
+        fut = asyncio.get_running_loop().create_future()
+        self._waiters.append((self.marked, fut))
+        await fut
+
+    async def run(self) -> None:
+        """Writes until it is cancelled or the leadership is lost."""
+        while not self._leadership.lost.is_set():
+            await self._wake.wait()
+            await self._clock.sleep(GATHER_S)
+            self._wake.clear()
+            mark = self.marked
+            while self._dirty and not self._leadership.lost.is_set():
+                await self._write_some()
+            self._settle(mark)
+
+    def _settle(self, mark: int) -> None:
+        if self._leadership.lost.is_set():
+            return
+        self.stored = mark
+        done = [fut for upto, fut in self._waiters if upto <= mark]
+        self._waiters = [w for w in self._waiters if w[0] > mark]
+        for fut in done:
+            if not fut.done():
+                fut.set_result(None)
+
+    async def _write_some(self) -> None:
+        jobs = list(itertools.islice(self._dirty.values(), RECORDS_PER_TXN))
+        for job in jobs:
+            del self._dirty[job.job.id]
+        records = {progress_key(j.job.id): encode(j.progress) for j in jobs}
+        while not self._leadership.lost.is_set():
+            called_at = self._clock.now()
+            txn = Txn(
+                expected={
+                    LEADER_KEY: self._leadership.epoch,
+                    **{
+                        progress_key(j.job.id): j.progress_revision
+                        for j in jobs
+                    },
+                },
+                puts=records,
+            )
+            match await self._store.commit(txn):
+                case Success(TxnReply(revision=int(revision))):
+                    self._leadership.confirm(called_at)
+                    for job in jobs:
+                        job.progress_revision = revision
+                        self._on_stored(job)
+                    return
+                case Success(reply):
+                    self._take_revisions(reply, jobs, called_at)
+                case Failure(failed):
+                    _log.warning(
+                        "progress not stored",
+                        extra={
+                            "jobs": len(jobs),
+                            "code": failed.code.name,
+                            "detail": failed.detail,
+                        },
+                    )
+                    await self._clock.sleep(RETRY_S)
+
+    def _take_revisions(
+        self, reply: TxnReply, jobs: list[JobState], called_at: float
+    ) -> None:
+        # An earlier attempt of this leader may have been carried out without
+        # an answer; only the leader writes these records.
+        found = {item.key: item.revision for item in reply.current}
+        if found.get(LEADER_KEY) != self._leadership.epoch:
+            self._leadership.lost.set()
+            return
+        self._leadership.confirm(called_at)
+        for job in jobs:
+            job.progress_revision = found.get(progress_key(job.job.id), 0)
--- /dev/null
+++ b/libs/cell/dragonflybank/cell/election.py
@@ -0,0 +1,250 @@
+"""Election of the leader through the platform's store.
+
+The leader's key belongs to a store lease and is created under the condition
+that it does not exist. The revision of its creation is the leader's epoch:
+revisions only rise, so executors that have seen a newer epoch refuse an older
+leader (fencing tokens; Kleppmann, "How to do distributed locking", 2016).
+
+A lease that is renewed does not prove that the key still exists. Leadership is
+confirmed only by a read of the key or by a transaction that expects it.
+"""
+
+__all__ = ["Candidate", "LeaderRecord", "Leadership"]
+
+import asyncio
+import logging
+import random
+
+import attrs
+import msgspec
+from returns.result import Failure, Success
+
+from dragonflybank.cell.ports import Item, Store, Txn
+from dragonflybank.cluster.clock import Clock
+from dragonflybank.model.codes import Code
+
+_log = logging.getLogger(__name__)
+
+LEADER_KEY = "leader"
+TERM_KEY = "term"
+# A cell is without a decider for about this long after its leader died; the
+# store's shortest lease is 1 s.
+LEASE_S = 2.0
+RENEW_S = 0.5
+# Time since the last confirmation after which nothing new is started.
+CONFIRM_LIMIT_S = 1.0
+CONFIRM_EVERY_S = 0.4
+# Longest watch; a connection that went silent is noticed after it.
+WATCH_S = 2.0
+RETRY_S = 0.2
+# Hosts with less than a core stand for election a little later.
+WEAK_HOST_DELAY_S = 0.3
+
+
+@attrs.frozen
+class LeaderRecord:
+    """The value of the leader's key.
+
+    Attributes:
+        name: Name of the host.
+        address: Address of its peer socket.
+        term: Number of this leadership, from 1.
+    """
+
+    name: str
+    address: str
+    term: int
+
+
+@attrs.define
+class Leadership:
+    """An elected leader's hold on its key.
+
+    Attributes:
+        epoch: Revision of the key's creation.
+        term: Number of this leadership.
+        began_at: Time at which the key was asked for.
+        confirmed_at: Time of the start of the last call that proved that the
+            key still existed.
+        lost: Set once the key is known to be gone.
+    """
+
+    epoch: int
+    term: int
+    began_at: float
+    confirmed_at: float
+    lost: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def may_start(self, now: float) -> bool:
+        """Returns whether new attempts may be started."""
+        is_fresh = now - self.confirmed_at <= CONFIRM_LIMIT_S
+        return is_fresh and not self.lost.is_set()
+
+    def confirm(self, called_at: float) -> None:
+        """Notes that a call begun at a time proved that the key existed."""
+        self.confirmed_at = max(self.confirmed_at, called_at)
+
+
+class Candidate:
+    """Stands for election and follows who leads.
+
+    Attributes:
+        record: The present leader as last read, or None.
+        seen_at: Time at which ``record`` was last read from the store.
+
+    Args:
+        store: The platform's store.
+        name: Name of this host.
+        address: Address of its peer socket.
+        clock: Clock of the host.
+        is_weak: Whether stronger hosts should be elected before it.
+        rng: Seeded generator.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        name: str,
+        address: str,
+        *,
+        clock: Clock,
+        is_weak: bool,
+        rng: random.Random,
+    ):
+        self.record: LeaderRecord | None = None
+        self.seen_at = float("-inf")
+        self._store = store
+        self._name = name
+        self._address = address
+        self._clock = clock
+        self._is_weak = is_weak
+        self._rng = rng
+        self._revision = 0
+        self._lease = 0
+
+    async def wait_for_turn(self) -> Leadership:
+        """Follows the leader until this host is elected."""
+        while True:
+            found = await self._store.get(LEADER_KEY)
+            if isinstance(found, Failure):
+                await self._clock.sleep(RETRY_S)
+                continue
+            item = found.unwrap()
+            if item is None:
+                won = await self._stand()
+                if won is not None:
+                    return won
+                continue
+            self._read(item)
+            await self._follow(item)
+
+    async def keep(self, leadership: Leadership) -> None:
+        """Renews and confirms a leadership until it is lost."""
+        renewing = asyncio.create_task(self._renew())
+        try:
+            while not leadership.lost.is_set():
+                now = self._clock.now()
+                if now - leadership.confirmed_at >= CONFIRM_EVERY_S:
+                    await self._confirm(leadership)
+                await self._clock.sleep(CONFIRM_EVERY_S / 4)
+        finally:
+            renewing.cancel()
+            self.record = None
+            _log.info("leadership lost", extra={"epoch": leadership.epoch})
+
+    async def resign(self) -> None:
+        """Ends the lease, so that another host is elected at once."""
+        if self._lease:
+            await self._store.end_lease(self._lease)
+            self._lease = 0
+
+    async def _follow(self, item: Item) -> None:
+        revision = item.revision
+        while True:
+            changes = await self._store.watch(
+                LEADER_KEY, after=revision, wait_s=WATCH_S
+            )
+            match changes:
+                case Success(found) if not found.is_lost:
+                    self.seen_at = self._clock.now()
+                    revision = max(revision, found.revision)
+                    latest = [i for i in found.items if i.key == LEADER_KEY]
+                    if latest and latest[-1].value is None:
+                        return
+                    if latest:
+                        self._read(latest[-1])
+                case _:
+                    await self._clock.sleep(RETRY_S)
+                    return
+
+    def _read(self, item: Item) -> None:
+        try:
+            record = msgspec.json.decode(item.value, type=LeaderRecord)
+        except msgspec.MsgspecError as exc:
+            _log.error("leader record unreadable", extra={"error": str(exc)})
+            return
+        if record != self.record:
+            _log.info(
+                "leader known",
+                extra={"leader": record.name, "term": record.term},
+            )
+        self.record = record
+        self.seen_at = self._clock.now()
+
+    async def _stand(self) -> Leadership | None:
+        delay = self._rng.uniform(0.0, 0.05)
+        await self._clock.sleep(
+            delay + (WEAK_HOST_DELAY_S if self._is_weak else 0.0)
+        )
+        began_at = self._clock.now()
+        term = await self._store.get(TERM_KEY)
+        lease = await self._store.open_lease(LEASE_S)
+        if isinstance(term, Failure) or isinstance(lease, Failure):
+            await self._clock.sleep(RETRY_S)
+            return None
+        previous = term.unwrap()
+        number = 1 + (int(previous.value) if previous else 0)
+        record = LeaderRecord(self._name, self._address, number)
+        txn = Txn(
+            expected={
+                LEADER_KEY: 0,
+                TERM_KEY: previous.revision if previous else 0,
+            },
+            puts={
+                LEADER_KEY: msgspec.json.encode(record),
+                TERM_KEY: str(number).encode(),
+            },
+            lease=lease.unwrap(),
+            leased=frozenset({LEADER_KEY}),
+        )
+        match await self._store.commit(txn):
+            case Success(reply) if reply.revision is not None:
+                self._lease = lease.unwrap()
+                self.record = record
+                _log.info(
+                    "elected",
+                    extra={"epoch": reply.revision, "term": number},
+                )
+                return Leadership(reply.revision, number, began_at, began_at)
+            case Failure(found) if found.code is Code.TIMED_OUT:
+                # The key may be created yet; it goes with its lease.
+                await self._clock.sleep(RETRY_S)
+        await self._store.end_lease(lease.unwrap())
+        return None
+
+    async def _renew(self) -> None:
+        while True:
+            await self._clock.sleep(RENEW_S)
+            await self._store.renew_lease(self._lease)
+
+    async def _confirm(self, leadership: Leadership) -> None:
+        called_at = self._clock.now()
+        match await self._store.get(LEADER_KEY):
+            case Success(Item(revision=revision)) if (
+                revision == leadership.epoch
+            ):
+                leadership.confirm(called_at)
+            case Success(_):
+                leadership.lost.set()
+            case Failure(_):
+                await self._clock.sleep(RETRY_S / 2)
--- /dev/null
+++ b/libs/cell/dragonflybank/cell/keys.py
@@ -0,0 +1,44 @@
+"""Keys of the cell in the platform's store."""
+
+__all__ = [
+    "EXECUTORS_KEY",
+    "JOBS_PREFIX",
+    "PROGRESS_PREFIX",
+    "cancel_key",
+    "job_key",
+    "job_of_key",
+    "progress_key",
+]
+
+# Executors on which a leader may have started something.
+EXECUTORS_KEY = "used-executors"
+JOBS_PREFIX = "jobs/"
+PROGRESS_PREFIX = "progress/"
+_CANCEL_SUFFIX = "/cancel"
+
+
+def job_key(job: str) -> str:
+    """Returns the key of an accepted job."""
+    return JOBS_PREFIX + job
+
+
+def cancel_key(job: str) -> str:
+    """Returns the key that marks a job as cancelled."""
+    return JOBS_PREFIX + job + _CANCEL_SUFFIX
+
+
+def progress_key(job: str) -> str:
+    """Returns the key of a job's progress."""
+    return PROGRESS_PREFIX + job
+
+
+def job_of_key(key: str) -> tuple[str, bool]:
+    """Returns the job of a key below `JOBS_PREFIX` and whether it cancels.
+
+    Example:
+        >>> job_of_key(cancel_key("5c0e"))
+        ('5c0e', True)
+    """
+    name = key.removeprefix(JOBS_PREFIX)
+    job = name.removesuffix(_CANCEL_SUFFIX)
+    return job, job != name
--- /dev/null
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -0,0 +1,621 @@
+"""The leader: it alone starts tasks, on all executors of the cell.
+
+It takes in jobs, lists and ends, and decides what to start and stop.
+Executors refuse leaders with an older epoch, so a new leader that has claimed
+an executor knows all that runs there. What may still run on executors that it
+could not claim is never started a second time; see `takeover`.
+"""
+
+__all__ = ["Leader"]
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+
+import attrs
+
+from dragonflybank.cell.advising import AdviceLines
+from dragonflybank.cell.commits import Committer
+from dragonflybank.cell.election import Leadership
+from dragonflybank.cell.health import HealthRules
+from dragonflybank.cell.jobs import Phase, TaskId
+from dragonflybank.cell.ledger import release, reserve
+from dragonflybank.cell.limits import CellLimits
+from dragonflybank.cell.links import ExecutorLink, lease_is_over
+from dragonflybank.cell.ports import (
+    End,
+    EndKind,
+    ExecutorInfo,
+    Held,
+    Listed,
+    OrderReply,
+    Platform,
+)
+from dragonflybank.cell.scheduling import Scheduling
+from dragonflybank.cell.state import (
+    Attempt,
+    AttemptPhase,
+    Executor,
+    JobState,
+    StepState,
+)
+from dragonflybank.cell.workload import Workload
+from dragonflybank.cluster.clock import Clock
+from dragonflybank.model.codes import Problem
+
+_log = logging.getLogger(__name__)
+
+# Ends that an executor lists in one answer; a full answer is not complete.
+ENDS_PER_ANSWER = 500
+# An unknown attempt may belong to a job whose acceptance is on its way.
+STRANGER_GRACE_S = 2.0
+# An executor that is not listed and does not answer is forgotten after this.
+GONE_AFTER_S = 10.0
+# Gathers the events that arrive together into one round of decisions.
+ROUND_S = 0.01
+# Rounds without an event, for time-outs and checks that depend on time.
+IDLE_ROUND_S = 0.25
+
+
+class Leader:
+    """The deciding host during one leadership.
+
+    Attributes:
+        limits: Bounds of the platform.
+        leadership: The leadership.
+        clock: Clock of the host.
+        workload: Jobs that are not over.
+        executors: Executors by identity.
+        unresolved: Executors on which a former leader may have started what
+            this one does not know, with the time at which that is over.
+        committer: Writer of progress records.
+        health: What is known of sick executors.
+        publish: Called with a job and its state that callers may be told.
+
+    Args:
+        platform: The platform.
+        wall: Returns the time of day, seconds since 1970.
+        lines: Calls for advice, or None where there is no advice.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        leadership: Leadership,
+        *,
+        limits: CellLimits,
+        clock: Clock,
+        wall: Callable[[], float],
+        lines: AdviceLines | None,
+        publish: Callable[[str, Phase], None],
+    ):
+        self.platform = platform
+        self.leadership = leadership
+        self.limits = limits
+        self.clock = clock
+        self.wall = wall
+        self.workload = Workload()
+        self.executors: dict[str, Executor] = {}
+        self.unresolved: dict[str, float] = {}
+        self.health = HealthRules()
+        self.committer = Committer(
+            platform.store,
+            leadership,
+            clock=clock,
+            on_stored=self._on_stored,
+        )
+        self.scheduling = Scheduling(self, lines)
+        self.publish = publish
+        self._links: dict[str, ExecutorLink] = {}
+        self._wake = asyncio.Event()
+        self._strangers: dict[tuple[str, TaskId, int], float] = {}
+        self._orphans: list[tuple[Executor, End, float]] = []
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run_rounds(self) -> None:
+        """Decides, again and again, until the leadership is lost."""
+        while not self.leadership.lost.is_set():
+            try:
+                async with asyncio.timeout(IDLE_ROUND_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            await self.clock.sleep(ROUND_S)
+            self._wake.clear()
+            now = self.clock.now()
+            self._check_times(now)
+            self.scheduling.decide(now, self.wall())
+
+    async def close(self) -> None:
+        """Ends all calls to executors."""
+        self.scheduling.close()
+        links, self._links = self._links, {}
+        await asyncio.gather(*(link.close() for link in links.values()))
+
+    def wake(self) -> None:
+        """Lets the next round of decisions begin."""
+        self._wake.set()
+
+    def link(self, executor: Executor) -> ExecutorLink:
+        """Returns the link to an executor."""
+        return self._links[executor.info.id]
+
+    # Executors.
+
+    def executor_listed(self, info: ExecutorInfo) -> None:
+        """Takes in what the platform's list says of an executor."""
+        executor = self.executors.get(info.id)
+        if executor is None:
+            executor = Executor(info)
+            self.executors[info.id] = executor
+            self._connect(executor)
+            _log.info(
+                "executor listed",
+                extra={"executor": info.id, "zone": info.zone},
+            )
+        else:
+            known = executor.info.incarnation
+            if info.incarnation and known and info.incarnation != known:
+                self.executor_replaced(executor)
+            if info.draining and not executor.info.draining:
+                _log.info("executor draining", extra={"executor": info.id})
+            has_moved = info.address != executor.info.address
+            executor.info = info
+            executor.is_listed = True
+            if has_moved:
+                self.executor_replaced(executor)
+                self._connect(executor)
+        self.wake()
+
+    def executor_unlisted(self, executor_id: str) -> None:
+        """Notes that the platform's list lacks an executor."""
+        executor = self.executors.get(executor_id)
+        if executor is not None and executor.is_listed:
+            executor.is_listed = False
+            _log.info("executor unlisted", extra={"executor": executor_id})
+
+    def executor_silent(self, executor: Executor, failed: Problem) -> None:
+        """Notes a call to an executor that failed."""
+        now = self.clock.now()
+        if executor.silent_since is None:
+            executor.silent_since = now
+            _log.warning(
+                "executor silent",
+                extra={
+                    "executor": executor.info.id,
+                    "code": failed.code.name,
+                    "attempts": len(executor.attempts),
+                },
+            )
+        if executor.claimed and lease_is_over(executor, now):
+            self._lose_attempts(executor, "lease over")
+
+    def executor_replaced(self, executor: Executor) -> None:
+        """Notes that an executor was started anew and runs nothing."""
+        self._lose_attempts(executor, "another incarnation")
+        executor.acked = executor.seen_end = 0
+        executor.orphan_end = 0
+        executor.lease_until_s = 0.0
+        executor.claimed = executor.is_recorded = False
+        executor.strangers.clear()
+        self._resolve(executor.info.id, "another incarnation")
+        for step in self.workload.ready:
+            step.verdicts.pop(executor.info.id, None)
+
+    def deposed(self, executor: Executor) -> None:
+        """Notes that an executor has accepted a newer leader."""
+        _log.warning(
+            "epoch refused",
+            extra={
+                "executor": executor.info.id,
+                "epoch": self.leadership.epoch,
+            },
+        )
+        self.leadership.lost.set()
+
+    def take_lists(
+        self, executor: Executor, held: Held, *, sent_at: float
+    ) -> bool:
+        """Takes in an executor's lists of running and ended attempts.
+
+        Returns:
+            Whether there were ends that were not known.
+        """
+        now = self.clock.now()
+        known = executor.info.incarnation
+        if held.incarnation and held.incarnation != known:
+            if known and executor.claimed:
+                self.executor_replaced(executor)
+            executor.info = attrs.evolve(
+                executor.info, incarnation=held.incarnation
+            )
+        if executor.silent_since is not None:
+            executor.silent_since = None
+            _log.info("executor answers", extra={"executor": executor.info.id})
+        executor.reached_at = now
+        executor.clock_s = held.clock_s
+        new_ends = [e for e in held.ends if e.number > executor.seen_end]
+        for end in new_ends:
+            executor.seen_end = end.number
+            self._take_end(executor, end, now)
+        if len(held.ends) < ENDS_PER_ANSWER:
+            self._take_running(executor, held.running, sent_at, now)
+            if not executor.claimed:
+                executor.claimed = True
+                self._resolve(executor.info.id, "claimed")
+                _log.info(
+                    "executor claimed",
+                    extra={
+                        "executor": executor.info.id,
+                        "epoch": self.leadership.epoch,
+                        "running": len(held.running),
+                        "ends": len(new_ends),
+                    },
+                )
+            self.wake()
+        return bool(new_ends)
+
+    def _connect(self, executor: Executor) -> None:
+        old = self._links.get(executor.info.id)
+        if old is not None:
+            self._background(old.close())
+        link = ExecutorLink(
+            self, executor, self.platform.executor(executor.info)
+        )
+        self._links[executor.info.id] = link
+        link.open()
+
+    def _background(self, work: Coroutine) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _drop_gone(self, now: float) -> None:
+        for executor in list(self.executors.values()):
+            if (
+                not executor.is_listed
+                and not executor.attempts
+                and executor.silent_since is not None
+                and now - executor.silent_since > GONE_AFTER_S
+                and executor.info.id not in self.unresolved
+            ):
+                del self.executors[executor.info.id]
+                self._background(self._links.pop(executor.info.id).close())
+                _log.info("executor gone", extra={"executor": executor.info.id})
+
+    # Attempts.
+
+    def begin(self, attempt: Attempt, ticket: str) -> None:
+        """Orders a reserved attempt to start."""
+        attempt.phase = AttemptPhase.STARTING
+        self.link(attempt.executor).start(attempt, ticket)
+
+    def start_answered(self, attempt: Attempt, reply: OrderReply) -> None:
+        """Takes in the answer to an order to start."""
+        now = self.clock.now()
+        executor = attempt.executor
+        if attempt.phase is AttemptPhase.STOPPING:
+            return
+        if reply is OrderReply.OK:
+            if attempt.phase is AttemptPhase.STARTING:
+                attempt.phase = AttemptPhase.RUNNING
+            attempt.absent_after = now
+            self._begun(attempt.task.step.job)
+            return
+        _log.warning(
+            "start refused",
+            extra={
+                "task": str(attempt.task.id),
+                "attempt": attempt.number,
+                "executor": executor.info.id,
+                "reply": reply.value,
+                "free_millicores": executor.free_millicores,
+                "free_memory_mb": executor.free_memory_mb,
+            },
+        )
+        match reply:
+            case OrderReply.FENCED:
+                self.deposed(executor)
+                return
+            case OrderReply.OTHER_INSTANCE:
+                self.executor_replaced(executor)
+            case OrderReply.NO_TICKET:
+                attempt.task.step.verdicts.pop(executor.info.id, None)
+            case OrderReply.UNHEALTHY:
+                executor.sick_until = now + self.health.shed_rest_s
+            case OrderReply.NO_ROOM:
+                executor.sick_until = now + self.health.room_rest_s
+            case OrderReply.BAD:
+                attempt.task.step.blocked_until = now + IDLE_ROUND_S * 4
+        self._drop(attempt)
+        self.abandon_gang(attempt)
+
+    def start_unknown(self, attempt: Attempt) -> None:
+        """Stops an attempt whose start may yet be carried out."""
+        _log.warning(
+            "start unknown",
+            extra={
+                "task": str(attempt.task.id),
+                "attempt": attempt.number,
+                "executor": attempt.executor.info.id,
+            },
+        )
+        self.link(attempt.executor).stop(attempt)
+        self.abandon_gang(attempt)
+
+    def abandon_gang(self, attempt: Attempt) -> None:
+        """Stops the other members of a gang that cannot be complete."""
+        if not attempt.task.step.spec.gang:
+            return
+        for task in attempt.task.step.tasks:
+            for other in list(task.attempts):
+                if other.number == attempt.number:
+                    self.stop(other, "gang incomplete")
+
+    def stop(self, attempt: Attempt, reason: str) -> None:
+        """Stops an attempt."""
+        if attempt.phase is AttemptPhase.RESERVED:
+            self._drop(attempt)
+            return
+        if attempt.phase is AttemptPhase.STOPPING:
+            return
+        _log.info(
+            "stop",
+            extra={
+                "task": str(attempt.task.id),
+                "attempt": attempt.number,
+                "executor": attempt.executor.info.id,
+                "reason": reason,
+                "percent": attempt.percent,
+            },
+        )
+        self.link(attempt.executor).stop(attempt)
+
+    def cancel(self, job_id: str) -> None:
+        """Cancels a job and stops what runs of it."""
+        state = self.workload.jobs.get(job_id)
+        if state is None or state.phase.is_final:
+            return
+        state.cancelled = True
+        self._end_job(state, Phase.CANCELLED, "cancelled by its caller")
+
+    def place(
+        self, step: StepState, pairs: list, number: int, now: float
+    ) -> list[Attempt]:
+        """Reserves room for attempts of a step's tasks."""
+        return [
+            reserve(
+                executor, task, number, phase=AttemptPhase.RESERVED, now=now
+            )
+            for task, executor in pairs
+        ]
+
+    def _take_end(self, executor: Executor, end: End, now: float) -> None:
+        attempt = executor.attempts.get((end.task, end.attempt))
+        executor.strangers.discard((end.task, end.attempt))
+        task = self.workload.task(end.task)
+        _log.info(
+            "end",
+            extra={
+                "task": str(end.task),
+                "attempt": end.attempt,
+                "executor": executor.info.id,
+                "kind": end.kind.value,
+                "known": task is not None,
+            },
+        )
+        if attempt is not None:
+            release(attempt)
+        if task is None:
+            if end.task.job not in self.workload.ended:
+                self._keep_orphan(executor, end, now)
+            return
+        state = task.step.job
+        task.last_attempt = max(task.last_attempt, end.attempt)
+        changed = self.workload.save(task, end.saved)
+        if end.kind is EndKind.DONE:
+            self.health.succeeded(executor, attempt, now)
+            changed |= self.workload.finish_task(task, end.attempt, now)
+            for other in list(task.attempts):
+                self.stop(other, "another attempt is done")
+        elif end.kind is EndKind.FAILED and not state.phase.is_final:
+            changed = True
+            self.health.failed(executor, task, now)
+            task.avoided.add(executor.info.id)
+            if self.workload.fail_task(task, end.attempt):
+                self._end_job(state, Phase.FAILED, "attempts used up")
+        if not state.phase.is_final:
+            if self.workload.is_complete(state):
+                self._end_job(state, Phase.COMPLETED, "all tasks done")
+            elif changed:
+                self.committer.mark(state)
+        self._freed(task.step, now)
+
+    def take_orphans(self, job_id: str) -> None:
+        """Takes in the ends that were listed before their job was known."""
+        orphans = [o for o in self._orphans if o[1].task.job == job_id]
+        for orphan in orphans:
+            self._orphans.remove(orphan)
+            executor, end, _ = orphan
+            self._take_end(executor, end, self.clock.now())
+        if orphans:
+            self._count_orphans()
+
+    def _keep_orphan(self, executor: Executor, end: End, now: float) -> None:
+        self._orphans.append((executor, end, now))
+        self._count_orphans()
+
+    def _expire_orphans(self, now: float) -> None:
+        kept = [o for o in self._orphans if now - o[2] <= STRANGER_GRACE_S]
+        if len(kept) < len(self._orphans):
+            self._orphans = kept
+            self._count_orphans()
+
+    def _count_orphans(self) -> None:
+        for executor in self.executors.values():
+            executor.orphan_end = min(
+                (e.number for x, e, _ in self._orphans if x is executor),
+                default=0,
+            )
+
+    def _take_running(
+        self,
+        executor: Executor,
+        running: tuple[Listed, ...],
+        sent_at: float,
+        now: float,
+    ) -> None:
+        listed = {(row.task, row.attempt): row for row in running}
+        for key, attempt in list(executor.attempts.items()):
+            row = listed.get(key)
+            if row is not None:
+                self._update(attempt, row, now)
+            elif (
+                attempt.absent_after is not None
+                and sent_at > attempt.absent_after
+            ):
+                self._drop(attempt)
+                self.abandon_gang(attempt)
+        executor.strangers &= set(listed)
+        for key, row in listed.items():
+            if key not in executor.attempts:
+                self._adopt(executor, row, now)
+
+    def _update(self, attempt: Attempt, row: Listed, now: float) -> None:
+        if row.percent > attempt.percent:
+            attempt.percent = row.percent
+            attempt.advanced_at = now
+        attempt.load = row.load
+        self.workload.save(attempt.task, row.saved)
+        if attempt.phase is AttemptPhase.STARTING:
+            attempt.phase = AttemptPhase.RUNNING
+            attempt.absent_after = now
+            self._begun(attempt.task.step.job)
+
+    def _adopt(self, executor: Executor, row: Listed, now: float) -> None:
+        key = (row.task, row.attempt)
+        task = self.workload.task(row.task)
+        if task is None:
+            self._meet_stranger(executor, key, now)
+            return
+        executor.strangers.discard(key)
+        state = task.step.job
+        others = list(task.attempts)
+        attempt = reserve(
+            executor, task, row.attempt, phase=AttemptPhase.RUNNING, now=now
+        )
+        attempt.absent_after = now
+        self._update(attempt, row, now)
+        self._begun(state)
+        _log.info(
+            "attempt adopted",
+            extra={
+                "task": str(row.task),
+                "attempt": row.attempt,
+                "executor": executor.info.id,
+            },
+        )
+        if state.phase.is_final or task.done or others:
+            self.stop(attempt, "not wanted")
+
+    def _meet_stranger(
+        self, executor: Executor, key: tuple[TaskId, int], now: float
+    ) -> None:
+        executor.strangers.add(key)
+        met = (executor.info.id, *key)
+        since = self._strangers.setdefault(met, now)
+        is_over = key[0].job in self.workload.ended
+        if is_over or now - since > STRANGER_GRACE_S:
+            # Set again, so that the order is repeated if it gets lost.
+            self._strangers[met] = now
+            _log.warning(
+                "unknown attempt stopped",
+                extra={"task": str(key[0]), "executor": executor.info.id},
+            )
+            self.link(executor).stop_stranger(key)
+
+    def _lose_attempts(self, executor: Executor, reason: str) -> None:
+        now = self.clock.now()
+        lost = list(executor.attempts.values())
+        if lost:
+            _log.warning(
+                "attempts lost",
+                extra={
+                    "executor": executor.info.id,
+                    "attempts": len(lost),
+                    "reason": reason,
+                },
+            )
+        for attempt in lost:
+            release(attempt)
+            self._freed(attempt.task.step, now)
+        for attempt in lost:
+            self.abandon_gang(attempt)
+
+    def _drop(self, attempt: Attempt) -> None:
+        release(attempt)
+        self._freed(attempt.task.step, self.clock.now())
+
+    def _freed(self, step: StepState, now: float) -> None:
+        if step.job.phase.is_final:
+            self.workload.forget(step.job)
+        else:
+            self.workload.requeue(step)
+        self.wake()
+
+    def _resolve(self, executor_id: str, reason: str) -> None:
+        if self.unresolved.pop(executor_id, None) is not None:
+            _log.info(
+                "executor resolved",
+                extra={
+                    "executor": executor_id,
+                    "reason": reason,
+                    "unresolved": len(self.unresolved),
+                },
+            )
+
+    # Jobs.
+
+    def _begun(self, state: JobState) -> None:
+        if state.phase is Phase.QUEUED:
+            state.phase = Phase.RUNNING
+            self.publish(state.job.id, Phase.RUNNING)
+
+    def _end_job(self, state: JobState, phase: Phase, reason: str) -> None:
+        if state.phase.is_final:
+            return
+        self.workload.end(state, phase, self.wall())
+        _log.info(
+            "job ended",
+            extra={
+                "job": state.job.id,
+                "queue": state.job.queue.name,
+                "phase": phase.value,
+                "reason": reason,
+                "age_s": round(self.wall() - state.job.accepted_at, 3),
+            },
+        )
+        for attempt in state.attempts():
+            self.stop(attempt, "job ended")
+        self.committer.mark(state)
+        self.workload.forget(state)
+
+    def _on_stored(self, state: JobState) -> None:
+        if state.phase.is_final:
+            self.publish(state.job.id, state.phase)
+
+    def _check_times(self, now: float) -> None:
+        self.workload.open_due(
+            self.wall(), early_s=self.limits.early_s, now=now
+        )
+        self._expire_orphans(now)
+        self._drop_gone(now)
+        for executor_id, until in list(self.unresolved.items()):
+            if now >= until:
+                self._resolve(executor_id, "no lease can be left")
+        for attempt, reason in self.health.stuck(self.workload.attempts(), now):
+            attempt.executor.sick_until = max(
+                attempt.executor.sick_until, now + self.health.stuck_rest_s
+            )
+            self.stop(attempt, reason)
+            attempt.task.avoided.add(attempt.executor.info.id)
--- /dev/null
+++ b/libs/cell/dragonflybank/cell/ledger.py
@@ -0,0 +1,83 @@
+"""Room on executors: every attempt holds its room until its end is known."""
+
+__all__ = ["can_take", "fits", "release", "reserve", "takes_new_work"]
+
+from dragonflybank.cell.jobs import Step
+from dragonflybank.cell.state import Attempt, AttemptPhase, Executor, Task
+
+
+def reserve(
+    executor: Executor,
+    task: Task,
+    number: int,
+    *,
+    phase: AttemptPhase,
+    now: float,
+) -> Attempt:
+    """Adds an attempt to an executor and its task, and takes its room."""
+    attempt = Attempt(task, number, executor, phase, now, advanced_at=now)
+    executor.attempts[task.id, number] = attempt
+    task.attempts.append(attempt)
+    task.last_attempt = max(task.last_attempt, number)
+    _add(executor, task.step.spec, 1)
+    return attempt
+
+
+def release(attempt: Attempt) -> None:
+    """Removes an attempt and frees its room; a second call does nothing."""
+    key = (attempt.task.id, attempt.number)
+    if attempt.executor.attempts.pop(key, None) is None:
+        return
+    attempt.task.attempts.remove(attempt)
+    _add(attempt.executor, attempt.task.step.spec, -1)
+
+
+def fits(executor: Executor, step: Step) -> int:
+    """Returns how many tasks of a step fit into the free room."""
+    cores = 0 if step.filling else step.millicores
+    counts = [
+        free // need
+        for need, free in (
+            (cores, executor.free_millicores),
+            (step.memory_mb, executor.free_memory_mb),
+            (step.accelerators, executor.free_accelerators),
+        )
+        if need > 0
+    ]
+    return max(0, min(counts, default=step.count))
+
+
+def can_take(executor: Executor, step: Step) -> bool:
+    """Returns whether a task of a step fits into the empty executor."""
+    info = executor.info
+    cores = 0 if step.filling else step.millicores
+    return (
+        cores <= info.millicores
+        and step.memory_mb <= info.memory_mb
+        and step.accelerators <= info.accelerators
+        and (not step.label or step.label in info.labels)
+    )
+
+
+def takes_new_work(executor: Executor, now: float) -> bool:
+    """Returns whether anything may be started on an executor now.
+
+    Attempts of unknown jobs have an unknown size, so nothing is added to an
+    executor that lists one.
+    """
+    return (
+        executor.claimed
+        and executor.is_listed
+        and executor.is_recorded
+        and not executor.info.draining
+        and executor.silent_since is None
+        and not executor.strangers
+        and executor.sick_until <= now
+    )
+
+
+def _add(executor: Executor, step: Step, sign: int) -> None:
+    if not step.filling:
+        executor.used_millicores += sign * step.millicores
+    executor.used_memory_mb += sign * step.memory_mb
+    executor.used_accelerators += sign * step.accelerators
--- /dev/null
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -0,0 +1,209 @@
+"""The leader's link to one executor: leases, ends, starts and stops.
+
+An order without an answer may have been carried out, and may be carried out
+seconds later. A start is therefore sent again under the same attempt number,
+which the executor starts once. If that fails too, the attempt is stopped: an
+executor never starts an attempt that it was told to stop. Room stays taken
+until a list asked for afterwards lacks the attempt, the executor has another
+incarnation, or its lease is over on its own clock.
+"""
+
+__all__ = ["ExecutorLink", "lease_is_over"]
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Success
+
+from dragonflybank.cell.ports import ExecutorClient, Held, Order, OrderReply
+from dragonflybank.cell.state import Attempt, AttemptPhase, Executor
+from dragonflybank.model.codes import Code
+
+if TYPE_CHECKING:
+    from dragonflybank.cell.leader import Leader
+
+_log = logging.getLogger(__name__)
+
+# The platform lets a call wait 2 s; a shorter wait notices silence earlier.
+HOLD_WAIT_S = 1.5
+RETRY_S = 0.15
+# Pace of calls while ends wait for the store.
+UNSETTLED_S = 0.3
+START_TRIES = 3
+# A platform clock may run 2% slow.
+CLOCK_RATE_MIN = 0.98
+# Covers the time between the executor's reading of its clock and the kill.
+LAPSE_SLACK_S = 0.3
+# A former leader that cannot confirm its key extends leases for this long, so
+# that running work survives an outage of the store.
+EXTEND_UNCONFIRMED_S = 6.0
+
+
+def lease_is_over(executor: Executor, now: float) -> bool:
+    """Returns whether an executor's lease has lapsed on its own clock."""
+    left_s = executor.lease_until_s - executor.clock_s
+    waited_s = now - executor.reached_at
+    return waited_s >= left_s / CLOCK_RATE_MIN + LAPSE_SLACK_S
+
+
+class ExecutorLink:
+    """One executor as the leader drives it.
+
+    Args:
+        leader: The leader.
+        executor: Its view of the executor.
+        client: Connections to the executor.
+    """
+
+    def __init__(
+        self, leader: "Leader", executor: Executor, client: ExecutorClient
+    ):
+        self._leader = leader
+        self._executor = executor
+        self._client = client
+        self._ack = (0, 0)
+        self._orders: set[asyncio.Task] = set()
+        self._loop_task: asyncio.Task | None = None
+
+    def open(self) -> None:
+        """Begins to hold the executor."""
+        self._loop_task = asyncio.create_task(self._hold_always())
+
+    async def close(self) -> None:
+        """Ends all calls."""
+        tasks = [t for t in (self._loop_task, *self._orders) if t is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._client.close()
+
+    def start(self, attempt: Attempt, ticket: str) -> None:
+        """Orders an attempt to start, in the background."""
+        self._order(self._start(attempt, ticket))
+
+    def stop(self, attempt: Attempt) -> None:
+        """Orders an attempt to stop, in the background."""
+        if attempt.phase is not AttemptPhase.STOPPING:
+            attempt.phase = AttemptPhase.STOPPING
+            attempt.absent_after = None
+            self._order(self._stop(attempt))
+
+    def stop_stranger(self, key: tuple) -> None:
+        """Orders an attempt of an unknown job to stop."""
+        self._order(
+            self._client.stop(*key, epoch=self._leader.leadership.epoch)
+        )
+
+    def _order(self, call) -> None:
+        task = asyncio.create_task(call)
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+
+    def _lease_until_s(self, now: float) -> float:
+        executor = self._executor
+        if not executor.claimed:
+            return 0.0
+        clock_s = executor.clock_s + now - executor.reached_at
+        until_s = clock_s + self._leader.limits.lease_s
+        executor.lease_until_s = max(executor.lease_until_s, until_s)
+        return until_s
+
+    async def _hold_always(self) -> None:
+        leader, executor = self._leader, self._executor
+        while True:
+            now = leader.clock.now()
+            self._acknowledge()
+            is_settled = executor.acked >= executor.seen_end
+            confirmed_s = now - leader.leadership.confirmed_at
+            may_extend = confirmed_s <= EXTEND_UNCONFIRMED_S
+            wait = executor.claimed and is_settled
+            got = await self._client.hold(
+                epoch=leader.leadership.epoch,
+                acked=executor.acked,
+                lease_until_s=self._lease_until_s(now) if may_extend else 0.0,
+                wait_s=HOLD_WAIT_S if wait else 0.0,
+            )
+            match got:
+                case Success(Held(reply=OrderReply.OK) as held):
+                    if leader.take_lists(executor, held, sent_at=now):
+                        self._ack = (leader.committer.marked, executor.seen_end)
+                        await self._settled()
+                case Success(Held(reply=OrderReply.FENCED)):
+                    leader.deposed(executor)
+                    return
+                case Success(Held(reply=OrderReply.OTHER_INSTANCE)):
+                    leader.executor_replaced(executor)
+                    await leader.clock.sleep(RETRY_S)
+                case Success(held):
+                    _log.warning(
+                        "hold refused",
+                        extra={
+                            "executor": executor.info.id,
+                            "reply": held.reply.value,
+                        },
+                    )
+                    await leader.clock.sleep(RETRY_S)
+                case Failure(failed):
+                    leader.executor_silent(executor, failed)
+                    await leader.clock.sleep(RETRY_S)
+
+    def _acknowledge(self) -> None:
+        marker, number = self._ack
+        if self._leader.committer.stored >= marker:
+            orphan = self._executor.orphan_end
+            number = min(number, orphan - 1) if orphan else number
+            self._executor.acked = max(self._executor.acked, number)
+
+    async def _settled(self) -> None:
+        try:
+            async with asyncio.timeout(UNSETTLED_S):
+                await self._leader.committer.settled()
+        except TimeoutError:
+            # Leases must be extended while the store does not answer.
+            return
+
+    async def _start(self, attempt: Attempt, ticket: str) -> None:
+        leader = self._leader
+        for sent in range(START_TRIES):
+            if attempt.phase is not AttemptPhase.STARTING:
+                return
+            now = leader.clock.now()
+            if not leader.leadership.may_start(now):
+                break
+            order = Order(
+                attempt.task.id,
+                attempt.number,
+                leader.leadership.epoch,
+                attempt.task.step.job.job.spec,
+                self._lease_until_s(now),
+                attempt.task.saved,
+                ticket,
+            )
+            got = await self._client.start(order)
+            if isinstance(got, Success):
+                reply = got.unwrap()
+                if reply is OrderReply.OK or not sent:
+                    leader.start_answered(attempt, reply)
+                    return
+                break
+            failed = got.failure()
+            if failed.code is Code.UNREACHABLE and not sent:
+                leader.start_answered(attempt, OrderReply.UNHEALTHY)
+                return
+        if attempt.phase is AttemptPhase.STARTING:
+            leader.start_unknown(attempt)
+
+    async def _stop(self, attempt: Attempt) -> None:
+        leader, executor = self._leader, self._executor
+        key = (attempt.task.id, attempt.number)
+        while executor.attempts.get(key) is attempt:
+            got = await self._client.stop(*key, epoch=leader.leadership.epoch)
+            match got:
+                case Success(OrderReply.OK):
+                    attempt.absent_after = leader.clock.now()
+                    return
+                case Success(OrderReply.FENCED):
+                    leader.deposed(executor)
+                    return
+            await leader.clock.sleep(RETRY_S)
--- /dev/null
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -0,0 +1,241 @@
+"""One round of decisions: which waiting steps are placed, and where.
+
+Steps are taken in the order of `order.step_rank`. A gang that finds no room
+keeps the executors that it would need from steps of lower priority, so that
+it does not wait forever behind small work.
+"""
+
+__all__ = ["Scheduling"]
+
+import asyncio
+import logging
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Success
+
+from dragonflybank.cell.advising import AdviceLines
+from dragonflybank.cell.ledger import takes_new_work
+from dragonflybank.cell.order import step_rank
+from dragonflybank.cell.placement import Plan, candidates, place
+from dragonflybank.cell.state import (
+    Attempt,
+    AttemptPhase,
+    Executor,
+    StepState,
+    Task,
+)
+from dragonflybank.cell.tickets import (
+    TICKET_MARGIN_S,
+    ask_cost_s,
+    named_in_ask,
+    needed_advice,
+    take_advice,
+    ticket_for,
+)
+
+if TYPE_CHECKING:
+    from dragonflybank.cell.leader import Leader
+
+_log = logging.getLogger(__name__)
+
+# After a failed call for advice.
+ADVICE_RETRY_S = 0.2
+
+
+class Scheduling:
+    """Places waiting steps.
+
+    Args:
+        leader: The leader.
+        lines: Calls for advice, or None where there is no advice.
+    """
+
+    def __init__(self, leader: "Leader", lines: AdviceLines | None):
+        self._leader = leader
+        self._lines = lines
+        self._asks: set[asyncio.Task] = set()
+
+    def close(self) -> None:
+        """Gives up the calls for advice."""
+        for task in self._asks:
+            task.cancel()
+
+    def decide(self, now: float, wall: float) -> None:
+        """Places what can be placed now.
+
+        Args:
+            now: Present time on the leader's steady clock, in seconds.
+            wall: Present time, seconds since 1970.
+        """
+        leader = self._leader
+        if not leader.leadership.may_start(now):
+            return
+        held: list[tuple[int, dict[str, int]]] = []
+        ready = sorted(leader.workload.ready, key=lambda s: step_rank(s, wall))
+        for step in ready:
+            tasks = step.waiting()
+            if not tasks:
+                leader.workload.ready.pop(step, None)
+            elif self._is_placeable(step, tasks, now):
+                self._place_step(step, tasks, held, now)
+
+    def _is_placeable(
+        self, step: StepState, tasks: list[Task], now: float
+    ) -> bool:
+        if step.asking or step.blocked_until > now:
+            return False
+        if step.job.is_doubtful and self._leader.unresolved:
+            return False
+        # A gang is started anew only when all of its members have ended.
+        return not step.spec.gang or len(tasks) == step.undone
+
+    def _place_step(
+        self,
+        step: StepState,
+        tasks: list[Task],
+        held: list[tuple[int, dict[str, int]]],
+        now: float,
+    ) -> None:
+        queue = step.job.job.queue
+        allowed = candidates(step, self._leader.executors.values(), now)
+        unknown: Sequence[Executor] = ()
+        if queue.advised is not None and self._lines is not None:
+            needed = needed_advice(step, allowed)
+            allowed, unknown = list(needed.good), needed.unknown
+        held_back = {
+            executor: cores
+            for priority, kept in held
+            if priority < queue.priority
+            for executor, cores in kept.items()
+        }
+        plan = place(step, tasks, allowed, held_back=held_back, now=now)
+        if plan.pairs:
+            self._carry_out(step, plan, now)
+        elif unknown:
+            self._ask(step, named_in_ask(queue.advised, unknown), [], now)
+        elif step.spec.gang:
+            held.append((queue.priority, _kept_for_gang(step, tasks, allowed)))
+
+    def _carry_out(self, step: StepState, plan: Plan, now: float) -> None:
+        leader = self._leader
+        workload = leader.workload
+        if step.spec.gang:
+            number = workload.next_attempt([task for task, _ in plan.pairs])
+            attempts = leader.place(step, plan.pairs, number, now)
+        else:
+            attempts = [
+                attempt
+                for pair in plan.pairs
+                for attempt in leader.place(
+                    step, [pair], workload.next_attempt([pair[0]]), now
+                )
+            ]
+        if step.job.job.queue.advised is None or self._lines is None:
+            self._begin(step, attempts, now)
+            return
+        used = {attempt.executor for attempt in attempts}
+        expired = [e for e in used if ticket_for(step, e.info.id, now) is None]
+        if expired:
+            self._ask(step, expired, attempts, now)
+        else:
+            self._begin(step, attempts, now)
+
+    def _begin(
+        self, step: StepState, attempts: list[Attempt], now: float
+    ) -> None:
+        for attempt in attempts:
+            ticket = ticket_for(step, attempt.executor.info.id, now) or ""
+            _log.info(
+                "place",
+                extra={
+                    "task": str(attempt.task.id),
+                    "attempt": attempt.number,
+                    "executor": attempt.executor.info.id,
+                    "free_millicores": attempt.executor.free_millicores,
+                    "waited_s": round(now - (step.ready_at or now), 3),
+                    "gang": step.spec.gang,
+                },
+            )
+            self._leader.begin(attempt, ticket)
+
+    def _ask(
+        self,
+        step: StepState,
+        named: list[Executor],
+        attempts: list[Attempt],
+        now: float,
+    ) -> None:
+        step.asking = True
+        step.placed_ahead = attempts
+        task = asyncio.create_task(self._advise(step, named))
+        self._asks.add(task)
+        task.add_done_callback(self._asks.discard)
+
+    async def _advise(self, step: StepState, named: list[Executor]) -> None:
+        queue = step.job.job.queue
+        ids = [executor.info.id for executor in named]
+        got = await self._lines.ask(
+            step.name,
+            ids,
+            priority=queue.priority,
+            cost_s=ask_cost_s(queue.advised, len(ids)),
+        )
+        now = self._leader.clock.now()
+        step.asking = False
+        attempts, step.placed_ahead = step.placed_ahead, []
+        match got:
+            case Success(tickets):
+                take_advice(
+                    step,
+                    ids,
+                    tickets,
+                    valid_until=now + queue.advised.valid_s - TICKET_MARGIN_S,
+                )
+                _log.info(
+                    "advised",
+                    extra={
+                        "step": step.name,
+                        "asked": len(ids),
+                        "good": len(tickets),
+                    },
+                )
+            case Failure(_):
+                step.blocked_until = now + ADVICE_RETRY_S
+        self._begin_reserved(step, attempts, now)
+        self._leader.workload.requeue(step)
+        self._leader.wake()
+
+    def _begin_reserved(
+        self, step: StepState, attempts: list[Attempt], now: float
+    ) -> None:
+        usable, rest = [], []
+        for attempt in attempts:
+            if attempt.phase is not AttemptPhase.RESERVED:
+                continue
+            if attempt not in attempt.task.attempts:
+                continue
+            has_ticket = ticket_for(step, attempt.executor.info.id, now)
+            is_usable = has_ticket and takes_new_work(attempt.executor, now)
+            (usable if is_usable else rest).append(attempt)
+        if rest and step.spec.gang or step.job.phase.is_final:
+            usable, rest = [], [*usable, *rest]
+        for attempt in rest:
+            self._leader.stop(attempt, "no valid ticket")
+        self._begin(step, usable, now)
+
+
+def _kept_for_gang(
+    step: StepState, tasks: list[Task], allowed: list[Executor]
+) -> dict[str, int]:
+    """Returns the processors by executor that a waiting gang needs."""
+    size = max(1, step.spec.millicores)
+    kept: dict[str, int] = {}
+    missing = len(tasks)
+    for executor in sorted(allowed, key=lambda e: -e.free_millicores):
+        if missing <= 0:
+            break
+        kept[executor.info.id] = executor.info.millicores
+        missing -= executor.info.millicores // size
+    # Where the gang cannot fit even alone, keeping room does not help it.
+    return kept if missing <= 0 else {}
--- /dev/null
+++ b/libs/cell/dragonflybank/cell/watching.py
@@ -0,0 +1,71 @@
+"""Following the changes of keys with a prefix without a gap."""
+
+__all__ = ["Watch"]
+
+import logging
+from collections.abc import AsyncIterator
+
+from returns.result import Failure, Success
+
+from dragonflybank.cell.ports import Item, Store
+from dragonflybank.cluster.clock import Clock
+
+_log = logging.getLogger(__name__)
+
+# A connection that went silent is noticed after this and the call's time-out.
+WAIT_S = 2.0
+RETRY_S = 0.2
+
+
+class Watch:
+    """Changes below a prefix.
+
+    Args:
+        store: The platform's store.
+        prefix: Prefix of the keys.
+        clock: Clock of the host.
+    """
+
+    def __init__(self, store: Store, prefix: str, clock: Clock):
+        self._store = store
+        self._prefix = prefix
+        self._clock = clock
+
+    async def changes(
+        self, revision: int | None
+    ) -> AsyncIterator[tuple[tuple[Item, ...], bool]]:
+        """Yields changed items, and whether they are all items there are.
+
+        Args:
+            revision: Revision of the last change that is known; None to
+                begin with all items.
+        """
+        while True:
+            if revision is None:
+                got = await self._store.scan(self._prefix)
+            else:
+                got = await self._store.watch(
+                    self._prefix, after=revision, wait_s=WAIT_S
+                )
+            match got:
+                case Failure(failed):
+                    _log.warning(
+                        "watch failed",
+                        extra={
+                            "prefix": self._prefix,
+                            "code": failed.code.name,
+                            "detail": failed.detail,
+                        },
+                    )
+                    await self._clock.sleep(RETRY_S)
+                case Success(found) if getattr(found, "is_lost", False):
+                    _log.warning(
+                        "history lost",
+                        extra={"prefix": self._prefix, "revision": revision},
+                    )
+                    revision = None
+                case Success(found):
+                    is_whole = revision is None
+                    revision = found.revision
+                    if found.items or is_whole:
+                        yield found.items, is_whole
