--- a/libs/cell/dragonflybank/cell/advising.py
+++ b/libs/cell/dragonflybank/cell/advising.py
@@ -29,6 +29,12 @@
 LONG_CALL_S = 0.1
 # Above the declared time of a call; covers links between regions.
 EXTRA_TIMEOUT_S = 0.6
+# First guesses of the way to the service: 1 ms within a zone, and 25 ms to a
+# peer in another region and from there to the service.
+OWN_WAY_S = 0.01
+PEER_WAY_S = 0.05
+# Share of the latest call in a line's mean.
+WAY_WEIGHT = 0.2
 # A line whose last call failed is left alone for this long.
 REST_S = 1.0
 
@@ -51,9 +57,11 @@
         address: Peer address of the host, or an empty string for this one.
         busy: Whether a call is in progress.
         rests_until: Time before which it gets no call.
+        way_s: Time that its calls take beyond the declared time, in seconds.
     """
 
     address: str
+    way_s: float
     busy: bool = False
     rests_until: float = 0.0
 
@@ -77,7 +85,7 @@
         self._service = service
         self._ask_peer = ask_peer
         self._now = now
-        self._lines: dict[str, _Line] = {"": _Line("")}
+        self._lines: dict[str, _Line] = {"": _Line("", OWN_WAY_S)}
         self._waiting: list[_Call] = []
         self._numbers = itertools.count()
         self._tasks: set[asyncio.Task] = set()
@@ -85,7 +93,7 @@
     def set_peers(self, addresses: Sequence[str]) -> None:
         """Replaces the peers that may be given calls."""
         for address in addresses:
-            self._lines.setdefault(address, _Line(address))
+            self._lines.setdefault(address, _Line(address, PEER_WAY_S))
         for gone in set(self._lines) - {"", *addresses}:
             if not self._lines[gone].busy:
                 del self._lines[gone]
@@ -129,15 +137,15 @@
             for line in self._lines.values()
             if not line.busy and line.rests_until <= now
         ]
-        # Peers come first: the leader has the most other work to do.
-        idle.sort(key=lambda line: line.address == "")
+        idle.sort(key=lambda line: line.way_s)
         for call in order_calls(self._waiting):
             if not idle:
                 return
             is_long = call.cost_s > LONG_CALL_S
             if is_long and len(idle) < 2 and len(self._lines) > 1:
                 continue
-            line = idle.pop(0)
+            # Short calls are urgent and take the shortest way.
+            line = idle.pop() if is_long else idle.pop(0)
             line.busy = True
             self._waiting.remove(call)
             task = asyncio.create_task(self._carry_out(call, line))
@@ -146,6 +154,7 @@
 
     async def _carry_out(self, call: _Call, line: _Line) -> None:
         timeout_s = call.cost_s + EXTRA_TIMEOUT_S
+        began_at = self._now()
         try:
             if line.address:
                 got = await self._ask_peer(
@@ -157,6 +166,8 @@
                 )
         finally:
             line.busy = False
+        way_s = max(0.0, self._now() - began_at - call.cost_s)
+        line.way_s += WAY_WEIGHT * (way_s - line.way_s)
         if isinstance(got, Failure):
             failed = got.failure()
             line.rests_until = self._now() + REST_S
--- a/libs/cell/dragonflybank/cell/board.py
+++ b/libs/cell/dragonflybank/cell/board.py
@@ -68,8 +68,17 @@
             self._states.pop(next(iter(self._states)))
 
     def lead(self, epoch: int) -> None:
-        """Begins the numbering of a leadership."""
+        """Begins a leadership.
+
+        A job may have ended under the former leader without this host being
+        told, so only final states outlive a leadership.
+        """
         self.epoch = epoch
+        self._states = {
+            name: phase
+            for name, phase in self._states.items()
+            if phase.is_final
+        }
 
     async def news(
         self, epoch: int, number: int, *, wait_s: float
@@ -102,6 +111,8 @@
 
     def take(self, reply: SyncReply, now: float) -> None:
         """Takes in the leader's news."""
+        if reply.epoch != self.epoch:
+            self.lead(reply.epoch)
         for name, phase in reply.states:
             self.publish(name, Phase(phase))
         self.epoch = reply.epoch
--- a/libs/cell/dragonflybank/cell/commits.py
+++ b/libs/cell/dragonflybank/cell/commits.py
@@ -12,24 +12,47 @@
 import logging
 from collections.abc import Callable
 
+import attrs
 from returns.result import Failure, Success
 
 from dragonflybank.cell.election import LEADER_KEY, Leadership
-from dragonflybank.cell.jobs import encode
-from dragonflybank.cell.keys import progress_key
+from dragonflybank.cell.jobs import Progress, encode
+from dragonflybank.cell.keys import (
+    cancel_key,
+    ended_key,
+    job_key,
+    progress_key,
+)
 from dragonflybank.cell.ports import Store, Txn, TxnReply
 from dragonflybank.cell.state import JobState
 from dragonflybank.cluster.clock import Clock
 
 _log = logging.getLogger(__name__)
 
-# The store takes 32 rows in a transaction; a record needs two of them.
-RECORDS_PER_TXN = 15
+# The store takes 32 rows in a transaction, and the leader's key needs one.
+ROWS_PER_TXN = 31
+PROGRESS_ROWS = 2
+ENDED_ROWS = 5
 # Gathers the ends that arrive together; small against a lookup's objective.
-GATHER_S = 0.012
+GATHER_S = 0.02
 RETRY_S = 0.1
 
 
+@attrs.frozen
+class _Write:
+    """A record as it was when its transaction was first sent.
+
+    Attributes:
+        job: The job.
+        record: The stored form.
+        is_final: Whether the job had ended by then.
+    """
+
+    job: JobState
+    record: bytes
+    is_final: bool
+
+
 class Committer:
     """Writes changed progress records, several in one transaction.
 
@@ -41,7 +64,7 @@
         store: The platform's store.
         leadership: The leadership under which it writes.
         clock: Clock of the host.
-        on_stored: Called with each job whose present record is stored.
+        on_ended: Called with each job whose final state is stored.
     """
 
     def __init__(
@@ -50,12 +73,12 @@
         leadership: Leadership,
         *,
         clock: Clock,
-        on_stored: Callable[[JobState], None],
+        on_ended: Callable[[JobState], None],
     ):
         self._store = store
         self._leadership = leadership
         self._clock = clock
-        self._on_stored = on_stored
+        self._on_ended = on_ended
         self._dirty: dict[str, JobState] = {}
         self._wake = asyncio.Event()
         self._waiters: list[tuple[int, asyncio.Future]] = []
@@ -98,44 +121,70 @@
                 fut.set_result(None)
 
     async def _write_some(self) -> None:
-        jobs = list(itertools.islice(self._dirty.values(), RECORDS_PER_TXN))
-        for job in jobs:
-            del self._dirty[job.job.id]
-        records = {progress_key(j.job.id): encode(j.progress) for j in jobs}
+        writes = self._take_some()
         while not self._leadership.lost.is_set():
             called_at = self._clock.now()
-            txn = Txn(
-                expected={
-                    LEADER_KEY: self._leadership.epoch,
-                    **{
-                        progress_key(j.job.id): j.progress_revision
-                        for j in jobs
-                    },
-                },
-                puts=records,
-            )
+            txn = self._txn(writes)
             match await self._store.commit(txn):
                 case Success(TxnReply(revision=int(revision))):
                     self._leadership.confirm(called_at)
-                    for job in jobs:
-                        job.progress_revision = revision
-                        self._on_stored(job)
+                    for write in writes:
+                        write.job.progress_revision = revision
+                        if write.is_final:
+                            self._on_ended(write.job)
                     return
                 case Success(reply):
-                    self._take_revisions(reply, jobs, called_at)
+                    self._take_revisions(reply, writes, called_at)
                 case Failure(failed):
                     _log.warning(
                         "progress not stored",
                         extra={
-                            "jobs": len(jobs),
+                            "jobs": len(writes),
                             "code": failed.code.name,
                             "detail": failed.detail,
                         },
                     )
                     await self._clock.sleep(RETRY_S)
 
+    def _take_some(self) -> list[_Write]:
+        rows = itertools.accumulate(
+            ENDED_ROWS if job.phase.is_final else PROGRESS_ROWS
+            for job in self._dirty.values()
+        )
+        jobs = [
+            job
+            for job, count in zip(self._dirty.values(), rows, strict=True)
+            if count <= ROWS_PER_TXN
+        ]
+        for job in jobs:
+            del self._dirty[job.job.id]
+        return [_write_of(job) for job in jobs]
+
+    def _txn(self, writes: list[_Write]) -> Txn:
+        return Txn(
+            expected={
+                LEADER_KEY: self._leadership.epoch,
+                **{
+                    progress_key(w.job.job.id): w.job.progress_revision
+                    for w in writes
+                },
+            },
+            puts={
+                (ended_key if w.is_final else progress_key)(
+                    w.job.job.id
+                ): w.record
+                for w in writes
+            },
+            removed=tuple(
+                key(w.job.job.id)
+                for w in writes
+                if w.is_final
+                for key in (progress_key, job_key, cancel_key)
+            ),
+        )
+
     def _take_revisions(
-        self, reply: TxnReply, jobs: list[JobState], called_at: float
+        self, reply: TxnReply, writes: list[_Write], called_at: float
     ) -> None:
         # An earlier attempt of this leader may have been carried out without
         # an answer; only the leader writes these records.
@@ -144,5 +193,14 @@
             self._leadership.lost.set()
             return
         self._leadership.confirm(called_at)
-        for job in jobs:
-            job.progress_revision = found.get(progress_key(job.job.id), 0)
+        for write in writes:
+            key = progress_key(write.job.job.id)
+            write.job.progress_revision = found.get(key, 0)
+
+
+def _write_of(job: JobState) -> _Write:
+    """Returns all of a live job's record, or the state of an ended one."""
+    record = job.progress
+    if job.phase.is_final:
+        record = Progress(job.phase, ended_at=job.progress.ended_at)
+    return _Write(job, encode(record), job.phase.is_final)
--- a/libs/cell/dragonflybank/cell/election.py
+++ b/libs/cell/dragonflybank/cell/election.py
@@ -14,6 +14,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
 
 import attrs
 import msgspec
@@ -35,10 +36,13 @@
 CONFIRM_LIMIT_S = 1.0
 CONFIRM_EVERY_S = 0.4
 # Longest watch; a connection that went silent is noticed after it.
-WATCH_S = 2.0
+WATCH_S = 1.0
 RETRY_S = 0.2
-# Hosts with less than a core stand for election a little later.
+# Hosts with less than a core stand for election a little later, and so do
+# those far from the store: each decision waits for several answers of it.
 WEAK_HOST_DELAY_S = 0.3
+DELAY_PER_ROUND_TRIP = 6.0
+FAR_HOST_DELAY_MAX_S = 0.3
 
 
 @attrs.frozen
@@ -99,6 +103,8 @@
         clock: Clock of the host.
         is_weak: Whether stronger hosts should be elected before it.
         rng: Seeded generator.
+        is_leader_heard: Returns whether the leader has answered this host
+            lately, as a leader that had confirmed its key.
     """
 
     def __init__(
@@ -110,6 +116,7 @@
         clock: Clock,
         is_weak: bool,
         rng: random.Random,
+        is_leader_heard: Callable[[float], bool],
     ):
         self.record: LeaderRecord | None = None
         self.seen_at = float("-inf")
@@ -119,23 +126,27 @@
         self._clock = clock
         self._is_weak = is_weak
         self._rng = rng
+        self._is_leader_heard = is_leader_heard
         self._revision = 0
         self._lease = 0
 
     async def wait_for_turn(self) -> Leadership:
         """Follows the leader until this host is elected."""
         while True:
+            asked_at = self._clock.now()
             found = await self._store.get(LEADER_KEY)
             if isinstance(found, Failure):
                 await self._clock.sleep(RETRY_S)
                 continue
             item = found.unwrap()
             if item is None:
-                won = await self._stand()
+                won = await self._stand(self._clock.now() - asked_at)
                 if won is not None:
                     return won
                 continue
             self._read(item)
+            while self._is_leader_heard(self._clock.now()):
+                await self._clock.sleep(RETRY_S)
             await self._follow(item)
 
     async def keep(self, leadership: Leadership) -> None:
@@ -160,7 +171,7 @@
 
     async def _follow(self, item: Item) -> None:
         revision = item.revision
-        while True:
+        while not self._is_leader_heard(self._clock.now()):
             changes = await self._store.watch(
                 LEADER_KEY, after=revision, wait_s=WATCH_S
             )
@@ -191,11 +202,11 @@
         self.record = record
         self.seen_at = self._clock.now()
 
-    async def _stand(self) -> Leadership | None:
-        delay = self._rng.uniform(0.0, 0.05)
-        await self._clock.sleep(
-            delay + (WEAK_HOST_DELAY_S if self._is_weak else 0.0)
-        )
+    async def _stand(self, round_trip_s: float) -> Leadership | None:
+        delay_s = min(FAR_HOST_DELAY_MAX_S, DELAY_PER_ROUND_TRIP * round_trip_s)
+        if self._is_weak:
+            delay_s += WEAK_HOST_DELAY_S
+        await self._clock.sleep(delay_s + self._rng.uniform(0.0, 0.02))
         began_at = self._clock.now()
         term = await self._store.get(TERM_KEY)
         lease = await self._store.open_lease(LEASE_S)
--- a/libs/cell/dragonflybank/cell/front.py
+++ b/libs/cell/dragonflybank/cell/front.py
@@ -13,7 +13,7 @@
 
 from dragonflybank.cell.board import Board
 from dragonflybank.cell.jobs import Job, Phase, decode_progress, encode
-from dragonflybank.cell.keys import cancel_key, job_key, progress_key
+from dragonflybank.cell.keys import cancel_key, ended_key, job_key
 from dragonflybank.cell.ports import Store, Txn
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.model.codes import Code, Problem, problem
@@ -36,9 +36,18 @@
         store: The platform's store.
         board: States of jobs, as the leader tells them.
         clock: Clock of the host.
+        is_store_answering: Returns whether the store answers this host.
     """
 
-    def __init__(self, store: Store, board: Board, *, clock: Clock):
+    def __init__(
+        self,
+        store: Store,
+        board: Board,
+        *,
+        clock: Clock,
+        is_store_answering: Callable[[], bool],
+    ):
+        self._is_store_answering = is_store_answering
         self._store = store
         self._board = board
         self._clock = clock
@@ -57,9 +66,15 @@
             never will be; ``WRITE_UNSETTLED`` if it may be.
         """
         key = job_key(job.id)
-        txn = Txn(expected={key: 0}, puts={key: encode(job)})
+        txn = Txn(
+            expected={key: 0, ended_key(job.id): 0}, puts={key: encode(job)}
+        )
         until = self._clock.now() + limit_s - ANSWER_S
         may_be_stored = False
+        if not self._is_store_answering():
+            return self._refuse(
+                job, Problem(Code.STORE_UNAVAILABLE, "the store is silent")
+            )
         while True:
             match await self._store.commit(txn):
                 case Success(reply):
@@ -79,7 +94,9 @@
                         return self._refuse(job, failed)
                 case Failure(_):
                     may_be_stored = True
-            if self._clock.now() + RETRY_S >= until:
+            # Another host may reach the store, and the caller can ask it.
+            is_silent = not self._is_store_answering()
+            if is_silent or self._clock.now() + RETRY_S >= until:
                 return problem(
                     Code.WRITE_UNSETTLED,
                     "the store has not answered",
@@ -92,23 +109,17 @@
         known = self._board.state(job_id, self._clock.now())
         if known is not None:
             return Success(known)
-        stored = await self._store.get(progress_key(job_id))
-        match stored:
-            case Failure(_):
-                return stored
-            case Success(None):
-                found = await self._store.get(job_key(job_id))
-                return found.bind(
-                    lambda item: (
-                        Success(Phase.QUEUED)
-                        if item
-                        else problem(Code.UNKNOWN_JOB, "no such job")
-                    )
-                )
-            case Success(item):
-                phase = decode_progress(item.value).phase
-                is_begun = phase is Phase.QUEUED
-                return Success(Phase.RUNNING if is_begun else phase)
+        # A job has one of two keys; it may end between the first two reads.
+        for key in (ended_key, job_key, ended_key):
+            found = await self._store.get(key(job_id))
+            if isinstance(found, Failure):
+                return found
+            item = found.unwrap()
+            if item is not None and key is job_key:
+                return Success(Phase.QUEUED)
+            if item is not None:
+                return Success(decode_progress(item.value).phase)
+        return problem(Code.UNKNOWN_JOB, "no such job")
 
     async def cancel(
         self, job_id: str, *, limit_s: float
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -13,7 +13,6 @@
 
 from dragonflybank.cell.advising import AdviceLines
 from dragonflybank.cell.board import Board
-from dragonflybank.cell.clock import BootClock
 from dragonflybank.cell.election import Candidate, Leadership
 from dragonflybank.cell.front import CellFront
 from dragonflybank.cell.jobs import CellConfig
@@ -27,24 +26,29 @@
     Sync,
     SyncReply,
 )
+from dragonflybank.cell.peering import Peers
 from dragonflybank.cell.ports import Platform
 from dragonflybank.cell.session import lead
 from dragonflybank.cell.watching import Watch
-from dragonflybank.cluster.links import PeerLink, PeerServer, typed
-from dragonflybank.cluster.messages import decode_reply, encode
+from dragonflybank.cluster.clock import Clock
 from dragonflybank.model.codes import Code, problem
 
 _log = logging.getLogger(__name__)
 
 # The leader answers a question without news after this time.
-SYNC_WAIT_S = 1.0
-SYNC_TIMEOUT_S = 2.0
+SYNC_WAIT_S = 0.7
+SYNC_TIMEOUT_S = 1.4
+# A leader that has not answered for this long may be dead.
+HEARD_S = 1.2
+# The wait for changes of the configuration shows whether the store answers.
+CONFIG_WAIT_S = 1.0
 # Gathers changes of state into one answer; small against an objective.
 SYNC_GATHER_S = 0.04
 SYNC_RETRY_S = 0.2
 # A host that has not asked for news for this long makes no calls for advice.
 PEER_AGE_S = 2.5
-PEER_CONTEXTS = 96
+# For the way to a peer and back, beside the peer's own call.
+PEER_EXTRA_S = 0.2
 # Hosts with less are elected after the others.
 STRONG_CORES = 1.0
 
@@ -55,17 +59,11 @@
 
     Attributes:
         name: Name of the host.
-        zone: Its failure domain.
-        peer_ip: IP number of its peer socket.
-        peer_port: Port of its peer socket.
         cores: Processors that it may use.
         limits: Bounds of the platform.
     """
 
     name: str
-    zone: str
-    peer_ip: str
-    peer_port: int
     cores: float = 1.0
     limits: CellLimits = CellLimits()
 
@@ -82,6 +80,7 @@
     Args:
         settings: Settings of the host.
         platform: The platform.
+        peers: The other hosts.
         clock: Steady clock.
         wall: Returns the time of day, seconds since 1970.
     """
@@ -92,8 +91,9 @@
         self,
         settings: HostSettings,
         platform: Platform,
+        peers: Peers,
         *,
-        clock: BootClock,
+        clock: Clock,
         wall: Callable[[], float],
         **kwargs,
     ):
@@ -107,29 +107,34 @@
         self._clock_of_host = clock
         self._wall = wall
         self._board = Board()
-        self.front = CellFront(platform.store, self._board, clock=clock)
-        self._address = f"{settings.peer_ip}:{settings.peer_port}"
-        self._server = PeerServer(
-            settings.peer_ip, settings.peer_port, contexts=PEER_CONTEXTS
+        self._config_watch = Watch(
+            platform.store, platform.config_key, clock, wait_s=CONFIG_WAIT_S
         )
-        self._peer_links: dict[str, PeerLink] = {}
-        self._peers: dict[str, float] = {}
+        self.front = CellFront(
+            platform.store,
+            self._board,
+            clock=clock,
+            is_store_answering=lambda: self._config_watch.is_answered,
+        )
+        self._peers = peers
+        self._asked_at: dict[str, float] = {}
         self._lines: AdviceLines | None = None
         self._candidate = Candidate(
             platform.store,
             settings.name,
-            self._address,
+            peers.address,
             clock=clock,
             is_weak=settings.cores < STRONG_CORES,
             rng=random.Random(settings.name),
+            is_leader_heard=self._is_leader_heard,
         )
 
     async def on_start(self) -> None:
         """Opens the peer socket and starts the loops."""
-        self._server.serve(
+        self._peers.serve(
             {
-                SYNC: typed(Sync, self._answer_sync),
-                ADVISE: typed(Advise, self._answer_advise),
+                SYNC: (Sync, self._answer_sync),
+                ADVISE: (Advise, self._answer_advise),
             }
         )
         for loop in (self._follow_config(), self._stand(), self._sync()):
@@ -146,12 +151,19 @@
 
     async def on_shutdown(self) -> None:
         """Closes all connections."""
-        for link in self._peer_links.values():
-            await link.close()
-        await self._server.close()
+        await self._peers.close()
         await self.platform.close()
         _log.info("stopped", extra={"host": self.settings.name})
 
+    @property
+    def not_ready(self) -> str:
+        """Why callers should be sent elsewhere, empty if they should not."""
+        if self.draining:
+            return "the host is leaving"
+        if self.config is None:
+            return "no configuration"
+        return "" if self._config_watch.is_answered else "store silent"
+
     def adopt_config(self, raw: bytes) -> None:
         """Puts a configuration in force unless a newer one is."""
         match self.platform.decode_config(raw):
@@ -170,12 +182,14 @@
 
     async def _follow_config(self) -> None:
         key = self.platform.config_key
-        watch = Watch(self.platform.store, key, self._clock_of_host)
-        async for items, _ in watch.changes(None):
+        async for items, _ in self._config_watch.changes(None):
             for item in items:
                 if item.key == key and item.value is not None:
                     self.adopt_config(item.value)
 
+    def _is_leader_heard(self, now: float) -> bool:
+        return now - self._board.fresh_at <= HEARD_S
+
     async def _stand(self) -> None:
         while not self.draining:
             leadership = await self._candidate.wait_for_turn()
@@ -217,7 +231,11 @@
                 self._board.fresh_at = now
             if self._lines is not None:
                 self._lines.set_peers(
-                    [a for a, t in self._peers.items() if now - t < PEER_AGE_S]
+                    [
+                        address
+                        for address, asked_at in self._asked_at.items()
+                        if now - asked_at < PEER_AGE_S
+                    ]
                 )
             await self._clock_of_host.sleep(SYNC_RETRY_S)
 
@@ -225,40 +243,53 @@
         clock = self._clock_of_host
         while True:
             record = self._candidate.record
-            if record is None or record.address == self._address:
+            if record is None or record.address == self._peers.address:
                 await clock.sleep(SYNC_RETRY_S)
                 continue
             version = self.config.version if self.config else 0
             question = Sync(
-                self._address, self._board.epoch, self._board.number, version
+                self._peers.address,
+                self._board.epoch,
+                self._board.number,
+                version,
             )
-            raw = await self._link(record.address).call(
-                SYNC, encode(question), timeout_s=SYNC_TIMEOUT_S
+            got = await self._peers.ask(
+                record.address,
+                SYNC,
+                question,
+                SyncReply,
+                timeout_s=SYNC_TIMEOUT_S,
             )
-            match raw.bind(lambda reply: decode_reply(reply, SyncReply)):
+            match got:
                 case Success(reply) if reply.epoch:
                     self._board.take(reply, clock.now())
                     if reply.config:
                         self.adopt_config(reply.config)
                 case _:
+                    self._board.fresh_at = float("-inf")
                     await clock.sleep(SYNC_RETRY_S)
 
     async def _answer_sync(self, sender: str, req: Sync) -> Result:
-        if self.leader is None:
-            return Success(SyncReply(0))
         now = self._clock_of_host.now()
-        self._peers[req.address] = now
+        if not self._is_leading(now):
+            return Success(SyncReply(0))
+        self._asked_at[req.address] = now
         if req.epoch == self._board.epoch:
             await self._clock_of_host.sleep(SYNC_GATHER_S)
         reply = await self._board.news(
             req.epoch, req.number, wait_s=SYNC_WAIT_S
         )
-        if self.leader is None:
+        if not self._is_leading(self._clock_of_host.now()):
             return Success(SyncReply(0))
         if self.config is not None and self.config.version > req.version:
             reply = attrs.evolve(reply, config=self._config_raw)
         return Success(reply)
 
+    def _is_leading(self, now: float) -> bool:
+        # The others look at the leader's key when it is not confirmed.
+        leader = self.leader
+        return leader is not None and leader.leadership.may_start(now)
+
     async def _answer_advise(self, sender: str, req: Advise) -> Result:
         if self.platform.advice is None:
             return problem(Code.BAD_REQUEST, "no advice service")
@@ -274,15 +305,11 @@
         executors: Sequence[str],
         timeout_s: float,
     ) -> Result:
-        raw = await self._link(address).call(
+        got = await self._peers.ask(
+            address,
             ADVISE,
-            encode(Advise(step, tuple(executors), timeout_s)),
-            timeout_s=timeout_s + 0.2,
+            Advise(step, tuple(executors), timeout_s),
+            Advised,
+            timeout_s=timeout_s + PEER_EXTRA_S,
         )
-        got = raw.bind(lambda reply: decode_reply(reply, Advised))
         return got.map(lambda advised: advised.tickets)
-
-    def _link(self, address: str) -> PeerLink:
-        if address not in self._peer_links:
-            self._peer_links[address] = PeerLink(self.settings.name, address)
-        return self._peer_links[address]
--- a/libs/cell/dragonflybank/cell/keys.py
+++ b/libs/cell/dragonflybank/cell/keys.py
@@ -1,10 +1,12 @@
 """Keys of the cell in the platform's store."""
 
 __all__ = [
+    "ENDED_PREFIX",
     "EXECUTORS_KEY",
     "JOBS_PREFIX",
     "PROGRESS_PREFIX",
     "cancel_key",
+    "ended_key",
     "job_key",
     "job_of_key",
     "progress_key",
@@ -14,6 +16,8 @@
 EXECUTORS_KEY = "used-executors"
 JOBS_PREFIX = "jobs/"
 PROGRESS_PREFIX = "progress/"
+# Final states; jobs that have one have no other key.
+ENDED_PREFIX = "ended/"
 _CANCEL_SUFFIX = "/cancel"
 
 
@@ -32,6 +36,11 @@
     return PROGRESS_PREFIX + job
 
 
+def ended_key(job: str) -> str:
+    """Returns the key of an ended job's state."""
+    return ENDED_PREFIX + job
+
+
 def job_of_key(key: str) -> tuple[str, bool]:
     """Returns the job of a key below `JOBS_PREFIX` and whether it cancels.
 
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -49,8 +49,9 @@
 ENDS_PER_ANSWER = 500
 # An unknown attempt may belong to a job whose acceptance is on its way.
 STRANGER_GRACE_S = 2.0
-# An executor that is not listed and does not answer is forgotten after this.
-GONE_AFTER_S = 10.0
+# An executor that is not listed and does not answer is forgotten after this;
+# entries that lapsed in an outage of the store are back 2 s after it.
+GONE_AFTER_S = 3.0
 # Gathers the events that arrive together into one round of decisions.
 ROUND_S = 0.01
 # Rounds without an event, for time-outs and checks that depend on time.
@@ -71,6 +72,7 @@
         committer: Writer of progress records.
         health: What is known of sick executors.
         publish: Called with a job and its state that callers may be told.
+        used_shrank: Whether the stored executors have one too many.
 
     Args:
         platform: The platform.
@@ -98,11 +100,12 @@
         self.executors: dict[str, Executor] = {}
         self.unresolved: dict[str, float] = {}
         self.health = HealthRules()
+        self.used_shrank = False
         self.committer = Committer(
             platform.store,
             leadership,
             clock=clock,
-            on_stored=self._on_stored,
+            on_ended=self._on_ended,
         )
         self.scheduling = Scheduling(self, lines)
         self.publish = publish
@@ -155,7 +158,12 @@
             )
         else:
             known = executor.info.incarnation
-            if info.incarnation and known and info.incarnation != known:
+            if not info.incarnation:
+                info = attrs.evolve(info, incarnation=known)
+            if info.incarnation < known:
+                # An entry of an earlier life, written late.
+                return
+            if info.incarnation > known > 0:
                 self.executor_replaced(executor)
             if info.draining and not executor.info.draining:
                 _log.info("executor draining", extra={"executor": info.id})
@@ -198,6 +206,7 @@
         executor.lease_until_s = 0.0
         executor.claimed = executor.is_recorded = False
         executor.strangers.clear()
+        self.link(executor).begin_anew()
         self._resolve(executor.info.id, "another incarnation")
         for step in self.workload.ready:
             step.verdicts.pop(executor.info.id, None)
@@ -223,8 +232,10 @@
         """
         now = self.clock.now()
         known = executor.info.incarnation
-        if held.incarnation and held.incarnation != known:
-            if known and executor.claimed:
+        if held.incarnation < known:
+            return False
+        if held.incarnation > known:
+            if known:
                 self.executor_replaced(executor)
             executor.info = attrs.evolve(
                 executor.info, incarnation=held.incarnation
@@ -277,9 +288,11 @@
                 and not executor.attempts
                 and executor.silent_since is not None
                 and now - executor.silent_since > GONE_AFTER_S
+                and lease_is_over(executor, now)
                 and executor.info.id not in self.unresolved
             ):
                 del self.executors[executor.info.id]
+                self.used_shrank = True
                 self._background(self._links.pop(executor.info.id).close())
                 _log.info("executor gone", extra={"executor": executor.info.id})
 
@@ -600,9 +613,8 @@
         self.committer.mark(state)
         self.workload.forget(state)
 
-    def _on_stored(self, state: JobState) -> None:
-        if state.phase.is_final:
-            self.publish(state.job.id, state.phase)
+    def _on_ended(self, state: JobState) -> None:
+        self.publish(state.job.id, state.phase)
 
     def _check_times(self, now: float) -> None:
         self.workload.open_due(
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -27,6 +27,8 @@
 
 # The platform lets a call wait 2 s; a shorter wait notices silence earlier.
 HOLD_WAIT_S = 1.5
+# Executors without attempts only have to be known as alive.
+IDLE_HOLD_WAIT_S = 2.0
 RETRY_S = 0.15
 # Pace of calls while ends wait for the store.
 UNSETTLED_S = 0.3
@@ -78,6 +80,10 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await self._client.close()
 
+    def begin_anew(self) -> None:
+        """Forgets what was acknowledged to a former incarnation."""
+        self._ack = (0, 0)
+
     def start(self, attempt: Attempt, ticket: str) -> None:
         """Orders an attempt to start, in the background."""
         self._order(self._start(attempt, ticket))
@@ -101,8 +107,15 @@
         task.add_done_callback(self._orders.discard)
 
     def _lease_until_s(self, now: float) -> float:
+        """Returns the end of the lease to ask for, 0 for none.
+
+        An executor that runs nothing needs no lease, so that it is known to
+        run nothing soon after it is gone.
+        """
         executor = self._executor
-        if not executor.claimed:
+        if not executor.claimed or not (
+            executor.attempts or executor.strangers
+        ):
             return 0.0
         clock_s = executor.clock_s + now - executor.reached_at
         until_s = clock_s + self._leader.limits.lease_s
@@ -122,7 +135,7 @@
                 epoch=leader.leadership.epoch,
                 acked=executor.acked,
                 lease_until_s=self._lease_until_s(now) if may_extend else 0.0,
-                wait_s=HOLD_WAIT_S if wait else 0.0,
+                wait_s=self._wait_s() if wait else 0.0,
             )
             match got:
                 case Success(Held(reply=OrderReply.OK) as held):
@@ -148,6 +161,9 @@
                     leader.executor_silent(executor, failed)
                     await leader.clock.sleep(RETRY_S)
 
+    def _wait_s(self) -> float:
+        return HOLD_WAIT_S if self._executor.attempts else IDLE_HOLD_WAIT_S
+
     def _acknowledge(self) -> None:
         marker, number = self._ack
         if self._leader.committer.stored >= marker:
--- a/libs/cell/dragonflybank/cell/session.py
+++ b/libs/cell/dragonflybank/cell/session.py
@@ -9,12 +9,11 @@
 from returns.result import Failure, Success
 
 from dragonflybank.cell.election import LEADER_KEY, RETRY_S, Candidate
+from dragonflybank.cell.jobs import decode_progress
 from dragonflybank.cell.keys import (
+    ENDED_PREFIX,
     EXECUTORS_KEY,
     JOBS_PREFIX,
-    cancel_key,
-    job_key,
-    progress_key,
 )
 from dragonflybank.cell.leader import Leader
 from dragonflybank.cell.ports import Item, Txn
@@ -24,9 +23,11 @@
 _log = logging.getLogger(__name__)
 
 RECORD_POLL_S = 0.05
-CLEAN_EVERY_S = 5.0
-# Three keys of a job and the leader's key; the store takes 32 rows.
-JOBS_PER_CLEANING = 9
+# States are kept for minutes; reading all of them is a few calls.
+CLEAN_EVERY_S = 60.0
+CLEAN_SLACK_S = 10.0
+# A condition and a removal each; the store takes 32 rows.
+JOBS_PER_CLEANING = 16
 
 
 async def lead(leader: Leader, candidate: Candidate) -> None:
@@ -107,7 +108,7 @@
             for e in leader.executors.values()
             if e.claimed and not e.is_recorded
         ]
-        if not new:
+        if not new and not leader.used_shrank:
             await leader.clock.sleep(RECORD_POLL_S)
             continue
         if revision is None:
@@ -117,6 +118,7 @@
                 continue
             revision = found.unwrap().revision if found.unwrap() else 0
         infos = [e.info for e in leader.executors.values()]
+        leader.used_shrank = False
         called_at = leader.clock.now()
         txn = Txn(
             expected={
@@ -134,35 +136,41 @@
                 leader.wake()
             case Success(_):
                 # The confirmation loop finds out whether the key is gone.
-                revision = None
+                revision, leader.used_shrank = None, True
                 await leader.clock.sleep(RETRY_S)
             case Failure(_):
-                revision = None
+                revision, leader.used_shrank = None, True
                 await leader.clock.sleep(RETRY_S)
 
 
 async def _clean(leader: Leader) -> None:
-    """Removes the keys of jobs whose state need not be kept any more."""
+    """Removes final states that need not be kept any more."""
+    store = leader.platform.store
     while True:
         await leader.clock.sleep(CLEAN_EVERY_S)
-        limit = leader.wall() - leader.limits.status_s - CLEAN_EVERY_S
-        workload = leader.workload
-        old = [
-            job_id
-            for job_id, (_, ended_at) in workload.ended.items()
-            if ended_at < limit and job_id not in workload.jobs
-        ][:JOBS_PER_CLEANING]
-        if not old:
+        found = await store.scan(ENDED_PREFIX)
+        if isinstance(found, Failure):
             continue
-        keys = tuple(
-            key(job_id)
-            for job_id in old
-            for key in (job_key, cancel_key, progress_key)
-        )
-        txn = Txn(expected={LEADER_KEY: leader.leadership.epoch}, removed=keys)
-        match await leader.platform.store.commit(txn):
-            case Success(reply) if reply.revision is not None:
-                for job_id in old:
-                    del workload.ended[job_id]
-            case _:
-                _log.warning("old jobs not removed", extra={"jobs": len(old)})
+        limit = leader.wall() - leader.limits.status_s - CLEAN_SLACK_S
+        old = [
+            item
+            for item in found.unwrap().items
+            if decode_progress(item.value).ended_at < limit
+        ]
+        for first in range(0, len(old), JOBS_PER_CLEANING):
+            await _remove(leader, old[first : first + JOBS_PER_CLEANING])
+
+
+async def _remove(leader: Leader, items: list[Item]) -> None:
+    # The revisions keep a late transaction from removing a newer state.
+    txn = Txn(
+        expected={item.key: item.revision for item in items},
+        removed=tuple(item.key for item in items),
+    )
+    match await leader.platform.store.commit(txn):
+        case Success(reply) if reply.revision is not None:
+            for item in items:
+                job_id = item.key.removeprefix(ENDED_PREFIX)
+                leader.workload.ended.pop(job_id, None)
+        case _:
+            _log.warning("old states not removed", extra={"jobs": len(items)})
--- a/libs/cell/dragonflybank/cell/takeover.py
+++ b/libs/cell/dragonflybank/cell/takeover.py
@@ -11,6 +11,7 @@
 
 __all__ = ["doubt_ends_s", "executor_infos", "load", "take_jobs"]
 
+import asyncio
 import logging
 
 import msgspec
@@ -38,10 +39,6 @@
 # Attempt numbers of different leaderships are kept apart by this much, so
 # that a number used by a former leader is never used again.
 ATTEMPTS_PER_TERM = 1000
-# Longest wait for claims before placing begins; an answer takes 25 ms between
-# regions.
-CLAIM_WAIT_S = 0.5
-CLAIM_POLL_S = 0.01
 # A former leader's last start may be this late: it checks its key's age
 # before each try of an order.
 LAST_START_S = CONFIRM_LIMIT_S + 0.5
@@ -59,10 +56,12 @@
         The revisions from which to watch jobs and executors.
     """
     store = leader.platform.store
-    jobs = await store.scan(JOBS_PREFIX)
-    progress = await store.scan(PROGRESS_PREFIX)
-    listed = await store.scan(leader.platform.executors_prefix)
-    used = await store.get(EXECUTORS_KEY)
+    jobs, progress, listed, used = await asyncio.gather(
+        store.scan(JOBS_PREFIX),
+        store.scan(PROGRESS_PREFIX),
+        store.scan(leader.platform.executors_prefix),
+        store.get(EXECUTORS_KEY),
+    )
     for got in (jobs, progress, listed, used):
         if isinstance(got, Failure):
             return got
@@ -78,7 +77,6 @@
         if info.id not in leader.executors:
             leader.executor_listed(info)
             leader.executor_unlisted(info.id)
-    await _wait_for_claims(leader)
     _log.info(
         "taken over",
         extra={
@@ -177,11 +175,3 @@
     if item is None or item.value is None:
         return []
     return msgspec.json.decode(item.value, type=list[ExecutorInfo])
-
-
-async def _wait_for_claims(leader: Leader) -> None:
-    until = leader.clock.now() + CLAIM_WAIT_S
-    while leader.clock.now() < until and not all(
-        e.claimed for e in leader.executors.values()
-    ):
-        await leader.clock.sleep(CLAIM_POLL_S)
--- a/libs/cell/dragonflybank/cell/watching.py
+++ b/libs/cell/dragonflybank/cell/watching.py
@@ -20,13 +20,26 @@
 class Watch:
     """Changes below a prefix.
 
+    Attributes:
+        is_answered: Whether the last call was answered.
+
     Args:
         store: The platform's store.
         prefix: Prefix of the keys.
         clock: Clock of the host.
+        wait_s: Longest wait of a call in seconds.
     """
 
-    def __init__(self, store: Store, prefix: str, clock: Clock):
+    def __init__(
+        self,
+        store: Store,
+        prefix: str,
+        clock: Clock,
+        *,
+        wait_s: float = WAIT_S,
+    ):
+        self.is_answered = False
+        self._wait_s = wait_s
         self._store = store
         self._prefix = prefix
         self._clock = clock
@@ -45,8 +58,9 @@
                 got = await self._store.scan(self._prefix)
             else:
                 got = await self._store.watch(
-                    self._prefix, after=revision, wait_s=WAIT_S
+                    self._prefix, after=revision, wait_s=self._wait_s
                 )
+            self.is_answered = isinstance(got, Success)
             match got:
                 case Failure(failed):
                     _log.warning(
--- a/libs/platform/dragonflybank/platform/connection.py
+++ b/libs/platform/dragonflybank/platform/connection.py
@@ -83,8 +83,8 @@
         limit_s = (timeout_s or self._timeout_s) + extra_wait_s
         try:
             async with asyncio.timeout(limit_s):
-                return Success(
-                    await _exchange(session, method, self.url + path, kwargs)
+                reply = await _exchange(
+                    session, method, self.url + path, kwargs
                 )
         except aiohttp.ClientConnectorError as exc:
             return problem(Code.UNREACHABLE, str(exc))
@@ -93,6 +93,9 @@
             return problem(Code.TIMED_OUT, f"{method} {path} after {limit_s} s")
         except (aiohttp.ClientError, OSError) as exc:
             return problem(Code.TIMED_OUT, f"{type(exc).__name__}: {exc}")
+        if session is self._session:
+            self._timeouts = 0
+        return Success(reply)
 
     async def close(self) -> None:
         """Closes all connections."""
--- /dev/null
+++ b/libs/standins/dragonflybank/standins/cell/plays.py
@@ -0,0 +1,196 @@
+"""Plays of a cell in memory, one for each fault."""
+
+__all__ = ["PLAYS", "play_fault"]
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from dragonflybank.standins.cell.virtual import play
+from dragonflybank.standins.cell.world import Load, World
+
+Play = Callable[[World], Awaitable[None]]
+LOAD = Load()
+
+
+def play_fault(name: str, seed: int) -> list[str]:
+    """Plays a fault and returns a line for each rule that was broken."""
+    return play(_play(PLAYS[name], seed))
+
+
+async def _play(fault: Play, seed: int) -> list[str]:
+    world = World(seed)
+    await world.start()
+    striking = asyncio.create_task(fault(world))
+    found = await world.run(LOAD)
+    await striking
+    return found
+
+
+async def calm(world: World) -> None:
+    """Nothing happens."""
+
+
+async def leader_killed(world: World) -> None:
+    """The leader is killed, and its successor in its takeover."""
+    for pause_s in (6.0, 2.3, 3.0):
+        await asyncio.sleep(pause_s)
+        name = world.leader()
+        world.kill_host(name)
+        if name:
+            await asyncio.sleep(1.0)
+            await world.start_host(name)
+
+
+async def all_killed(world: World) -> None:
+    """All hosts are killed at once, twice."""
+    for _ in range(2):
+        await asyncio.sleep(6.0)
+        names = list(world.hosts)
+        for name in names:
+            world.kill_host(name)
+        await asyncio.sleep(1.5)
+        for name in names:
+            await world.start_host(name)
+
+
+async def store_down(world: World) -> None:
+    """The store is silent for 5 s, then refuses for 4 s."""
+    await asyncio.sleep(5.0)
+    world.store.faults.is_down = True
+    await asyncio.sleep(5.0)
+    world.store.faults.is_down = False
+    await asyncio.sleep(3.0)
+    world.store.faults.is_refusing = True
+    await asyncio.sleep(4.0)
+    world.store.faults.is_refusing = False
+
+
+async def answers_lost(world: World) -> None:
+    """Writes are done without an answer, or seconds later."""
+    await asyncio.sleep(4.0)
+    world.store.faults.lost_share = 0.3
+    await asyncio.sleep(5.0)
+    world.store.faults.lost_share = 0.0
+    world.store.faults.late_share = 0.3
+    await asyncio.sleep(5.0)
+    world.store.faults.late_share = 0.0
+
+
+async def history_lost(world: World) -> None:
+    """The store forgets its history."""
+    for _ in range(8):
+        await asyncio.sleep(2.0)
+        world.store.faults.is_history_lost = True
+
+
+async def leader_cut_from_store(world: World) -> None:
+    """The leader is cut from the store, and its key is taken away."""
+    await asyncio.sleep(5.0)
+    name = world.leader()
+    world.store.faults.cut.add(name)
+    world.store.revoke("leader")
+    await asyncio.sleep(6.0)
+    world.store.faults.cut.clear()
+    await asyncio.sleep(3.0)
+    world.store.revoke("leader")
+
+
+async def executors_cut(world: World) -> None:
+    """Executors are cut off and run on; the leader is killed meanwhile."""
+    await asyncio.sleep(5.0)
+    cut = list(world.executors.values())[:2]
+    for executor in cut:
+        executor.faults.is_cut = True
+    await asyncio.sleep(1.0)
+    name = world.leader()
+    world.kill_host(name)
+    await asyncio.sleep(4.5)
+    for executor in cut:
+        executor.faults.is_cut = False
+    await world.start_host(name)
+
+
+async def former_leader_cut(world: World) -> None:
+    """The leader reaches an executor that its successor does not reach."""
+    await asyncio.sleep(5.0)
+    name = world.leader()
+    first, *_ = world.executors.values()
+    first.faults.cut_hosts = set(world.hosts) - {name}
+    world.store.faults.cut.add(name)
+    world.cut_peers.add(name)
+    await asyncio.sleep(9.0)
+    world.store.faults.cut.clear()
+    world.cut_peers.clear()
+    first.faults.cut_hosts = set()
+
+
+async def executors_crash(world: World) -> None:
+    """Executors crash and start again, with and without an entry."""
+    executors = list(world.executors.values())
+    for number in range(4):
+        await asyncio.sleep(4.0)
+        executor = executors[number]
+        executor.crash()
+        if number % 2:
+            world.unlist_executor(executor)
+        await asyncio.sleep(2.5)
+        executor.restart()
+        world.list_executor(executor)
+
+
+async def orders_late(world: World) -> None:
+    """Orders are carried out without an answer, or seconds later."""
+    await asyncio.sleep(3.0)
+    for executor in world.executors.values():
+        executor.faults.late_share = 0.15
+        executor.faults.lost_share = 0.1
+    await asyncio.sleep(8.0)
+    for executor in world.executors.values():
+        executor.faults.late_share = executor.faults.lost_share = 0.0
+
+
+async def orders_late_and_killed(world: World) -> None:
+    """Orders are carried out late while leaders are killed."""
+    await asyncio.gather(orders_late(world), leader_killed(world))
+
+
+async def executors_sick(world: World) -> None:
+    """An executor fails all, another makes no progress, a third is slow."""
+    await asyncio.sleep(3.0)
+    failing, hanging, slow, *_ = world.executors.values()
+    failing.faults.fails_all = True
+    hanging.faults.hangs = True
+    slow.faults.slowness = 6.0
+    await asyncio.sleep(8.0)
+    failing.faults.fails_all = hanging.faults.hangs = False
+    slow.faults.slowness = 1.0
+
+
+async def entries_broken(world: World) -> None:
+    """Another writer leaves unreadable entries; an executor drains."""
+    await asyncio.sleep(3.0)
+    world.store.put("executors/stray", b"\xff\x00")
+    world.store.put("executors/other", b'{"id": 5}')
+    await asyncio.sleep(2.0)
+    world.drain_executor(list(world.executors.values())[0])
+
+
+PLAYS: dict[str, Play] = {
+    fault.__name__: fault
+    for fault in (
+        calm,
+        leader_killed,
+        all_killed,
+        store_down,
+        answers_lost,
+        history_lost,
+        leader_cut_from_store,
+        executors_cut,
+        former_leader_cut,
+        executors_crash,
+        orders_late,
+        orders_late_and_killed,
+        executors_sick,
+        entries_broken,
+    )
+}
--- /dev/null
+++ b/libs/standins/dragonflybank/standins/cell/world.py
@@ -0,0 +1,427 @@
+"""A cell in memory: hosts, executors, store, advice and callers."""
+
+__all__ = ["Load", "World"]
+
+import asyncio
+import random
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import attrs
+import msgspec
+from returns.result import Failure, Result, Success
+
+from dragonflybank.cell.host import CellHost, HostSettings
+from dragonflybank.cell.jobs import (
+    Advised,
+    CellConfig,
+    Job,
+    Phase,
+    Queue,
+    Service,
+    Step,
+    TaskId,
+)
+from dragonflybank.cell.limits import CellLimits
+from dragonflybank.cell.peering import Peers
+from dragonflybank.cell.ports import (
+    AdviceService,
+    EndKind,
+    ExecutorClient,
+    ExecutorInfo,
+    Platform,
+)
+from dragonflybank.model.codes import Code, Problem, problem
+from dragonflybank.standins.cell.checks import Story, broken_rules
+from dragonflybank.standins.cell.executors import MemoryExecutor, Started
+from dragonflybank.standins.cell.store import MemoryStore
+from dragonflybank.standins.cell.virtual import VirtualClock, life
+
+SERVICE = "directory"
+POLL_S = 0.5
+LIMIT_S = 3.0
+
+
+@attrs.frozen
+class Load:
+    """What callers submit.
+
+    Attributes:
+        jobs_per_s: Jobs a second.
+        cancel_share: Share of the jobs that are cancelled.
+        poison_share: Share of the jobs whose tasks always fail.
+        seconds: Time for which jobs are submitted.
+    """
+
+    jobs_per_s: float = 8.0
+    cancel_share: float = 0.05
+    poison_share: float = 0.02
+    seconds: float = 20.0
+
+
+class World:
+    """A cell in memory.
+
+    Attributes:
+        store: The store.
+        executors: Executors by identity.
+        hosts: Live hosts by name.
+        story: What callers did and were told.
+
+    Args:
+        seed: Seed of all that is drawn.
+        hosts: Number of hosts.
+        executors: Number of executors.
+        advised: Whether a queue needs advice.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        *,
+        hosts: int = 3,
+        executors: int = 6,
+        advised: bool = True,
+    ):
+        self.rng = random.Random(seed)
+        self.store = MemoryStore(random.Random(seed + 1))
+        self.story = Story()
+        self.hosts: dict[str, CellHost] = {}
+        self.cut_peers: set[str] = set()
+        self._serving: dict[str, Mapping] = {}
+        self._names = [f"host-{n}" for n in range(hosts)]
+        self._started = 0
+        self._lives: dict[str, str] = {}
+        self._run_s: dict[str, float] = {}
+        self._poison: set[str] = set()
+        self._clock = VirtualClock()
+        self._queues = _queues(advised)
+        self.executors = {
+            name: self._new_executor(name, number)
+            for number, name in enumerate(
+                f"executor-{n}" for n in range(executors)
+            )
+        }
+
+    async def start(self) -> None:
+        """Starts all hosts and lists all executors."""
+        self.configure(1)
+        for executor in self.executors.values():
+            self.list_executor(executor)
+        for name in self._names:
+            await self.start_host(name)
+
+    def configure(self, version: int) -> None:
+        """Puts a configuration in force."""
+        cfg = CellConfig(
+            version,
+            {"front": tuple(self._queues.values())},
+            {SERVICE: Service(SERVICE)},
+        )
+        self.store.put("config", msgspec.json.encode(cfg))
+
+    def list_executor(self, executor: MemoryExecutor) -> None:
+        """Writes an executor's entry."""
+        key = "executors/" + executor.info.id
+        self.store.put(key, msgspec.json.encode(executor.info))
+
+    def drain_executor(self, executor: MemoryExecutor) -> None:
+        """Writes that an executor is leaving."""
+        executor.info = attrs.evolve(executor.info, draining=True)
+        self.list_executor(executor)
+
+    def unlist_executor(self, executor: MemoryExecutor) -> None:
+        """Removes an executor's entry."""
+        self.store.put("executors/" + executor.info.id, None)
+
+    async def start_host(self, name: str) -> None:
+        """Starts a host in a new life."""
+        self._started += 1
+        process = self._lives[name] = f"{name}#{self._started}"
+
+        async def start() -> None:
+            life.set(process)
+            host = CellHost(
+                HostSettings(name, limits=CellLimits()),
+                _MemoryPlatform(self, name),
+                _MemoryPeers(self, name),
+                clock=self._clock,
+                wall=self._clock.now,
+            )
+            self.hosts[name] = host
+            await host.maybe_start()
+
+        await asyncio.create_task(start())
+
+    def kill_host(self, name: str) -> None:
+        """Ends a host without notice."""
+        host = self.hosts.pop(name, None)
+        if host is None:
+            return
+        self._serving.pop(name, None)
+        asyncio.get_running_loop().kill(self._lives[name])
+
+    def leader(self) -> str:
+        """Returns the name of the leading host, or an empty string."""
+        return next(
+            (n for n, h in self.hosts.items() if h.leader is not None), ""
+        )
+
+    async def submit(self, job: Job) -> bool:
+        """Submits a job as a caller does; False if it was refused."""
+        self.story.jobs[job.id] = job
+        is_refused = True
+        for _ in range(5):
+            hosts = list(self.hosts.values())
+            if hosts:
+                host = self.rng.choice(hosts)
+                call = asyncio.create_task(
+                    host.front.submit(job, limit_s=LIMIT_S)
+                )
+                done, _ = await asyncio.wait({call}, timeout=LIMIT_S)
+                got = call.result() if done and not call.cancelled() else None
+                if isinstance(got, Success):
+                    self.story.accepted[job.id] = self._clock.now()
+                    return True
+                is_unknown = got is None or got.failure().code in (
+                    Code.WRITE_UNSETTLED,
+                    Code.TIMED_OUT,
+                )
+                is_refused &= not is_unknown
+            await asyncio.sleep(1.0)
+        if is_refused:
+            self.story.refused.add(job.id)
+        return False
+
+    async def follow(self, job: Job, *, limit_s: float) -> Phase | None:
+        """Asks for a job's state until it is final."""
+        until = self._clock.now() + limit_s
+        told = self.story.told.setdefault(job.id, [])
+        while self._clock.now() < until:
+            await asyncio.sleep(POLL_S)
+            hosts = list(self.hosts.values())
+            if not hosts:
+                continue
+            got = await self.rng.choice(hosts).front.state(job.id)
+            if isinstance(got, Failure):
+                if got.failure().code is Code.UNKNOWN_JOB:
+                    told.append((self._clock.now(), Phase.FAILED))
+                    return None
+                continue
+            told.append((self._clock.now(), got.unwrap()))
+            if got.unwrap().is_final:
+                return got.unwrap()
+        return None
+
+    async def cancel(self, job: Job) -> None:
+        """Cancels a job as a caller does."""
+        for _ in range(5):
+            if self.hosts:
+                host = self.rng.choice(list(self.hosts.values()))
+                got = await host.front.cancel(job.id, limit_s=LIMIT_S)
+                if isinstance(got, Success):
+                    self.story.cancelled[job.id] = self._clock.now()
+                    return
+            await asyncio.sleep(1.0)
+
+    async def run(self, load: Load, *, finish_s: float = 60.0) -> list[str]:
+        """Plays a load and returns what was wrong."""
+        number = int(load.jobs_per_s * load.seconds)
+        async with asyncio.TaskGroup() as group:
+            callers = [
+                group.create_task(self._caller(load, finish_s))
+                for _ in range(number)
+            ]
+        unfinished = [c.result() for c in callers if c.result()]
+        return [*broken_rules(self.story, self.executors.values()), *unfinished]
+
+    def draw_job(self, load: Load) -> Job:
+        """Returns a job like those of the users."""
+        rng = self.rng
+        name = rng.choices(list(self._queues), (10, 2, 1))[0]
+        job_id = f"{rng.getrandbits(64):016x}"
+        # A gang fits on two executors of 32 cores, so that it can always run.
+        width = rng.randint(1, 3) if name == "lookup" else rng.randint(2, 6)
+        cores = rng.randint(1, 6) if name != "verify" else rng.randint(5, 10)
+        run_s = rng.uniform(0.3, 1.0) if name == "lookup" else 2.0
+        steps = tuple(
+            Step(
+                width,
+                millicores=1000 * cores,
+                memory_mb=1000 * cores,
+                estimate_s=run_s,
+                after=(n - 1,) if n else (),
+                gang=name == "verify" and rng.random() < 0.7,
+                max_per_executor=2 if rng.random() < 0.1 else 0,
+            )
+            for n in range(1 if name == "lookup" else rng.randint(1, 2))
+        )
+        self._run_s[job_id] = run_s * rng.lognormvariate(0, 0.4)
+        if rng.random() < load.poison_share:
+            self._poison.add(job_id)
+        now = self._clock.now()
+        return Job(job_id, self._queues[name], "text of " + job_id, steps, now)
+
+    async def _caller(self, load: Load, finish_s: float) -> str:
+        await asyncio.sleep(self.rng.uniform(1.0, 1.0 + load.seconds))
+        job = self.draw_job(load)
+        if not await self.submit(job):
+            return ""
+        if self.rng.random() < load.cancel_share:
+            await asyncio.sleep(self.rng.uniform(0.0, 2.0))
+            await self.cancel(job)
+        phase = await self.follow(job, limit_s=finish_s)
+        expected = {Phase.COMPLETED}
+        if job.id in self.story.cancelled:
+            expected = {Phase.CANCELLED, Phase.COMPLETED, Phase.FAILED}
+        elif job.id in self._poison:
+            expected = {Phase.FAILED}
+        if phase in expected:
+            return ""
+        return f"LOST {job.id} of {job.queue.name} ended as {phase}"
+
+    def _new_executor(self, name: str, number: int) -> MemoryExecutor:
+        info = ExecutorInfo(
+            name,
+            SERVICE,
+            f"10.0.0.{number}:80",
+            f"zone-{number % 3}",
+            millicores=32_000,
+            memory_mb=64_000,
+            labels=("a", f"rack-{number // 3}"),
+            incarnation=1,
+        )
+        executor = MemoryExecutor(
+            info,
+            step_of=self._step_of,
+            run_s=lambda task: self._run_s.get(task.job, 0.5),
+            fails=lambda task: task.job in self._poison,
+            clock_rate=self.rng.uniform(0.98, 1.0),
+            rng=random.Random(self.rng.getrandbits(32)),
+        )
+        executor.gang_size = self._gang_size
+        executor.gang_ended = self._gang_ended
+        return executor
+
+    def _step_of(self, task: TaskId) -> Step | None:
+        job = self.story.jobs.get(task.job)
+        return job.steps[task.step] if job else None
+
+    def _members(self, run: Started) -> list[tuple[MemoryExecutor, Started]]:
+        return [
+            (executor, other)
+            for executor in self.executors.values()
+            for other in executor.running.values()
+            if other.attempt == run.attempt
+            and other.task.job == run.task.job
+            and other.task.step == run.task.step
+        ]
+
+    def _gang_size(self, run: Started) -> int:
+        return len({other.task for _, other in self._members(run)})
+
+    def _gang_ended(self, run: Started, kind: EndKind) -> None:
+        step = self._step_of(run.task)
+        if step is None or not step.gang:
+            return
+        is_done = kind is EndKind.DONE
+        for executor, other in self._members(run):
+            executor.end_from_outside(
+                other, EndKind.DONE if is_done else EndKind.BROKEN
+            )
+
+
+class _MemoryPlatform(Platform):
+    config_key = "config"
+    executors_prefix = "executors/"
+
+    def __init__(self, world: World, name: str):
+        self._world = world
+        self._name = name
+        self.store = world.store.client(name)
+        self.advice = _MemoryAdvice()
+
+    def decode_config(self, value: bytes) -> Result[CellConfig, Problem]:
+        return Success(msgspec.json.decode(value, type=CellConfig))
+
+    def decode_executor(
+        self, key: str, value: bytes
+    ) -> Result[ExecutorInfo, Problem]:
+        try:
+            return Success(msgspec.json.decode(value, type=ExecutorInfo))
+        except msgspec.MsgspecError as exc:
+            return problem(Code.BAD_REQUEST, str(exc))
+
+    def executor(self, info: ExecutorInfo) -> ExecutorClient:
+        return self._world.executors[info.id].client(self._name)
+
+    async def close(self) -> None:
+        """Nothing is open."""
+
+
+class _MemoryAdvice(AdviceService):
+    """Two of three executors are good for a step."""
+
+    def __init__(self):
+        self._turn = asyncio.Lock()
+
+    async def advise(
+        self, step: str, executors: Sequence[str], *, timeout_s: float
+    ) -> Result[Mapping[str, str], Problem]:
+        async with self._turn:
+            await asyncio.sleep(0.02)
+        good = [e for e in executors if sum(map(ord, step + e)) % 3]
+        return Success({e: f"ticket/{step}/{e}" for e in good})
+
+
+class _MemoryPeers(Peers):
+    def __init__(self, world: World, name: str):
+        self.address = name
+        self._world = world
+
+    def serve(self, answers: Mapping) -> None:
+        self._world._serving[self.address] = answers
+
+    async def ask(
+        self,
+        address: str,
+        kind: str,
+        request: Any,
+        reply_class: type,
+        *,
+        timeout_s: float,
+    ) -> Result:
+        await asyncio.sleep(0.002)
+        world = self._world
+        answers = world._serving.get(address)
+        if answers is None or {address, self.address} & world.cut_peers:
+            await asyncio.sleep(timeout_s)
+            return problem(Code.TIMED_OUT, f"no answer from {address}")
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await answers[kind][1](self.address, request)
+        except TimeoutError:
+            return problem(Code.TIMED_OUT, f"no answer from {address}")
+
+    async def close(self) -> None:
+        self._world._serving.pop(self.address, None)
+
+
+def _queues(advised: bool) -> dict[str, Queue]:
+    advice = Advised(0.02, 0.0, 2.0) if advised else None
+    return {
+        name: Queue(
+            name,
+            "front",
+            f"/{name}/",
+            SERVICE,
+            priority,
+            objective_s,
+            2.0,
+            4,
+            advice if name != "lookup" else None,
+        )
+        for priority, (name, objective_s) in enumerate(
+            (("lookup", 0.4), ("verify", 1.2), ("sweep", 3.0))
+        )
+    }
