Tell the leader of accepted jobs directly and reach the store through it

Cause: the leader learnt of jobs from the store's watch, a call for nearly each job, and heartbeats woke the watch of executors 16 times a second; a host that the store turned away could only refuse. A host that the store does not answer reads and writes through the leader. Refusals say 2 to 4 s in Retry-After, by the age of the outage. Ruled out: a notice without an epoch, since a job may end under another leader before the notice arrives, which would start it again.

--- a/libs/cell/dragonflybank/cell/commits.py
+++ b/libs/cell/dragonflybank/cell/commits.py
@@ -33,8 +33,10 @@
 ROWS_PER_TXN = 31
 PROGRESS_ROWS = 2
 ENDED_ROWS = 5
-# Gathers the ends that arrive together; small against a lookup's objective.
-GATHER_S = 0.02
+# Gathers the changes that arrive together. Callers wait for final states, whose
+# delay must be small against a lookup's objective of 400 ms.
+GATHER_S = 0.08
+GATHER_FINAL_S = 0.015
 RETRY_S = 0.1
 
 
@@ -81,6 +83,7 @@
         self._on_ended = on_ended
         self._dirty: dict[str, JobState] = {}
         self._wake = asyncio.Event()
+        self._wake_final = asyncio.Event()
         self._waiters: list[tuple[int, asyncio.Future]] = []
         self.marked = 0
         self.stored = 0
@@ -90,6 +93,8 @@
         self._dirty[job.job.id] = job
         self.marked += 1
         self._wake.set()
+        if job.phase.is_final:
+            self._wake_final.set()
 
     async def settled(self) -> None:
         """Waits until all changes noted so far are stored."""
@@ -103,8 +108,14 @@
         """Writes until it is cancelled or the leadership is lost."""
         while not self._leadership.lost.is_set():
             await self._wake.wait()
-            await self._clock.sleep(GATHER_S)
+            try:
+                async with asyncio.timeout(GATHER_S):
+                    await self._wake_final.wait()
+                await self._clock.sleep(GATHER_FINAL_S)
+            except TimeoutError:
+                pass
             self._wake.clear()
+            self._wake_final.clear()
             mark = self.marked
             while self._dirty and not self._leadership.lost.is_set():
                 await self._write_some()
--- a/libs/cell/dragonflybank/cell/front.py
+++ b/libs/cell/dragonflybank/cell/front.py
@@ -7,6 +7,7 @@
 __all__ = ["CellFront"]
 
 import logging
+import zlib
 from collections.abc import Callable
 
 from returns.result import Failure, Result, Success
@@ -14,7 +15,8 @@
 from dragonflybank.cell.board import Board
 from dragonflybank.cell.jobs import Job, Phase, decode_progress, encode
 from dragonflybank.cell.keys import cancel_key, ended_key, job_key
-from dragonflybank.cell.ports import Store, Txn
+from dragonflybank.cell.ports import Item, Txn
+from dragonflybank.cell.relay import RelayedStore
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.model.codes import Code, Problem, problem
 
@@ -23,8 +25,17 @@
 RETRY_S = 0.1
 # Left for the answer to reach the caller.
 ANSWER_S = 0.3
-# Retry-After of a refusal: the store's outages last seconds.
-RETRY_AFTER_S = 1.0
+# Retry-After of a refusal: the store's outages last some seconds.
+RETRY_AFTER_S = 2.0
+LONG_RETRY_AFTER_S = 3.0
+# Callers that are refused together come back in this many different seconds.
+RETRY_SPREAD_S = 2
+# Age of an outage from which it counts as a long one.
+LONG_OUTAGE_S = 2.0
+# A refusal this long after the last one belongs to another outage.
+FORGET_S = 3.0
+# Value of the key that marks a job as cancelled.
+CANCELLED = b"1"
 # Numbers of waiting jobs may be some seconds old.
 PENDING_AGE_S = 4.0
 
@@ -33,21 +44,23 @@
     """Answers callers.
 
     Args:
-        store: The platform's store.
+        store: The store, also as the leader reaches it.
         board: States of jobs, as the leader tells them.
         clock: Clock of the host.
-        is_store_answering: Returns whether the store answers this host.
+        notify: Tells the leader of an epoch of a stored item.
     """
 
     def __init__(
         self,
-        store: Store,
+        store: RelayedStore,
         board: Board,
         *,
         clock: Clock,
-        is_store_answering: Callable[[], bool],
+        notify: Callable[[int, Item], None],
     ):
-        self._is_store_answering = is_store_answering
+        self._notify = notify
+        self._silent_since: float | None = None
+        self._last_refusal = float("-inf")
         self._store = store
         self._board = board
         self._clock = clock
@@ -66,12 +79,12 @@
             never will be; ``WRITE_UNSETTLED`` if it may be.
         """
         key = job_key(job.id)
-        txn = Txn(
-            expected={key: 0, ended_key(job.id): 0}, puts={key: encode(job)}
-        )
+        epoch = self._board.epoch
+        raw = encode(job)
+        txn = Txn(expected={key: 0, ended_key(job.id): 0}, puts={key: raw})
         until = self._clock.now() + limit_s - ANSWER_S
         may_be_stored = False
-        if not self._is_store_answering():
+        if not self._store.is_reachable:
             return self._refuse(
                 job, Problem(Code.STORE_UNAVAILABLE, "the store is silent")
             )
@@ -79,6 +92,8 @@
             match await self._store.commit(txn):
                 case Success(reply):
                     self._board.publish(job.id, Phase.QUEUED)
+                    if reply.revision is not None:
+                        self._notify(epoch, Item(key, raw, reply.revision))
                     _log.info(
                         "accepted",
                         extra={
@@ -95,7 +110,7 @@
                 case Failure(_):
                     may_be_stored = True
             # Another host may reach the store, and the caller can ask it.
-            is_silent = not self._is_store_answering()
+            is_silent = not self._store.is_reachable
             if is_silent or self._clock.now() + RETRY_S >= until:
                 return problem(
                     Code.WRITE_UNSETTLED,
@@ -131,8 +146,7 @@
             limit_s: Time that the caller waits for the answer, in seconds.
         """
         until = self._clock.now() + limit_s - ANSWER_S
-        txn = Txn(puts={cancel_key(job_id): b"1"})
-        return await self._until(until, lambda: self._cancel_once(job_id, txn))
+        return await self._until(until, lambda: self._cancel_once(job_id))
 
     def pending(self, queue: str) -> Result[int, Problem]:
         """Returns the number of a queue's jobs without a started task."""
@@ -145,17 +159,20 @@
             )
         return Success(self._board.pending.get(queue, 0))
 
-    async def _cancel_once(
-        self, job_id: str, txn: Txn
-    ) -> Result[None, Problem]:
+    async def _cancel_once(self, job_id: str) -> Result[None, Problem]:
+        epoch = self._board.epoch
         state = await self.state(job_id)
         if isinstance(state, Failure):
             return state
         if state.unwrap().is_final:
             return Success(None)
-        stored = await self._store.commit(txn)
+        key = cancel_key(job_id)
+        stored = await self._store.commit(Txn(puts={key: CANCELLED}))
         if isinstance(stored, Success):
             _log.info("cancel accepted", extra={"job": job_id})
+            self._notify(
+                epoch, Item(key, CANCELLED, stored.unwrap().revision or 0)
+            )
         return stored.map(lambda _: None)
 
     async def _until(self, until: float, call: Callable) -> Result:
@@ -186,5 +203,19 @@
         return problem(
             Code.STORE_UNAVAILABLE,
             failed.detail,
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=self._retry_after_s(job.id),
         )
+
+    def _retry_after_s(self, job_id: str) -> float:
+        """Returns when a refused caller should come back, in seconds.
+
+        Callers give up after a few tries, so an outage that lasts brings
+        longer pauses; callers that were refused together return apart.
+        """
+        now = self._clock.now()
+        if self._silent_since is None or now > self._last_refusal + FORGET_S:
+            self._silent_since = now
+        self._last_refusal = now
+        age_s = now - self._silent_since
+        base_s = RETRY_AFTER_S if age_s < LONG_OUTAGE_S else LONG_RETRY_AFTER_S
+        return base_s + zlib.crc32(job_id.encode()) % RETRY_SPREAD_S
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 
 import attrs
 import mode
@@ -20,15 +20,28 @@
 from dragonflybank.cell.limits import CellLimits
 from dragonflybank.cell.messages import (
     ADVISE,
+    NOTICE,
+    READ,
     SYNC,
+    WRITE,
     Advise,
     Advised,
+    Notice,
+    Noticed,
+    Read,
     Sync,
     SyncReply,
+    Write,
 )
 from dragonflybank.cell.peering import Peers
-from dragonflybank.cell.ports import Platform
+from dragonflybank.cell.ports import Item, Platform
+from dragonflybank.cell.relay import (
+    RelayedStore,
+    read_for_peer,
+    write_for_peer,
+)
 from dragonflybank.cell.session import lead
+from dragonflybank.cell.takeover import take_jobs
 from dragonflybank.cell.watching import Watch
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.model.codes import Code, problem
@@ -111,13 +124,19 @@
             platform.store, platform.config_key, clock, wait_s=CONFIG_WAIT_S
         )
         self.front = CellFront(
-            platform.store,
+            RelayedStore(
+                platform.store,
+                peers,
+                is_answering=lambda: self._config_watch.is_answered,
+                relay_address=self._relay_address,
+            ),
             self._board,
             clock=clock,
-            is_store_answering=lambda: self._config_watch.is_answered,
+            notify=self._notify_leader,
         )
         self._peers = peers
         self._asked_at: dict[str, float] = {}
+        self._notices: set[asyncio.Task] = set()
         self._lines: AdviceLines | None = None
         self._candidate = Candidate(
             platform.store,
@@ -135,6 +154,9 @@
             {
                 SYNC: (Sync, self._answer_sync),
                 ADVISE: (Advise, self._answer_advise),
+                NOTICE: (Notice, self._answer_notice),
+                READ: (Read, self._answer_read),
+                WRITE: (Write, self._answer_write),
             }
         )
         for loop in (self._follow_config(), self._stand(), self._sync()):
@@ -162,7 +184,8 @@
             return "the host is leaving"
         if self.config is None:
             return "no configuration"
-        return "" if self._config_watch.is_answered else "store silent"
+        is_reachable = self._config_watch.is_answered or self._relay_address()
+        return "" if is_reachable else "store silent"
 
     def adopt_config(self, raw: bytes) -> None:
         """Puts a configuration in force unless a newer one is."""
@@ -285,6 +308,51 @@
             reply = attrs.evolve(reply, config=self._config_raw)
         return Success(reply)
 
+    def _relay_address(self) -> str:
+        """Returns the address of a leader that reaches the store."""
+        record = self._candidate.record
+        is_other = record and record.address != self._peers.address
+        if is_other and self._is_leader_heard(self._clock_of_host.now()):
+            return record.address
+        return ""
+
+    async def _answer_read(self, sender: str, req: Read) -> Result:
+        return await read_for_peer(self.platform.store, req)
+
+    async def _answer_write(self, sender: str, req: Write) -> Result:
+        return await write_for_peer(self.platform.store, req)
+
+    async def _answer_notice(self, sender: str, req: Notice) -> Result:
+        self._take_notice(req.epoch, Item(req.key, req.value, req.revision))
+        return Success(Noticed())
+
+    def _take_notice(self, epoch: int, item: Item) -> None:
+        leader = self.leader
+        if leader is not None and leader.leadership.epoch == epoch:
+            take_jobs(leader, (item,))
+
+    def _notify_leader(self, epoch: int, item: Item) -> None:
+        record = self._candidate.record
+        if record is None:
+            return
+        if record.address == self._peers.address:
+            self._take_notice(epoch, item)
+            return
+        self._background(
+            self._peers.ask(
+                record.address,
+                NOTICE,
+                Notice(epoch, item.key, item.value or b"", item.revision),
+                Noticed,
+                timeout_s=SYNC_TIMEOUT_S,
+            )
+        )
+
+    def _background(self, work: Coroutine) -> None:
+        task = asyncio.create_task(work)
+        self._notices.add(task)
+        task.add_done_callback(self._notices.discard)
+
     def _is_leading(self, now: float) -> bool:
         # The others look at the leader's key when it is not confirmed.
         leader = self.leader
--- a/libs/cell/dragonflybank/cell/messages.py
+++ b/libs/cell/dragonflybank/cell/messages.py
@@ -1,11 +1,30 @@
 """Messages between the hosts of a cell."""
 
-__all__ = ["ADVISE", "SYNC", "Advise", "Advised", "Sync", "SyncReply"]
+__all__ = [
+    "ADVISE",
+    "NOTICE",
+    "READ",
+    "SYNC",
+    "WRITE",
+    "Advise",
+    "Advised",
+    "Notice",
+    "Noticed",
+    "Read",
+    "ReadReply",
+    "Sync",
+    "SyncReply",
+    "Write",
+    "WriteReply",
+]
 
 import attrs
 
 SYNC = "cell_sync"
 ADVISE = "cell_advise"
+NOTICE = "cell_notice"
+READ = "cell_read"
+WRITE = "cell_write"
 
 
 @attrs.frozen
@@ -70,3 +89,75 @@
     """
 
     tickets: dict[str, str]
+
+
+@attrs.frozen
+class Notice:
+    """A host tells the leader of a key that it has just stored.
+
+    Attributes:
+        epoch: Epoch of the leader that the host knew before it stored the
+            key. Another leader may already have seen the job's end, and
+            learns of live jobs from the store.
+        key: The key.
+        value: The value.
+        revision: Revision of the change.
+    """
+
+    epoch: int
+    key: str
+    value: bytes
+    revision: int
+
+
+@attrs.frozen
+class Noticed:
+    """Answer to `Notice`."""
+
+
+@attrs.frozen
+class Read:
+    """A host lets the leader read a key of the store for it.
+
+    Attributes:
+        key: The key.
+    """
+
+    key: str
+
+
+@attrs.frozen
+class ReadReply:
+    """Answer to `Read`.
+
+    Attributes:
+        value: The value, None if the key does not exist.
+        revision: Revision of its last change.
+    """
+
+    value: bytes | None = None
+    revision: int = 0
+
+
+@attrs.frozen
+class Write:
+    """A host lets the leader carry out a transaction for it.
+
+    Attributes:
+        expected: See `ports.Txn.expected`.
+        puts: See `ports.Txn.puts`.
+    """
+
+    expected: dict[str, int]
+    puts: dict[str, bytes]
+
+
+@attrs.frozen
+class WriteReply:
+    """Answer to `Write`.
+
+    Attributes:
+        revision: Revision of the change, None if a condition failed.
+    """
+
+    revision: int | None = None
--- a/libs/cell/dragonflybank/cell/session.py
+++ b/libs/cell/dragonflybank/cell/session.py
@@ -23,6 +23,11 @@
 _log = logging.getLogger(__name__)
 
 RECORD_POLL_S = 0.05
+# Hosts tell the leader of each job; the watch finds those that it missed.
+JOBS_PAUSE_S = 0.5
+# Heartbeats change entries all the time. An executor that drains must get no
+# new work 2.5 s later.
+EXECUTORS_PAUSE_S = 0.6
 # States are kept for minutes; reading all of them is a few calls.
 CLEAN_EVERY_S = 60.0
 CLEAN_SLACK_S = 10.0
@@ -71,14 +76,18 @@
 
 
 async def _watch_jobs(leader: Leader, revision: int) -> None:
-    watch = Watch(leader.platform.store, JOBS_PREFIX, leader.clock)
+    watch = Watch(
+        leader.platform.store, JOBS_PREFIX, leader.clock, pause_s=JOBS_PAUSE_S
+    )
     async for items, _ in watch.changes(revision):
         take_jobs(leader, items)
 
 
 async def _watch_executors(leader: Leader, revision: int) -> None:
     prefix = leader.platform.executors_prefix
-    watch = Watch(leader.platform.store, prefix, leader.clock)
+    watch = Watch(
+        leader.platform.store, prefix, leader.clock, pause_s=EXECUTORS_PAUSE_S
+    )
     async for items, is_whole in watch.changes(revision):
         infos = executor_infos(
             leader, tuple(i for i in items if i.value is not None)
--- a/libs/cell/dragonflybank/cell/watching.py
+++ b/libs/cell/dragonflybank/cell/watching.py
@@ -28,6 +28,8 @@
         prefix: Prefix of the keys.
         clock: Clock of the host.
         wait_s: Longest wait of a call in seconds.
+        pause_s: Time between a call that found changes and the next one, in
+            seconds; gathers the changes in between into one call.
     """
 
     def __init__(
@@ -37,7 +39,9 @@
         clock: Clock,
         *,
         wait_s: float = WAIT_S,
+        pause_s: float = 0.0,
     ):
+        self._pause_s = pause_s
         self.is_answered = False
         self._wait_s = wait_s
         self._store = store
@@ -83,3 +87,4 @@
                     revision = found.revision
                     if found.items or is_whole:
                         yield found.items, is_whole
+                        await self._clock.sleep(self._pause_s)
