Store where an attempt is placed before it is ordered

Change: the progress record has the last attempt of each task and its executor; it is stored, under the condition that the leader still leads, before the start is ordered. A new leader takes just these attempts for running. The stored list of used executors, attempt numbers apart by leadership, doubtful jobs and ends of unknown jobs go. Ruled out: shrinking the list of used executors faster, since it cannot be written in the outage that matters. Conclusion: a takeover costs nothing for jobs that run nowhere; the price is a call for each round of starts.

--- a/libs/cell/dragonflybank/cell/commits.py
+++ b/libs/cell/dragonflybank/cell/commits.py
@@ -33,10 +33,10 @@
 ROWS_PER_TXN = 31
 PROGRESS_ROWS = 2
 ENDED_ROWS = 5
-# Gathers the changes that arrive together. Callers wait for final states, whose
-# delay must be small against a lookup's objective of 400 ms.
+# Gathers the changes that arrive together. Callers wait for starts and final
+# states, whose delay must be small against a lookup's objective of 400 ms.
 GATHER_S = 0.08
-GATHER_FINAL_S = 0.015
+GATHER_URGENT_S = 0.01
 RETRY_S = 0.1
 
 
@@ -83,18 +83,23 @@
         self._on_ended = on_ended
         self._dirty: dict[str, JobState] = {}
         self._wake = asyncio.Event()
-        self._wake_final = asyncio.Event()
+        self._urgent = asyncio.Event()
         self._waiters: list[tuple[int, asyncio.Future]] = []
         self.marked = 0
         self.stored = 0
 
-    def mark(self, job: JobState) -> None:
-        """Notes that a job's record has changed."""
+    def mark(self, job: JobState, *, urgent: bool = False) -> None:
+        """Notes that a job's record has changed.
+
+        Args:
+            job: The job.
+            urgent: Whether somebody waits for it; final states are urgent.
+        """
         self._dirty[job.job.id] = job
         self.marked += 1
         self._wake.set()
-        if job.phase.is_final:
-            self._wake_final.set()
+        if urgent or job.phase.is_final:
+            self._urgent.set()
 
     async def settled(self) -> None:
         """Waits until all changes noted so far are stored."""
@@ -110,12 +115,12 @@
             await self._wake.wait()
             try:
                 async with asyncio.timeout(GATHER_S):
-                    await self._wake_final.wait()
-                await self._clock.sleep(GATHER_FINAL_S)
+                    await self._urgent.wait()
+                await self._clock.sleep(GATHER_URGENT_S)
             except TimeoutError:
                 pass
             self._wake.clear()
-            self._wake_final.clear()
+            self._urgent.clear()
             mark = self.marked
             while self._dirty and not self._leadership.lost.is_set():
                 await self._write_some()
--- a/libs/cell/dragonflybank/cell/jobs.py
+++ b/libs/cell/dragonflybank/cell/jobs.py
@@ -229,6 +229,8 @@
         done: Indices of finished tasks, by ``occurrence.step``.
         failed: Attempts that failed, by task ``occurrence.step.index``.
         saved: Checkpoints, by task ``occurrence.step.index``.
+        placed: Number of the last attempt and the executor on which it may
+            run, or an empty string, by task ``occurrence.step.index``.
         ended_at: Time at which the job ended, seconds since 1970; 0 before.
     """
 
@@ -236,6 +238,7 @@
     done: dict[str, list[int]] = attrs.field(factory=dict)
     failed: dict[str, list[int]] = attrs.field(factory=dict)
     saved: dict[str, str] = attrs.field(factory=dict)
+    placed: dict[str, tuple[int, str]] = attrs.field(factory=dict)
     ended_at: float = 0.0
 
 
--- a/libs/cell/dragonflybank/cell/keys.py
+++ b/libs/cell/dragonflybank/cell/keys.py
@@ -2,7 +2,6 @@
 
 __all__ = [
     "ENDED_PREFIX",
-    "EXECUTORS_KEY",
     "JOBS_PREFIX",
     "PROGRESS_PREFIX",
     "cancel_key",
@@ -12,8 +11,6 @@
     "progress_key",
 ]
 
-# Executors on which a leader may have started something.
-EXECUTORS_KEY = "used-executors"
 JOBS_PREFIX = "jobs/"
 PROGRESS_PREFIX = "progress/"
 # Final states; jobs that have one have no other key.
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -21,7 +21,11 @@
 from dragonflybank.cell.jobs import Phase, TaskId
 from dragonflybank.cell.ledger import release, reserve
 from dragonflybank.cell.limits import CellLimits
-from dragonflybank.cell.links import ExecutorLink, lease_is_over
+from dragonflybank.cell.links import (
+    ExecutorLink,
+    doubt_ends_s,
+    lease_is_over,
+)
 from dragonflybank.cell.ports import (
     End,
     EndKind,
@@ -39,6 +43,7 @@
     JobState,
     StepState,
 )
+from dragonflybank.cell.tickets import ticket_for
 from dragonflybank.cell.workload import Workload
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.model.codes import Problem
@@ -47,8 +52,8 @@
 
 # Ends that an executor lists in one answer; a full answer is not complete.
 ENDS_PER_ANSWER = 500
-# An unknown attempt may belong to a job whose acceptance is on its way.
-STRANGER_GRACE_S = 2.0
+# An order to stop an attempt of an ended job is repeated after this.
+STRANGER_RETRY_S = 1.0
 # An executor that is not listed and does not answer is forgotten after this;
 # entries that lapsed in an outage of the store are back 2 s after it.
 GONE_AFTER_S = 3.0
@@ -67,12 +72,9 @@
         clock: Clock of the host.
         workload: Jobs that are not over.
         executors: Executors by identity.
-        unresolved: Executors on which a former leader may have started what
-            this one does not know, with the time at which that is over.
         committer: Writer of progress records.
         health: What is known of sick executors.
         publish: Called with a job and its state that callers may be told.
-        used_shrank: Whether the stored executors have one too many.
 
     Args:
         platform: The platform.
@@ -98,9 +100,7 @@
         self.wall = wall
         self.workload = Workload()
         self.executors: dict[str, Executor] = {}
-        self.unresolved: dict[str, float] = {}
         self.health = HealthRules()
-        self.used_shrank = False
         self.committer = Committer(
             platform.store,
             leadership,
@@ -112,7 +112,6 @@
         self._links: dict[str, ExecutorLink] = {}
         self._wake = asyncio.Event()
         self._strangers: dict[tuple[str, TaskId, int], float] = {}
-        self._orphans: list[tuple[Executor, End, float]] = []
         self._tasks: set[asyncio.Task] = set()
 
     async def run_rounds(self) -> None:
@@ -168,9 +167,12 @@
             if info.draining and not executor.info.draining:
                 _log.info("executor draining", extra={"executor": info.id})
             has_moved = info.address != executor.info.address
+            is_new = executor.info.id not in self._links
             executor.info = info
             executor.is_listed = True
-            if has_moved:
+            if is_new:
+                self._connect(executor)
+            elif has_moved:
                 self.executor_replaced(executor)
                 self._connect(executor)
         self.wake()
@@ -202,12 +204,11 @@
         """Notes that an executor was started anew and runs nothing."""
         self._lose_attempts(executor, "another incarnation")
         executor.acked = executor.seen_end = 0
-        executor.orphan_end = 0
         executor.lease_until_s = 0.0
-        executor.claimed = executor.is_recorded = False
+        executor.claimed = False
         executor.strangers.clear()
-        self.link(executor).begin_anew()
-        self._resolve(executor.info.id, "another incarnation")
+        if executor.info.id in self._links:
+            self.link(executor).begin_anew()
         for step in self.workload.ready:
             step.verdicts.pop(executor.info.id, None)
 
@@ -253,7 +254,6 @@
             self._take_running(executor, held.running, sent_at, now)
             if not executor.claimed:
                 executor.claimed = True
-                self._resolve(executor.info.id, "claimed")
                 _log.info(
                     "executor claimed",
                     extra={
@@ -286,22 +286,72 @@
             if (
                 not executor.is_listed
                 and not executor.attempts
-                and executor.silent_since is not None
-                and now - executor.silent_since > GONE_AFTER_S
+                and self._is_silent_for(executor, GONE_AFTER_S, now)
                 and lease_is_over(executor, now)
-                and executor.info.id not in self.unresolved
             ):
                 del self.executors[executor.info.id]
-                self.used_shrank = True
-                self._background(self._links.pop(executor.info.id).close())
+                link = self._links.pop(executor.info.id, None)
+                if link is not None:
+                    self._background(link.close())
                 _log.info("executor gone", extra={"executor": executor.info.id})
 
+    def _is_silent_for(
+        self, executor: Executor, seconds: float, now: float
+    ) -> bool:
+        if executor.info.id not in self._links:
+            return True
+        since = executor.silent_since
+        return since is not None and now - since > seconds
+
     # Attempts.
 
-    def begin(self, attempt: Attempt, ticket: str) -> None:
-        """Orders a reserved attempt to start."""
-        attempt.phase = AttemptPhase.STARTING
-        self.link(attempt.executor).start(attempt, ticket)
+    def begin(self, step: StepState, attempts: list[Attempt]) -> None:
+        """Orders reserved attempts to start once the store knows of them."""
+        for attempt in attempts:
+            attempt.phase = AttemptPhase.STARTING
+            self.workload.note_placed(attempt)
+        if attempts:
+            self.committer.mark(step.job, urgent=True)
+            self._background(self._start(step, attempts))
+
+    async def _start(self, step: StepState, attempts: list[Attempt]) -> None:
+        await self.committer.settled()
+        now = self.clock.now()
+        for attempt in attempts:
+            if attempt.phase is not AttemptPhase.STARTING:
+                continue
+            ticket = ticket_for(step, attempt.executor.info.id, now)
+            if ticket is None and step.job.job.queue.advised is not None:
+                self._drop(attempt)
+                self.abandon_gang(attempt)
+            else:
+                self.link(attempt.executor).start(attempt, ticket or "")
+
+    def restore_attempts(self) -> int:
+        """Takes attempts of former leaders for running; returns their number.
+
+        The lists of their executors, or the end of their leases, tell later
+        whether they do.
+        """
+        now = self.clock.now()
+        placed = [
+            (task, *where)
+            for task in self.workload.live_tasks()
+            if (where := self.workload.placed(task)) is not None
+        ]
+        for task, number, executor_id in placed:
+            executor = self.executors.get(executor_id)
+            if executor is None:
+                info = ExecutorInfo(
+                    executor_id, task.step.job.job.queue.service, "", ""
+                )
+                executor = Executor(info, is_listed=False)
+                self.executors[executor_id] = executor
+            attempt = reserve(
+                executor, task, number, phase=AttemptPhase.RUNNING, now=now
+            )
+            attempt.absent_after = now
+        return len(placed)
 
     def start_answered(self, attempt: Attempt, reply: OrderReply) -> None:
         """Takes in the answer to an order to start."""
@@ -366,7 +416,12 @@
                     self.stop(other, "gang incomplete")
 
     def stop(self, attempt: Attempt, reason: str) -> None:
-        """Stops an attempt."""
+        """Stops an attempt.
+
+        One whose executor has no address is over with its last lease.
+        """
+        if attempt.executor.info.id not in self._links:
+            return
         if attempt.phase is AttemptPhase.RESERVED:
             self._drop(attempt)
             return
@@ -418,10 +473,9 @@
             },
         )
         if attempt is not None:
-            release(attempt)
+            self._release(attempt)
         if task is None:
-            if end.task.job not in self.workload.ended:
-                self._keep_orphan(executor, end, now)
+            # Its job has ended: jobs that may run are known before claims.
             return
         state = task.step.job
         task.last_attempt = max(task.last_attempt, end.attempt)
@@ -444,33 +498,6 @@
                 self.committer.mark(state)
         self._freed(task.step, now)
 
-    def take_orphans(self, job_id: str) -> None:
-        """Takes in the ends that were listed before their job was known."""
-        orphans = [o for o in self._orphans if o[1].task.job == job_id]
-        for orphan in orphans:
-            self._orphans.remove(orphan)
-            executor, end, _ = orphan
-            self._take_end(executor, end, self.clock.now())
-        if orphans:
-            self._count_orphans()
-
-    def _keep_orphan(self, executor: Executor, end: End, now: float) -> None:
-        self._orphans.append((executor, end, now))
-        self._count_orphans()
-
-    def _expire_orphans(self, now: float) -> None:
-        kept = [o for o in self._orphans if now - o[2] <= STRANGER_GRACE_S]
-        if len(kept) < len(self._orphans):
-            self._orphans = kept
-            self._count_orphans()
-
-    def _count_orphans(self) -> None:
-        for executor in self.executors.values():
-            executor.orphan_end = min(
-                (e.number for x, e, _ in self._orphans if x is executor),
-                default=0,
-            )
-
     def _take_running(
         self,
         executor: Executor,
@@ -518,6 +545,7 @@
             executor, task, row.attempt, phase=AttemptPhase.RUNNING, now=now
         )
         attempt.absent_after = now
+        self.workload.note_placed(attempt)
         self._update(attempt, row, now)
         self._begun(state)
         _log.info(
@@ -536,16 +564,14 @@
     ) -> None:
         executor.strangers.add(key)
         met = (executor.info.id, *key)
-        since = self._strangers.setdefault(met, now)
-        is_over = key[0].job in self.workload.ended
-        if is_over or now - since > STRANGER_GRACE_S:
-            # Set again, so that the order is repeated if it gets lost.
-            self._strangers[met] = now
-            _log.warning(
-                "unknown attempt stopped",
-                extra={"task": str(key[0]), "executor": executor.info.id},
-            )
-            self.link(executor).stop_stranger(key)
+        if now - self._strangers.get(met, float("-inf")) < STRANGER_RETRY_S:
+            return
+        self._strangers[met] = now
+        _log.warning(
+            "attempt of an ended job stopped",
+            extra={"task": str(key[0]), "executor": executor.info.id},
+        )
+        self.link(executor).stop_stranger(key)
 
     def _lose_attempts(self, executor: Executor, reason: str) -> None:
         now = self.clock.now()
@@ -560,13 +586,17 @@
                 },
             )
         for attempt in lost:
-            release(attempt)
+            self._release(attempt)
             self._freed(attempt.task.step, now)
         for attempt in lost:
             self.abandon_gang(attempt)
 
-    def _drop(self, attempt: Attempt) -> None:
+    def _release(self, attempt: Attempt) -> None:
         release(attempt)
+        self.workload.note_over(attempt)
+
+    def _drop(self, attempt: Attempt) -> None:
+        self._release(attempt)
         self._freed(attempt.task.step, self.clock.now())
 
     def _freed(self, step: StepState, now: float) -> None:
@@ -576,17 +606,6 @@
             self.workload.requeue(step)
         self.wake()
 
-    def _resolve(self, executor_id: str, reason: str) -> None:
-        if self.unresolved.pop(executor_id, None) is not None:
-            _log.info(
-                "executor resolved",
-                extra={
-                    "executor": executor_id,
-                    "reason": reason,
-                    "unresolved": len(self.unresolved),
-                },
-            )
-
     # Jobs.
 
     def _begun(self, state: JobState) -> None:
@@ -620,11 +639,11 @@
         self.workload.open_due(
             self.wall(), early_s=self.limits.early_s, now=now
         )
-        self._expire_orphans(now)
         self._drop_gone(now)
-        for executor_id, until in list(self.unresolved.items()):
-            if now >= until:
-                self._resolve(executor_id, "no lease can be left")
+        if now >= self.leadership.began_at + doubt_ends_s(self.limits.lease_s):
+            for executor in self.executors.values():
+                if not executor.claimed and executor.attempts:
+                    self._lose_attempts(executor, "no lease can be left")
         for attempt, reason in self.health.stuck(self.workload.attempts(), now):
             attempt.executor.sick_until = max(
                 attempt.executor.sick_until, now + self.health.stuck_rest_s
--- a/libs/cell/dragonflybank/cell/ledger.py
+++ b/libs/cell/dragonflybank/cell/ledger.py
@@ -62,13 +62,12 @@
 def takes_new_work(executor: Executor, now: float) -> bool:
     """Returns whether anything may be started on an executor now.
 
-    Attempts of unknown jobs have an unknown size, so nothing is added to an
+    Attempts of ended jobs have an unknown size, so nothing is added to an
     executor that lists one.
     """
     return (
         executor.claimed
         and executor.is_listed
-        and executor.is_recorded
         and not executor.info.draining
         and executor.silent_since is None
         and not executor.strangers
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -8,7 +8,7 @@
 incarnation, or its lease is over on its own clock.
 """
 
-__all__ = ["ExecutorLink", "lease_is_over"]
+__all__ = ["ExecutorLink", "doubt_ends_s", "lease_is_over"]
 
 import asyncio
 import logging
@@ -49,6 +49,15 @@
     return waited_s >= left_s / CLOCK_RATE_MIN + LAPSE_SLACK_S
 
 
+def doubt_ends_s(lease_s: float) -> float:
+    """Returns the time after an election at which no old lease is left.
+
+    Args:
+        lease_s: Length of a lease in seconds.
+    """
+    return EXTEND_UNCONFIRMED_S + lease_s / CLOCK_RATE_MIN + 2 * LAPSE_SLACK_S
+
+
 class ExecutorLink:
     """One executor as the leader drives it.
 
@@ -96,7 +105,7 @@
             self._order(self._stop(attempt))
 
     def stop_stranger(self, key: tuple) -> None:
-        """Orders an attempt of an unknown job to stop."""
+        """Orders an attempt of an ended job to stop."""
         self._order(
             self._client.stop(*key, epoch=self._leader.leadership.epoch)
         )
@@ -167,8 +176,6 @@
     def _acknowledge(self) -> None:
         marker, number = self._ack
         if self._leader.committer.stored >= marker:
-            orphan = self._executor.orphan_end
-            number = min(number, orphan - 1) if orphan else number
             self._executor.acked = max(self._executor.acked, number)
 
     async def _settled(self) -> None:
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -85,8 +85,6 @@
     ) -> bool:
         if step.asking or step.blocked_until > now:
             return False
-        if step.job.is_doubtful and self._leader.unresolved:
-            return False
         # A gang is started anew only when all of its members have ended.
         return not step.spec.gang or len(tasks) == step.undone
 
@@ -145,7 +143,6 @@
         self, step: StepState, attempts: list[Attempt], now: float
     ) -> None:
         for attempt in attempts:
-            ticket = ticket_for(step, attempt.executor.info.id, now) or ""
             _log.info(
                 "place",
                 extra={
@@ -157,7 +154,7 @@
                     "gang": step.spec.gang,
                 },
             )
-            self._leader.begin(attempt, ticket)
+        self._leader.begin(step, attempts)
 
     def _ask(
         self,
--- a/libs/cell/dragonflybank/cell/session.py
+++ b/libs/cell/dragonflybank/cell/session.py
@@ -5,14 +5,12 @@
 import asyncio
 import logging
 
-import msgspec
 from returns.result import Failure, Success
 
-from dragonflybank.cell.election import LEADER_KEY, RETRY_S, Candidate
+from dragonflybank.cell.election import RETRY_S, Candidate
 from dragonflybank.cell.jobs import decode_progress
 from dragonflybank.cell.keys import (
     ENDED_PREFIX,
-    EXECUTORS_KEY,
     JOBS_PREFIX,
 )
 from dragonflybank.cell.leader import Leader
@@ -22,7 +20,6 @@
 
 _log = logging.getLogger(__name__)
 
-RECORD_POLL_S = 0.05
 # Hosts tell the leader of each job; the watch finds those that it missed.
 JOBS_PAUSE_S = 0.5
 # Heartbeats change entries all the time. An executor that drains must get no
@@ -71,7 +68,6 @@
         group.create_task(leader.run_rounds())
         group.create_task(_watch_jobs(leader, jobs_from))
         group.create_task(_watch_executors(leader, executors_from))
-        group.create_task(_record_executors(leader))
         group.create_task(_clean(leader))
 
 
@@ -108,50 +104,6 @@
     return {i.key.removeprefix(prefix) for i in items} - present
 
 
-async def _record_executors(leader: Leader) -> None:
-    """Stores which executors are used before anything starts on them."""
-    revision: int | None = None
-    while True:
-        new = [
-            e
-            for e in leader.executors.values()
-            if e.claimed and not e.is_recorded
-        ]
-        if not new and not leader.used_shrank:
-            await leader.clock.sleep(RECORD_POLL_S)
-            continue
-        if revision is None:
-            found = await leader.platform.store.get(EXECUTORS_KEY)
-            if isinstance(found, Failure):
-                await leader.clock.sleep(RETRY_S)
-                continue
-            revision = found.unwrap().revision if found.unwrap() else 0
-        infos = [e.info for e in leader.executors.values()]
-        leader.used_shrank = False
-        called_at = leader.clock.now()
-        txn = Txn(
-            expected={
-                LEADER_KEY: leader.leadership.epoch,
-                EXECUTORS_KEY: revision,
-            },
-            puts={EXECUTORS_KEY: msgspec.json.encode(infos)},
-        )
-        match await leader.platform.store.commit(txn):
-            case Success(reply) if reply.revision is not None:
-                revision = reply.revision
-                leader.leadership.confirm(called_at)
-                for executor in new:
-                    executor.is_recorded = True
-                leader.wake()
-            case Success(_):
-                # The confirmation loop finds out whether the key is gone.
-                revision, leader.used_shrank = None, True
-                await leader.clock.sleep(RETRY_S)
-            case Failure(_):
-                revision, leader.used_shrank = None, True
-                await leader.clock.sleep(RETRY_S)
-
-
 async def _clean(leader: Leader) -> None:
     """Removes final states that need not be kept any more."""
     store = leader.platform.store
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -133,6 +133,10 @@
         """Occurrence and number, as the store has it."""
         return f"{self.occurrence}.{self.number}"
 
+    def key_of(self, task: Task) -> str:
+        """Returns occurrence, step and index of a task."""
+        return f"{self.occurrence}.{self.number}.{task.id.index}"
+
     @property
     def name(self) -> str:
         """Job, occurrence and number."""
@@ -152,9 +156,6 @@
         phase: State that callers are told once it is stored.
         occurrences: Steps of each occurrence that is due.
         cancelled: Whether its caller cancelled it.
-        first_attempt: Lowest attempt number that this leader may use.
-        is_doubtful: Whether a former leader may have started tasks of it on
-            an executor that has not been claimed yet.
         progress: What the store is to have.
         progress_revision: Revision of the stored progress; 0 if none.
     """
@@ -163,8 +164,6 @@
     phase: Phase = Phase.QUEUED
     occurrences: dict[int, list[StepState]] = attrs.field(factory=dict)
     cancelled: bool = False
-    first_attempt: int = 1
-    is_doubtful: bool = False
     progress: Progress = attrs.field(factory=Progress)
     progress_revision: int = 0
 
@@ -189,7 +188,7 @@
         used_millicores: Processors in use, in thousandths of a core.
         used_memory_mb: Memory in use in MiB.
         used_accelerators: Accelerators in use.
-        strangers: Listed attempts of jobs that are not known here.
+        strangers: Listed attempts of jobs that have ended.
         claimed: Whether it has accepted this leader's epoch.
         is_listed: Whether the platform's list still has it.
         reached_at: Time of its last answer.
@@ -198,9 +197,6 @@
         silent_since: Time since which calls fail, None if they do not.
         acked: Number of the last end that the store knows the effect of.
         seen_end: Number of the last end that was taken in.
-        orphan_end: Number of the first end of a job that is not known here;
-            0 if there is none. It must stay listed.
-        is_recorded: Whether the store knows that attempts may run on it.
         sick_until: Time before which nothing is placed on it.
         failed_jobs: Jobs that failed on it since its last success.
         slowness: Ratio of run times on it to those elsewhere.
@@ -220,8 +216,6 @@
     silent_since: float | None = None
     acked: int = 0
     seen_end: int = 0
-    orphan_end: int = 0
-    is_recorded: bool = False
     sick_until: float = 0.0
     failed_jobs: set[str] = attrs.field(factory=set)
     slowness: float = 1.0
--- a/libs/cell/dragonflybank/cell/workload.py
+++ b/libs/cell/dragonflybank/cell/workload.py
@@ -35,7 +35,6 @@
         progress: Progress,
         *,
         revision: int,
-        first_attempt: int,
         wall: float,
         early_s: float,
         now: float,
@@ -46,7 +45,6 @@
             job: The job.
             progress: Its stored progress.
             revision: Revision of the stored progress; 0 if none.
-            first_attempt: Lowest attempt number to use.
             wall: Present time, seconds since 1970.
             early_s: Time by which an occurrence may begin before it is due.
             now: Present time on the leader's steady clock.
@@ -59,7 +57,6 @@
         state = JobState(
             job,
             progress.phase,
-            first_attempt=first_attempt,
             progress=progress,
             progress_revision=revision,
         )
@@ -95,6 +92,18 @@
         tasks = steps[task_id.step].tasks
         return tasks[task_id.index] if task_id.index < len(tasks) else None
 
+    def live_tasks(self) -> Iterator[Task]:
+        """Yields the tasks that are not done."""
+        for state in self.jobs.values():
+            for step in _steps(state):
+                yield from (task for task in step.tasks if not task.done)
+
+    def placed(self, task: Task) -> tuple[int, str] | None:
+        """Returns the attempt and the executor that a task may run on."""
+        step = task.step
+        found = step.job.progress.placed.get(step.key_of(task))
+        return found if found and found[1] else None
+
     def finish_task(self, task: Task, attempt: int, now: float) -> bool:
         """Notes that a task is done, with its gang if it has one.
 
@@ -114,7 +123,8 @@
         progress = step.job.progress
         progress.done.setdefault(step.key, []).extend(t.id.index for t in done)
         for member in done:
-            progress.saved.pop(f"{step.key}.{member.id.index}", None)
+            progress.saved.pop(step.key_of(member), None)
+            progress.placed.pop(step.key_of(member), None)
         if not step.undone:
             self.ready.pop(step, None)
             self._open_next(step.job, step.occurrence, now)
@@ -130,7 +140,7 @@
         if task.done or step.spec.lasting:
             return False
         task.failed.add(attempt)
-        key = f"{step.key}.{task.id.index}"
+        key = step.key_of(task)
         step.job.progress.failed[key] = sorted(task.failed)
         members = step.tasks if step.spec.gang else [task]
         failed = set().union(*(t.failed for t in members))
@@ -143,8 +153,7 @@
         members = task.step.tasks if task.step.spec.gang else [task]
         for member in members:
             member.saved = saved
-        key = f"{task.step.key}.{task.id.index}"
-        task.step.job.progress.saved[key] = saved
+        task.step.job.progress.saved[task.step.key_of(task)] = saved
         return True
 
     def requeue(self, step: StepState) -> None:
@@ -152,6 +161,22 @@
         if step.ready_at is not None and not step.job.phase.is_final:
             self.ready[step] = None
 
+    def note_placed(self, attempt: Attempt) -> None:
+        """Notes where an attempt may run from now on."""
+        step = attempt.task.step
+        step.job.progress.placed[step.key_of(attempt.task)] = (
+            attempt.number,
+            attempt.executor.info.id,
+        )
+
+    def note_over(self, attempt: Attempt) -> None:
+        """Notes that an attempt does not run any more."""
+        step = attempt.task.step
+        placed = step.job.progress.placed
+        key = step.key_of(attempt.task)
+        if placed.get(key, (0, ""))[0] == attempt.number:
+            placed[key] = (attempt.number, "")
+
     def is_complete(self, state: JobState) -> bool:
         """Returns whether all tasks of all occurrences are done."""
         if state.job.id in self.timed:
@@ -175,8 +200,7 @@
 
     def next_attempt(self, tasks: list[Task]) -> int:
         """Returns the number of the next attempt of some tasks."""
-        first = tasks[0].step.job.first_attempt
-        return max(first, 1 + max(t.last_attempt for t in tasks))
+        return 1 + max(t.last_attempt for t in tasks)
 
     def pending(self) -> dict[str, int]:
         """Returns the number of jobs without a started task, by queue."""
@@ -220,7 +244,7 @@
             step,
             done=done,
             failed=failed,
-            last_attempt=max(failed, default=0),
+            last_attempt=step.job.progress.placed.get(key, (0, ""))[0],
             saved=step.job.progress.saved.get(key, ""),
             waiting_since=now,
         )
