Commit in rounds, let a slow leader resign, pace filling tasks, add metrics

A host whose timers are 0.15 s late on average gives up the leadership and stands for it later. Filling tasks are paced down while a serving task beside them nears its target. Ruled out: attempts left over from a takeover; all were listed by executors. Conclusion: the pace of filling tasks has been tested by its functions only; no site at hand has such tasks.

--- a/libs/cell/dragonflybank/cell/commits.py
+++ b/libs/cell/dragonflybank/cell/commits.py
@@ -8,7 +8,6 @@
 __all__ = ["Committer"]
 
 import asyncio
-import itertools
 import logging
 from collections.abc import Callable
 
@@ -121,9 +120,13 @@
                 pass
             self._wake.clear()
             self._urgent.clear()
+            # Changes that are noted from here on belong to the next round, so
+            # that a steady stream of them delays nobody.
             mark = self.marked
-            while self._dirty and not self._leadership.lost.is_set():
-                await self._write_some()
+            jobs, self._dirty = list(self._dirty.values()), {}
+            await asyncio.gather(
+                *(self._write(writes) for writes in _transactions(jobs))
+            )
             self._settle(mark)
 
     def _settle(self, mark: int) -> None:
@@ -136,8 +139,7 @@
             if not fut.done():
                 fut.set_result(None)
 
-    async def _write_some(self) -> None:
-        writes = self._take_some()
+    async def _write(self, writes: list[_Write]) -> None:
         while not self._leadership.lost.is_set():
             called_at = self._clock.now()
             txn = self._txn(writes)
@@ -162,20 +164,6 @@
                     )
                     await self._clock.sleep(RETRY_S)
 
-    def _take_some(self) -> list[_Write]:
-        rows = itertools.accumulate(
-            ENDED_ROWS if job.phase.is_final else PROGRESS_ROWS
-            for job in self._dirty.values()
-        )
-        jobs = [
-            job
-            for job, count in zip(self._dirty.values(), rows, strict=True)
-            if count <= ROWS_PER_TXN
-        ]
-        for job in jobs:
-            del self._dirty[job.job.id]
-        return [_write_of(job) for job in jobs]
-
     def _txn(self, writes: list[_Write]) -> Txn:
         return Txn(
             expected={
@@ -214,6 +202,20 @@
             write.job.progress_revision = found.get(key, 0)
 
 
+def _transactions(jobs: list[JobState]) -> list[list[_Write]]:
+    """Deals the records of jobs out to as few transactions as they need."""
+    dealt: list[list[_Write]] = []
+    rows = ROWS_PER_TXN
+    for job in jobs:
+        needed = ENDED_ROWS if job.phase.is_final else PROGRESS_ROWS
+        rows += needed
+        if rows > ROWS_PER_TXN:
+            dealt.append([])
+            rows = needed
+        dealt[-1].append(_write_of(job))
+    return dealt
+
+
 def _write_of(job: JobState) -> _Write:
     """Returns all of a live job's record, or the state of an ended one."""
     record = job.progress
--- a/libs/cell/dragonflybank/cell/election.py
+++ b/libs/cell/dragonflybank/cell/election.py
@@ -20,6 +20,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from dragonflybank.cell.lag import LoopLag
 from dragonflybank.cell.ports import Item, Store, Txn
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.model.codes import Code
@@ -43,6 +44,11 @@
 WEAK_HOST_DELAY_S = 0.3
 DELAY_PER_ROUND_TRIP = 6.0
 FAR_HOST_DELAY_MAX_S = 0.3
+# A leader whose timers are this late on average decides too late for urgent
+# work, whose objective is some hundred milliseconds.
+LAG_LIMIT_S = 0.15
+LAG_DELAY_FACTOR = 5.0
+LAG_DELAY_MAX_S = 1.0
 
 
 @attrs.frozen
@@ -105,6 +111,7 @@
         rng: Seeded generator.
         is_leader_heard: Returns whether the leader has answered this host
             lately, as a leader that had confirmed its key.
+        lag: Lateness of the host's timers.
     """
 
     def __init__(
@@ -117,6 +124,7 @@
         is_weak: bool,
         rng: random.Random,
         is_leader_heard: Callable[[float], bool],
+        lag: LoopLag,
     ):
         self.record: LeaderRecord | None = None
         self.seen_at = float("-inf")
@@ -127,6 +135,7 @@
         self._is_weak = is_weak
         self._rng = rng
         self._is_leader_heard = is_leader_heard
+        self._lag = lag
         self._revision = 0
         self._lease = 0
 
@@ -157,6 +166,13 @@
                 now = self._clock.now()
                 if now - leadership.confirmed_at >= CONFIRM_EVERY_S:
                     await self._confirm(leadership)
+                if self._lag.mean_s > LAG_LIMIT_S:
+                    _log.warning(
+                        "resigning, the host is slow",
+                        extra={"lag_s": round(self._lag.mean_s, 3)},
+                    )
+                    leadership.lost.set()
+                    await self.resign()
                 await self._clock.sleep(CONFIRM_EVERY_S / 4)
         finally:
             renewing.cancel()
@@ -204,6 +220,7 @@
 
     async def _stand(self, round_trip_s: float) -> Leadership | None:
         delay_s = min(FAR_HOST_DELAY_MAX_S, DELAY_PER_ROUND_TRIP * round_trip_s)
+        delay_s += min(LAG_DELAY_MAX_S, LAG_DELAY_FACTOR * self._lag.mean_s)
         if self._is_weak:
             delay_s += WEAK_HOST_DELAY_S
         await self._clock.sleep(delay_s + self._rng.uniform(0.0, 0.02))
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -16,6 +16,7 @@
 from dragonflybank.cell.election import Candidate, Leadership
 from dragonflybank.cell.front import CellFront
 from dragonflybank.cell.jobs import CellConfig
+from dragonflybank.cell.lag import LoopLag
 from dragonflybank.cell.leader import Leader
 from dragonflybank.cell.limits import CellLimits
 from dragonflybank.cell.messages import (
@@ -33,6 +34,7 @@
     SyncReply,
     Write,
 )
+from dragonflybank.cell.metrics import CellMetrics
 from dragonflybank.cell.peering import Peers
 from dragonflybank.cell.ports import Item, Platform
 from dragonflybank.cell.relay import (
@@ -87,6 +89,7 @@
     Attributes:
         front: Answers callers.
         config: The operators' configuration, None before it is known.
+        metrics: Its metrics.
         draining: Whether the host is leaving.
         leader: The leader while this host leads, or None.
 
@@ -116,6 +119,7 @@
         self.config: CellConfig | None = None
         self.draining = False
         self.leader: Leader | None = None
+        self.metrics = CellMetrics()
         self._config_raw = b""
         self._clock_of_host = clock
         self._wall = wall
@@ -136,6 +140,7 @@
         )
         self._peers = peers
         self._asked_at: dict[str, float] = {}
+        self._lag = LoopLag()
         self._notices: set[asyncio.Task] = set()
         self._lines: AdviceLines | None = None
         self._candidate = Candidate(
@@ -146,6 +151,7 @@
             is_weak=settings.cores < STRONG_CORES,
             rng=random.Random(settings.name),
             is_leader_heard=self._is_leader_heard,
+            lag=self._lag,
         )
 
     async def on_start(self) -> None:
@@ -159,7 +165,12 @@
                 WRITE: (Write, self._answer_write),
             }
         )
-        for loop in (self._follow_config(), self._stand(), self._sync()):
+        for loop in (
+            self._lag.run(self._clock_of_host),
+            self._follow_config(),
+            self._stand(),
+            self._sync(),
+        ):
             self.add_future(loop)
         _log.info("started", extra={"host": self.settings.name})
 
@@ -194,6 +205,7 @@
                 if self.config is None or cfg.version > self.config.version:
                     self.config = cfg
                     self._config_raw = raw
+                    self.metrics.config_version.set(cfg.version)
                     _log.info(
                         "configuration in force",
                         extra={"version": cfg.version},
@@ -236,7 +248,9 @@
             wall=self._wall,
             lines=self._lines,
             publish=self._board.publish,
+            metrics=self.metrics,
         )
+        self.metrics.elections.inc()
         reporting = asyncio.create_task(self._report(self.leader))
         try:
             await lead(self.leader, self._candidate)
@@ -246,6 +260,14 @@
                 self._lines.close()
             self.leader = self._lines = None
 
+    def exposition(self) -> bytes:
+        """Returns the metrics in Prometheus' text format."""
+        age_s = self._clock_of_host.now() - self._board.fresh_at
+        self.metrics.board_age.set(age_s)
+        if self.leader is not None:
+            self.leader.report()
+        return self.metrics.exposition()
+
     async def _report(self, leader: Leader) -> None:
         while True:
             now = self._clock_of_host.now()
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -26,6 +26,8 @@
     doubt_ends_s,
     lease_is_over,
 )
+from dragonflybank.cell.metrics import CellMetrics
+from dragonflybank.cell.pacing import PaceRules
 from dragonflybank.cell.ports import (
     End,
     EndKind,
@@ -74,12 +76,14 @@
         executors: Executors by identity.
         committer: Writer of progress records.
         health: What is known of sick executors.
+        pacing: Pace of filling tasks.
         publish: Called with a job and its state that callers may be told.
 
     Args:
         platform: The platform.
         wall: Returns the time of day, seconds since 1970.
         lines: Calls for advice, or None where there is no advice.
+        metrics: Metrics of the host.
     """
 
     def __init__(
@@ -92,7 +96,9 @@
         wall: Callable[[], float],
         lines: AdviceLines | None,
         publish: Callable[[str, Phase], None],
+        metrics: CellMetrics,
     ):
+        self.metrics = metrics
         self.platform = platform
         self.leadership = leadership
         self.limits = limits
@@ -101,6 +107,7 @@
         self.workload = Workload()
         self.executors: dict[str, Executor] = {}
         self.health = HealthRules()
+        self.pacing = PaceRules()
         self.committer = Committer(
             platform.store,
             leadership,
@@ -263,6 +270,7 @@
                         "ends": len(new_ends),
                     },
                 )
+            self._pace(executor, now)
             self.wake()
         return bool(new_ends)
 
@@ -357,6 +365,7 @@
         """Takes in the answer to an order to start."""
         now = self.clock.now()
         executor = attempt.executor
+        self.metrics.starts.labels(reply.value).inc()
         if attempt.phase is AttemptPhase.STOPPING:
             return
         if reply is OrderReply.OK:
@@ -459,6 +468,7 @@
         ]
 
     def _take_end(self, executor: Executor, end: End, now: float) -> None:
+        self.metrics.ends.labels(end.kind.value).inc()
         attempt = executor.attempts.get((end.task, end.attempt))
         executor.strangers.discard((end.task, end.attempt))
         task = self.workload.task(end.task)
@@ -521,6 +531,19 @@
             if key not in executor.attempts:
                 self._adopt(executor, row, now)
 
+    def _pace(self, executor: Executor, now: float) -> None:
+        percent, told = self.pacing.decide(executor, now)
+        for attempt in told:
+            _log.info(
+                "pace",
+                extra={
+                    "task": str(attempt.task.id),
+                    "executor": executor.info.id,
+                    "percent": percent,
+                },
+            )
+            self.link(executor).pace(attempt, percent)
+
     def _update(self, attempt: Attempt, row: Listed, now: float) -> None:
         if row.percent > attempt.percent:
             attempt.percent = row.percent
@@ -577,6 +600,7 @@
         now = self.clock.now()
         lost = list(executor.attempts.values())
         if lost:
+            self.metrics.executors_lost.labels(reason).inc()
             _log.warning(
                 "attempts lost",
                 extra={
@@ -617,6 +641,9 @@
         if state.phase.is_final:
             return
         self.workload.end(state, phase, self.wall())
+        age_s = self.wall() - state.job.accepted_at
+        self.metrics.jobs.labels(phase.value).inc()
+        self.metrics.job_seconds.labels(state.job.queue.priority).observe(age_s)
         _log.info(
             "job ended",
             extra={
@@ -624,7 +651,7 @@
                 "queue": state.job.queue.name,
                 "phase": phase.value,
                 "reason": reason,
-                "age_s": round(self.wall() - state.job.accepted_at, 3),
+                "age_s": round(age_s, 3),
             },
         )
         for attempt in state.attempts():
@@ -632,6 +659,20 @@
         self.committer.mark(state)
         self.workload.forget(state)
 
+    def report(self) -> None:
+        """Brings the gauges up to date."""
+        metrics = self.metrics
+        executors = self.executors.values()
+        claimed = [e for e in executors if e.claimed]
+        silent = [e for e in claimed if e.silent_since is not None]
+        metrics.waiting_steps.set(len(self.workload.ready))
+        metrics.executors.labels("listed").set(
+            sum(e.is_listed for e in executors)
+        )
+        metrics.executors.labels("claimed").set(len(claimed))
+        metrics.executors.labels("silent").set(len(silent))
+        metrics.free_cores.set(sum(e.free_millicores for e in claimed) / 1000)
+
     def _on_ended(self, state: JobState) -> None:
         self.publish(state.job.id, state.phase)
 
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -32,6 +32,9 @@
 RETRY_S = 0.15
 # Pace of calls while ends wait for the store.
 UNSETTLED_S = 0.3
+# Figures of serving tasks beside filling ones are half a second old.
+PACED_HOLD_WAIT_S = 0.5
+UNKNOWN_PACE = -1
 START_TRIES = 3
 # A platform clock may run 2% slow.
 CLOCK_RATE_MIN = 0.98
@@ -104,6 +107,11 @@
             attempt.absent_after = None
             self._order(self._stop(attempt))
 
+    def pace(self, attempt: Attempt, percent: int) -> None:
+        """Orders an attempt to work at a share of its speed."""
+        attempt.pace = percent
+        self._order(self._pace(attempt, percent))
+
     def stop_stranger(self, key: tuple) -> None:
         """Orders an attempt of an ended job to stop."""
         self._order(
@@ -171,7 +179,10 @@
                     await leader.clock.sleep(RETRY_S)
 
     def _wait_s(self) -> float:
-        return HOLD_WAIT_S if self._executor.attempts else IDLE_HOLD_WAIT_S
+        attempts = self._executor.attempts
+        if any(a.task.step.spec.filling for _, a in attempts.items()):
+            return PACED_HOLD_WAIT_S
+        return HOLD_WAIT_S if attempts else IDLE_HOLD_WAIT_S
 
     def _acknowledge(self) -> None:
         marker, number = self._ack
@@ -217,6 +228,17 @@
         if attempt.phase is AttemptPhase.STARTING:
             leader.start_unknown(attempt)
 
+    async def _pace(self, attempt: Attempt, percent: int) -> None:
+        got = await self._client.pace(
+            attempt.task.id,
+            attempt.number,
+            percent=percent,
+            epoch=self._leader.leadership.epoch,
+        )
+        if not isinstance(got, Success) and attempt.pace == percent:
+            # Told again after the next lists.
+            attempt.pace = UNKNOWN_PACE
+
     async def _stop(self, attempt: Attempt) -> None:
         leader, executor = self._leader, self._executor
         key = (attempt.task.id, attempt.number)
--- /dev/null
+++ b/libs/cell/dragonflybank/cell/metrics.py
@@ -0,0 +1,86 @@
+"""Prometheus metrics of a host of a cell."""
+
+__all__ = ["CellMetrics"]
+
+import prometheus_client
+
+# From well below the objective of urgent work to far above that of batch work.
+WAIT_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
+CALL_BUCKETS_S = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
+
+
+class CellMetrics:
+    """The metrics of one host, in a registry of its own.
+
+    Labels have few values: result codes, kinds of ends and calls, and
+    priorities of queues; never names of jobs or executors.
+    """
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.answers = self._counter(
+            "answers", "Answers to callers", "call", "code"
+        )
+        self.starts = self._counter(
+            "starts", "Answers of executors to orders to start", "reply"
+        )
+        self.ends = self._counter("ends", "Ended attempts", "kind")
+        self.jobs = self._counter("jobs_ended", "Ended jobs", "phase")
+        self.executors_lost = self._counter(
+            "executors_lost", "Executors whose attempts were lost", "reason"
+        )
+        self.elections = self._counter("elections", "Elections won")
+        self.store_calls = self._counter(
+            "store_calls", "Calls to the store", "call", "outcome"
+        )
+        self.store_seconds = self._histogram(
+            "store_call_seconds", "Time of calls to the store", CALL_BUCKETS_S
+        )
+        self.wait_seconds = self._histogram(
+            "placement_wait_seconds",
+            "Time from a step being ready to the placement of a task",
+            WAIT_BUCKETS_S,
+            "priority",
+        )
+        self.job_seconds = self._histogram(
+            "job_seconds",
+            "Time from a job's acceptance to its end",
+            WAIT_BUCKETS_S,
+            "priority",
+        )
+        self.waiting_steps = self._gauge(
+            "waiting_steps", "Steps with tasks to place"
+        )
+        self.executors = self._gauge(
+            "executors", "Executors that the leader knows", "state"
+        )
+        self.free_cores = self._gauge("free_cores", "Free processors")
+        self.config_version = self._gauge(
+            "config_version", "Version of the configuration in force"
+        )
+        self.board_age = self._gauge(
+            "board_age_seconds", "Age of the job states that callers are told"
+        )
+
+    def exposition(self) -> bytes:
+        """Returns the metrics in Prometheus' text format."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def _counter(self, name: str, text: str, *labels: str):
+        return prometheus_client.Counter(
+            f"dragonflybank_{name}", text, labels, registry=self.registry
+        )
+
+    def _gauge(self, name: str, text: str, *labels: str):
+        return prometheus_client.Gauge(
+            f"dragonflybank_{name}", text, labels, registry=self.registry
+        )
+
+    def _histogram(self, name: str, text: str, buckets, *labels: str):
+        return prometheus_client.Histogram(
+            f"dragonflybank_{name}",
+            text,
+            labels,
+            buckets=buckets,
+            registry=self.registry,
+        )
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -142,7 +142,12 @@
     def _begin(
         self, step: StepState, attempts: list[Attempt], now: float
     ) -> None:
+        waited_s = now - (step.ready_at or now)
+        waits = self._leader.metrics.wait_seconds.labels(
+            step.job.job.queue.priority
+        )
         for attempt in attempts:
+            waits.observe(waited_s)
             _log.info(
                 "place",
                 extra={
@@ -150,7 +155,7 @@
                     "attempt": attempt.number,
                     "executor": attempt.executor.info.id,
                     "free_millicores": attempt.executor.free_millicores,
-                    "waited_s": round(now - (step.ready_at or now), 3),
+                    "waited_s": round(waited_s, 3),
                     "gang": step.spec.gang,
                 },
             )
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -43,6 +43,7 @@
         percent: How much of its work is done, 0 to 100.
         advanced_at: Time at which ``percent`` last rose.
         load: See `ports.Listed.load`.
+        pace: Share of its speed at which it was told to work, in percent.
         absent_after: A list asked for after this time that lacks the attempt
             proves that it does not run; None while a start may arrive yet.
     """
@@ -55,6 +56,7 @@
     percent: float = 0.0
     advanced_at: float = 0.0
     load: float = -1.0
+    pace: int = 100
     absent_after: float | None = None
 
 
--- /dev/null
+++ b/libs/cell/dragonflybank/cell/tests/test_commits.py
@@ -0,0 +1,143 @@
+"""Tests of the group commit."""
+
+import asyncio
+import random
+
+import testtools
+from testtools.matchers import Equals, LessThan
+
+from dragonflybank.cell.commits import ROWS_PER_TXN, Committer
+from dragonflybank.cell.election import LEADER_KEY, Leadership
+from dragonflybank.cell.jobs import Job, Phase, Queue, Step
+from dragonflybank.cell.keys import ended_key, job_key, progress_key
+from dragonflybank.cell.state import JobState
+from dragonflybank.standins.cell.store import MemoryStore
+from dragonflybank.standins.cell.virtual import VirtualClock, play
+
+QUEUE = Queue("lookup", "front", "/lookup/", "directory", 0, 0.4, 1.5, 4)
+
+
+def job_state(number: int) -> JobState:
+    job = Job(f"{number:016x}", QUEUE, "text", (Step(1),), 0.0)
+    return JobState(job)
+
+
+class Bench:
+    """A committer that leads over a store in memory."""
+
+    def __init__(self):
+        self.store = MemoryStore(random.Random(1))
+        self.store.put(LEADER_KEY, b"me")
+        epoch = self.store.scan(LEADER_KEY).items[0].revision
+        self.leadership = Leadership(epoch, 1, 0.0, 0.0)
+        self.ended: list[str] = []
+        self.committer = Committer(
+            self.store.client("host"),
+            self.leadership,
+            clock=VirtualClock(),
+            on_ended=lambda job: self.ended.append(job.job.id),
+        )
+
+
+class TestCommitter(testtools.TestCase):
+    """Guards against changes that are lost, torn or never acknowledged."""
+
+    def test_changes_without_a_pause_do_not_delay_a_waiter(self):
+        async def main() -> float:
+            bench = Bench()
+            bench.store.faults.answer_s = 0.03
+            running = asyncio.create_task(bench.committer.run())
+
+            async def mark_always() -> None:
+                for number in range(2000):
+                    bench.committer.mark(job_state(number), urgent=True)
+                    await asyncio.sleep(0.005)
+
+            marking = asyncio.create_task(mark_always())
+            await asyncio.sleep(0.1)
+            began_at = asyncio.get_running_loop().time()
+            await bench.committer.settled()
+            waited_s = asyncio.get_running_loop().time() - began_at
+            running.cancel()
+            marking.cancel()
+            return waited_s
+
+        # Two writes of 30 ms and two pauses.
+        self.assertThat(play(main()), LessThan(0.1))
+
+    def test_a_waiter_is_released_only_when_its_change_is_stored(self):
+        async def main() -> bytes | None:
+            bench = Bench()
+            running = asyncio.create_task(bench.committer.run())
+            state = job_state(1)
+            bench.committer.mark(state)
+            await bench.committer.settled()
+            running.cancel()
+            return bench.store.get(progress_key(state.job.id))
+
+        self.assertThat(play(main()) is None, Equals(False))
+
+    def test_an_ended_job_has_one_key(self):
+        async def main() -> list[str]:
+            bench = Bench()
+            state = job_state(1)
+            bench.store.put(job_key(state.job.id), b"{}")
+            running = asyncio.create_task(bench.committer.run())
+            bench.committer.mark(state)
+            await bench.committer.settled()
+            state.phase = Phase.COMPLETED
+            bench.committer.mark(state)
+            await bench.committer.settled()
+            running.cancel()
+            self.assertThat(bench.ended, Equals([state.job.id]))
+            return [
+                key
+                for key in bench.store.keys("")
+                if key.endswith(state.job.id)
+            ]
+
+        self.assertThat(play(main()), Equals([ended_key(f"{1:016x}")]))
+
+    def test_many_endings_stay_within_the_rows_of_a_transaction(self):
+        async def main() -> int:
+            bench = Bench()
+            running = asyncio.create_task(bench.committer.run())
+            for number in range(3 * ROWS_PER_TXN):
+                state = job_state(number)
+                state.phase = Phase.COMPLETED
+                bench.committer.mark(state)
+            await bench.committer.settled()
+            running.cancel()
+            return len(bench.store.keys("ended/"))
+
+        self.assertThat(play(main()), Equals(3 * ROWS_PER_TXN))
+
+    def test_a_former_leader_writes_nothing(self):
+        async def main() -> tuple[bool, list[str]]:
+            bench = Bench()
+            bench.store.put(LEADER_KEY, b"another")
+            running = asyncio.create_task(bench.committer.run())
+            bench.committer.mark(job_state(1))
+            await bench.leadership.lost.wait()
+            running.cancel()
+            return bench.leadership.lost.is_set(), bench.store.keys("progress/")
+
+        self.assertThat(play(main()), Equals((True, [])))
+
+    def test_a_write_that_is_done_late_does_not_bring_back_an_old_record(self):
+        async def main() -> bytes | None:
+            bench = Bench()
+            running = asyncio.create_task(bench.committer.run())
+            state = job_state(1)
+            bench.store.faults.late_share = 1.0
+            bench.committer.mark(state)
+            await asyncio.sleep(0.5)
+            bench.store.faults.late_share = 0.0
+            state.progress.done["0.0"] = [0]
+            bench.committer.mark(state)
+            await bench.committer.settled()
+            await asyncio.sleep(10.0)
+            running.cancel()
+            return bench.store.get(progress_key(state.job.id))
+
+        self.assertThat(b'"0.0":[0]' in play(main()), Equals(True))
--- a/libs/cli/dragonflybank/cli/commands.py
+++ b/libs/cli/dragonflybank/cli/commands.py
@@ -5,6 +5,7 @@
     "Check",
     "Codes",
     "Dragonflybank",
+    "Explain",
     "Init",
     "Lookup",
     "Query",
@@ -139,6 +140,17 @@
     ]
 
 
+@attrs.frozen
+class Explain:
+    """Prints the history of one request from the logs of the hosts."""
+
+    job: Annotated[str, cappa.Arg(help="Identity of the request.")]
+    log: Annotated[
+        list[str],
+        cappa.Arg(long=True, help="Log file; repeat it for several hosts."),
+    ]
+
+
 @attrs.frozen
 class Init:
     """Checks an operator configuration and writes it as the first one."""
@@ -176,6 +188,7 @@
         | Status
         | Query
         | Check
+        | Explain
         | Init
         | Codes
         | Version
--- /dev/null
+++ b/libs/cli/dragonflybank/cli/explain.py
@@ -0,0 +1,107 @@
+"""The history of one request, from the structured logs of the hosts."""
+
+__all__ = ["Event", "events_about", "history", "read_events"]
+
+import json
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import attrs
+
+_HIDDEN = frozenset({"at", "event", "level", "logger", "host_name"})
+
+
+@attrs.frozen
+class Event:
+    """A log line.
+
+    Attributes:
+        at: Seconds since 1970.
+        host: What stands before the JSON object on the line, if anything.
+        name: What happened.
+        fields: Further fields of the line.
+    """
+
+    at: float
+    host: str
+    name: str
+    fields: dict[str, Any]
+
+
+def read_events(lines: Iterable[str]) -> Iterator[Event]:
+    """Yields the events of log lines; lines of another form are left out.
+
+    A collector may put the time and the host before the JSON object.
+
+    Example:
+        >>> [e.name for e in read_events(['h1 {"at": 1.0, "event": "end"}'])]
+        ['end']
+    """
+    for line in lines:
+        before, brace, rest = line.partition("{")
+        if not brace:
+            continue
+        try:
+            row = json.loads(brace + rest)
+        except ValueError:
+            continue
+        if isinstance(row, dict) and "at" in row and "event" in row:
+            words = before.split()
+            host = words[-1] if words else ""
+            fields = {k: v for k, v in row.items() if k not in _HIDDEN}
+            yield Event(row["at"], host, row["event"], fields)
+
+
+def events_about(events: Iterable[Event], job: str) -> list[Event]:
+    """Returns the events of a job and of the executors it was placed on.
+
+    Events of an executor count from the job's first to its last event, since
+    a lost or sick executor explains what happened to the job there.
+    """
+    known = sorted(events, key=lambda event: event.at)
+    own = [event for event in known if _is_about(event, job)]
+    if not own:
+        return []
+    first, last = own[0].at, own[-1].at
+    used = {event.fields.get("executor") for event in own} - {None}
+    return [
+        event
+        for event in known
+        if _is_about(event, job)
+        or (first <= event.at <= last and _is_context(event, used))
+    ]
+
+
+def history(events: list[Event], job: str) -> list[str]:
+    """Returns a line for each event, with the longest pause marked."""
+    own = [event for event in events if _is_about(event, job)]
+    pauses = [
+        (later.at - event.at, later)
+        for event, later in zip(own, own[1:], strict=False)
+    ]
+    longest = max(pauses, key=lambda pair: pair[0], default=(0.0, None))
+    lines = []
+    for event in events:
+        fields = " ".join(f"{k}={v}" for k, v in event.fields.items())
+        age_s = event.at - own[0].at
+        lines.append(f"{age_s:8.3f} s  {event.host:20} {event.name}  {fields}")
+        if event is longest[1]:
+            lines[-1] += f"  <- after the longest pause, {longest[0]:.3f} s"
+    return lines
+
+
+def _is_about(event: Event, job: str) -> bool:
+    fields = event.fields
+    if fields.get("job") == job:
+        return True
+    names = (fields.get("task"), fields.get("step"))
+    return any(
+        isinstance(name, str) and name.split(".")[0] == job for name in names
+    )
+
+
+def _is_context(event: Event, executors: set[Any]) -> bool:
+    if event.name in ("elected", "leadership lost", "taken over"):
+        return True
+    has_task = "task" in event.fields
+    return event.fields.get("executor") in executors and not has_task
--- a/libs/cli/dragonflybank/cli/main.py
+++ b/libs/cli/dragonflybank/cli/main.py
@@ -5,6 +5,7 @@
 import asyncio
 import getpass
 import importlib.metadata
+import itertools
 import json
 import pathlib
 import sys
@@ -19,6 +20,7 @@
 from dragonflybank.cli.answers import answer_as_text, exit_status
 from dragonflybank.cli.checks import check_file
 from dragonflybank.cli.client import Call, HostClient
+from dragonflybank.cli.explain import events_about, history, read_events
 from dragonflybank.config.editor import ConfigEditor
 from dragonflybank.config.operator import OperatorConfig, decode_operator
 from dragonflybank.config.rules import HTTP_URL
@@ -82,6 +84,8 @@
             return await _query(command, used, args.json, write)
         case commands.Check() as command:
             return _check(command, args.json, write)
+        case commands.Explain() as command:
+            return _explain(command, write)
         case commands.Init() as command:
             return _finish(await _init(command), args.json, write)
         case commands.Codes():
@@ -94,6 +98,24 @@
     return 0 if _is_accepted(args.command, answer) else status
 
 
+def _explain(command: commands.Explain, write) -> int:
+    try:
+        texts = [
+            pathlib.Path(path).read_text(encoding="utf-8", errors="replace")
+            for path in command.log
+        ]
+    except OSError as exc:
+        write(f"cannot read the logs: {exc}")
+        return 2
+    lines = itertools.chain.from_iterable(t.splitlines() for t in texts)
+    found = events_about(read_events(lines), command.job)
+    for line in history(found, command.job):
+        write(line)
+    if not found:
+        write(f"no line of {', '.join(command.log)} names {command.job}")
+    return 0 if found else 1
+
+
 def _finish(answer: Answer, as_json: bool, write) -> int:
     document = attrs.asdict(answer)
     write(json.dumps(document) if as_json else answer_as_text(answer))
