--- a/libs/cell/dragonflybank/cell/commits.py
+++ b/libs/cell/dragonflybank/cell/commits.py
@@ -36,7 +36,7 @@
 # states, whose delay must be small against a lookup's objective of 400 ms.
 GATHER_S = 0.08
 GATHER_URGENT_S = 0.01
-RETRY_S = 0.1
+RETRY_S = 0.03
 
 
 @attrs.frozen
--- a/libs/cell/dragonflybank/cell/front.py
+++ b/libs/cell/dragonflybank/cell/front.py
@@ -22,7 +22,7 @@
 
 _log = logging.getLogger(__name__)
 
-RETRY_S = 0.1
+RETRY_S = 0.05
 # Left for the answer to reach the caller.
 ANSWER_S = 0.3
 # Retry-After of a refusal: the store's outages last some seconds.
@@ -109,9 +109,7 @@
                         return self._refuse(job, failed)
                 case Failure(_):
                     may_be_stored = True
-            # Another host may reach the store, and the caller can ask it.
-            is_silent = not self._store.is_reachable
-            if is_silent or self._clock.now() + RETRY_S >= until:
+            if self._clock.now() + RETRY_S >= until:
                 return problem(
                     Code.WRITE_UNSETTLED,
                     "the store has not answered",
