--- /dev/null
+++ b/libs/cell/dragonflybank/cell/tests/scene.py
@@ -0,0 +1,63 @@
+"""Jobs and executors for the tests of deciding functions."""
+
+__all__ = ["QUEUES", "add_job", "executor", "step_of"]
+
+import attrs
+
+from dragonflybank.cell.jobs import Advised, Job, Progress, Queue, Step
+from dragonflybank.cell.ports import ExecutorInfo
+from dragonflybank.cell.state import Executor, StepState
+from dragonflybank.cell.workload import Workload
+
+QUEUES = {
+    name: Queue(
+        name,
+        "front",
+        f"/{name}/",
+        "directory",
+        priority,
+        objective_s,
+        slack,
+        4,
+        Advised(0.3, 0.004, 2.0) if name == "verify" else None,
+    )
+    for priority, (name, objective_s, slack) in enumerate(
+        (("lookup", 0.4, 1.5), ("verify", 1.2, 2.2), ("sweep", 3.0, 4.0))
+    )
+}
+
+
+def executor(name: str, *, cores: int = 64, rack: str = "r1", **kwargs):
+    """Returns a claimed executor."""
+    info = ExecutorInfo(
+        name,
+        "directory",
+        "10.0.0.1:80",
+        "zone",
+        millicores=1000 * cores,
+        memory_mb=4096 * cores,
+        labels=("a", rack),
+        incarnation=1,
+    )
+    return Executor(attrs.evolve(info, **kwargs), claimed=True)
+
+
+def add_job(
+    workload: Workload,
+    number: int,
+    *steps: Step,
+    queue: str = "lookup",
+    at: float = 0.0,
+    progress: Progress | None = None,
+    **kwargs,
+):
+    """Adds a job to a workload and returns its state."""
+    job = Job(f"{number:016x}", QUEUES[queue], "text", steps, at, **kwargs)
+    return workload.add(
+        job, progress or Progress(), revision=0, wall=at, early_s=0.25, now=at
+    )
+
+
+def step_of(state, number: int = 0) -> StepState:
+    """Returns a step of the first occurrence of a job."""
+    return state.occurrences[0][number]
--- /dev/null
+++ b/libs/cell/dragonflybank/cell/tests/test_rules.py
@@ -0,0 +1,147 @@
+"""Tests of boards, sick executors, pace and tickets."""
+
+import asyncio
+
+import testtools
+from testtools.matchers import Equals, HasLength
+
+from dragonflybank.cell.board import Board
+from dragonflybank.cell.health import FAILED_JOBS, HealthRules
+from dragonflybank.cell.jobs import Phase, Step
+from dragonflybank.cell.ledger import reserve
+from dragonflybank.cell.pacing import PaceRules
+from dragonflybank.cell.state import AttemptPhase
+from dragonflybank.cell.tests.scene import QUEUES, add_job, executor, step_of
+from dragonflybank.cell.tickets import (
+    named_in_ask,
+    needed_advice,
+    take_advice,
+    ticket_for,
+)
+from dragonflybank.cell.workload import Workload
+
+NOW = 100.0
+
+
+class TestBoard(testtools.TestCase):
+    """Guards against states that callers must not be told."""
+
+    def test_a_final_state_never_changes(self):
+        board = Board()
+        board.fresh_at = NOW
+        for phase in (Phase.COMPLETED, Phase.RUNNING, Phase.FAILED):
+            board.publish("job", phase)
+        self.assertThat(board.state("job", NOW), Equals(Phase.COMPLETED))
+
+    def test_live_states_do_not_outlive_a_leadership(self):
+        board = Board()
+        board.fresh_at = NOW
+        board.publish("live", Phase.RUNNING)
+        board.publish("ended", Phase.COMPLETED)
+        board.lead(2)
+        self.assertThat(board.state("live", NOW), Equals(None))
+        self.assertThat(board.state("ended", NOW), Equals(Phase.COMPLETED))
+
+    def test_old_live_states_are_not_told(self):
+        board = Board()
+        board.fresh_at = NOW
+        board.publish("job", Phase.RUNNING)
+        self.assertThat(board.state("job", NOW + 9), Equals(None))
+
+    def test_a_host_that_is_behind_gets_the_changes(self):
+        async def main():
+            board, copy = Board(), Board()
+            board.lead(7)
+            board.publish("one", Phase.QUEUED)
+            copy.take(await board.news(0, 0, wait_s=0.01), NOW)
+            board.publish("one", Phase.COMPLETED)
+            board.publish("two", Phase.QUEUED)
+            reply = await board.news(copy.epoch, copy.number, wait_s=0.01)
+            copy.take(reply, NOW)
+            return reply.is_whole, copy.state("one", NOW), copy.number
+
+        self.assertThat(
+            asyncio.run(main()), Equals((False, Phase.COMPLETED, 3))
+        )
+
+
+class TestHealth(testtools.TestCase):
+    """Guards against work for sick executors and blame for sick jobs."""
+
+    def setUp(self):
+        super().setUp()
+        self.workload = Workload()
+        self.rules = HealthRules()
+        self.executor = executor("one")
+
+    def _task(self, number: int):
+        return step_of(add_job(self.workload, number, Step(1))).tasks[0]
+
+    def test_several_jobs_in_a_row_rest_an_executor(self):
+        for number in range(1, FAILED_JOBS + 1):
+            self.assertThat(self.executor.sick_until, Equals(0.0))
+            self.rules.failed(self.executor, self._task(number), NOW)
+        self.assertThat(self.executor.sick_until > NOW, Equals(True))
+
+    def test_one_job_that_fails_often_proves_nothing(self):
+        task = self._task(1)
+        for _ in range(9):
+            self.rules.failed(self.executor, task, NOW)
+        self.assertThat(self.executor.sick_until, Equals(0.0))
+
+    def test_a_job_that_failed_elsewhere_proves_nothing(self):
+        for number in range(1, 9):
+            task = self._task(number)
+            task.avoided.add("other")
+            self.rules.failed(self.executor, task, NOW)
+        self.assertThat(self.executor.sick_until, Equals(0.0))
+
+    def test_progress_that_stands_still_is_found(self):
+        task = self._task(1)
+        attempt = reserve(
+            self.executor, task, 1, phase=AttemptPhase.RUNNING, now=NOW
+        )
+        still = list(self.rules.stuck([attempt], NOW + 2.0))
+        self.assertThat(still, HasLength(0))
+        still = list(self.rules.stuck([attempt], NOW + 3.5))
+        self.assertThat(still, HasLength(1))
+
+
+class TestPace(testtools.TestCase):
+    """Guards against filling tasks that harm serving ones."""
+
+    def test_filling_tasks_stop_near_the_target_and_come_back(self):
+        workload, one = Workload(), executor("one")
+        serving = step_of(
+            add_job(workload, 1, Step(1, tail_target_s=0.1, lasting=True))
+        ).tasks[0]
+        filler = step_of(add_job(workload, 2, Step(1, filling=True))).tasks[0]
+        attempts = [
+            reserve(one, task, 1, phase=AttemptPhase.RUNNING, now=NOW)
+            for task in (serving, filler)
+        ]
+        rules, paces = PaceRules(), []
+        for number, load_ms in enumerate((50, 95, 95, 70, 50, 50)):
+            attempts[0].load = load_ms
+            percent, _ = rules.decide(one, NOW + number)
+            paces.append(percent)
+        self.assertThat(paces, Equals([100, 0, 0, 0, 20, 40]))
+
+
+class TestTickets(testtools.TestCase):
+    """Guards against starts without a valid ticket."""
+
+    def test_a_ticket_expires_and_the_advice_stays(self):
+        step = step_of(add_job(Workload(), 1, Step(1), queue="verify"))
+        good, bad, new = executor("good"), executor("bad"), executor("new")
+        take_advice(step, ["good", "bad"], {"good": "t"}, valid_until=NOW + 2)
+        self.assertThat(ticket_for(step, "good", NOW), Equals("t"))
+        self.assertThat(ticket_for(step, "good", NOW + 2), Equals(None))
+        needed = needed_advice(step, [good, bad, new])
+        self.assertThat([e.info.id for e in needed.good], Equals(["good"]))
+        self.assertThat([e.info.id for e in needed.unknown], Equals(["new"]))
+
+    def test_a_call_names_no_more_than_the_service_takes(self):
+        many = [executor(f"e{n}") for n in range(300)]
+        found = named_in_ask(QUEUES["verify"].advised, many)
+        self.assertThat(len(found) <= 100, Equals(True))
--- /dev/null
+++ b/libs/cell/dragonflybank/cell/tests/test_workload.py
@@ -0,0 +1,121 @@
+"""Tests of how jobs, steps and tasks become ready and end."""
+
+import testtools
+from testtools.matchers import Equals, HasLength
+
+from dragonflybank.cell.jobs import Phase, Progress, Step
+from dragonflybank.cell.order import step_rank
+from dragonflybank.cell.tests.scene import add_job, step_of
+from dragonflybank.cell.workload import Workload
+
+
+class TestWorkload(testtools.TestCase):
+    """Guards against steps out of order and budgets that are exceeded."""
+
+    def setUp(self):
+        super().setUp()
+        self.workload = Workload()
+
+    def test_a_step_waits_for_all_tasks_of_the_steps_before_it(self):
+        state = add_job(self.workload, 1, Step(2), Step(1, after=(0,)))
+        first, second = state.occurrences[0]
+        self.assertThat(list(self.workload.ready), Equals([first]))
+        self.workload.finish_task(first.tasks[0], 1, 1.0)
+        self.assertThat(second.ready_at, Equals(None))
+        self.workload.finish_task(first.tasks[1], 1, 2.0)
+        self.assertThat(list(self.workload.ready), Equals([second]))
+
+    def test_one_end_of_a_gang_stands_for_all(self):
+        state = add_job(self.workload, 1, Step(3, gang=True))
+        self.workload.finish_task(step_of(state).tasks[1], 1, 1.0)
+        self.assertThat(self.workload.is_complete(state), Equals(True))
+
+    def test_the_same_end_counts_once(self):
+        state = add_job(self.workload, 1, Step(2))
+        task = step_of(state).tasks[0]
+        self.assertThat(self.workload.finish_task(task, 1, 1.0), Equals(True))
+        self.assertThat(self.workload.finish_task(task, 1, 1.0), Equals(False))
+        self.assertThat(step_of(state).undone, Equals(1))
+
+    def test_attempts_are_used_up_by_different_attempts_only(self):
+        state = add_job(self.workload, 1, Step(1))
+        task = step_of(state).tasks[0]
+        used_up = [self.workload.fail_task(task, n) for n in (1, 1, 2, 3, 4)]
+        self.assertThat(used_up, Equals([False, False, False, False, True]))
+
+    def test_failures_of_a_gang_count_together(self):
+        state = add_job(self.workload, 1, Step(4, gang=True))
+        used_up = [
+            self.workload.fail_task(task, number)
+            for number, task in enumerate(step_of(state).tasks, 1)
+        ]
+        self.assertThat(used_up, Equals([False, False, False, True]))
+
+    def test_stored_progress_is_taken_up(self):
+        progress = Progress(
+            Phase.RUNNING,
+            done={"0.0": [0]},
+            failed={"0.0.1": [1, 2]},
+            placed={"0.0.1": (3, "executor-1")},
+            saved={"0.0.1": "abc"},
+        )
+        state = add_job(self.workload, 1, Step(2), progress=progress)
+        done, task = step_of(state).tasks
+        self.assertThat(done.done, Equals(True))
+        self.assertThat(task.failed, Equals({1, 2}))
+        self.assertThat(task.saved, Equals("abc"))
+        self.assertThat(self.workload.next_attempt([task]), Equals(4))
+        self.assertThat(self.workload.placed(task), Equals((3, "executor-1")))
+
+    def test_an_ended_job_is_not_taken_in_again(self):
+        state = add_job(self.workload, 1, Step(1))
+        self.workload.end(state, Phase.CANCELLED, 5.0)
+        self.workload.forget(state)
+        self.assertThat(add_job(self.workload, 1, Step(1)), Equals(None))
+        self.assertThat(self.workload.ready, HasLength(0))
+
+    def test_occurrences_open_when_they_are_due(self):
+        state = add_job(
+            self.workload, 1, Step(1), start_at=10.0, interval_s=5.0, repeat=3
+        )
+        opened = []
+        for wall in (9.7, 9.76, 14.8, 100.0):
+            self.workload.open_due(wall, early_s=0.25, now=wall)
+            opened.append(len(state.occurrences))
+        self.assertThat(opened, Equals([0, 1, 2, 3]))
+
+    def test_a_job_with_occurrences_to_come_is_not_complete(self):
+        state = add_job(
+            self.workload, 1, Step(1), start_at=10.0, interval_s=5.0, repeat=2
+        )
+        self.workload.open_due(10.0, early_s=0.25, now=10.0)
+        self.workload.finish_task(step_of(state).tasks[0], 1, 11.0)
+        self.assertThat(self.workload.is_complete(state), Equals(False))
+
+    def test_tasks_that_last_never_end(self):
+        state = add_job(self.workload, 1, Step(1, lasting=True))
+        task = step_of(state).tasks[0]
+        self.assertThat(self.workload.finish_task(task, 1, 1.0), Equals(False))
+        for number in range(1, 9):
+            used_up = self.workload.fail_task(task, number)
+            self.assertThat(used_up, Equals(False))
+
+
+class TestOrder(testtools.TestCase):
+    """Guards against urgent work behind work that can wait."""
+
+    def _order(self, wall: float, *states) -> list[str]:
+        steps = sorted(
+            (step_of(s) for s in states), key=lambda s: step_rank(s, wall)
+        )
+        return [s.job.job.id[-1] for s in steps]
+
+    def test_queues_then_slack_then_what_is_late(self):
+        workload = Workload()
+        spec = Step(1, estimate_s=1.0)
+        sweep = add_job(workload, 1, spec, queue="sweep", at=0.0)
+        late = add_job(workload, 2, spec, queue="lookup", at=0.0)
+        young = add_job(workload, 3, spec, queue="lookup", at=9.9)
+        old = add_job(workload, 4, spec, queue="lookup", at=9.5)
+        order = self._order(10.0, sweep, late, young, old)
+        self.assertThat(order, Equals(["4", "3", "2", "1"]))
