Renew all tickets of a plan together and answer callers by their deadline

Change: a call for advice names all executors of the plan whose tickets would not outlive it. One time-out covers all tries to store a job. A cancel of a job that has ended leaves no key. Ruled out: a lack of room; 30 good executors were asked for each second.

--- a/libs/cell/dragonflybank/cell/front.py
+++ b/libs/cell/dragonflybank/cell/front.py
@@ -6,6 +6,7 @@
 
 __all__ = ["CellFront"]
 
+import asyncio
 import logging
 import zlib
 from collections.abc import Callable
@@ -78,16 +79,26 @@
             Success once it is stored; ``STORE_UNAVAILABLE`` if it certainly
             never will be; ``WRITE_UNSETTLED`` if it may be.
         """
+        if not self._store.is_reachable:
+            return self._refuse(
+                job, Problem(Code.STORE_UNAVAILABLE, "the store is silent")
+            )
+        try:
+            async with asyncio.timeout(limit_s - ANSWER_S):
+                return await self._store_job(job)
+        except TimeoutError:
+            return problem(
+                Code.WRITE_UNSETTLED,
+                "the store has not answered",
+                retry_after_s=RETRY_AFTER_S,
+            )
+
+    async def _store_job(self, job: Job) -> Result[None, Problem]:
         key = job_key(job.id)
         epoch = self._board.epoch
         raw = encode(job)
         txn = Txn(expected={key: 0, ended_key(job.id): 0}, puts={key: raw})
-        until = self._clock.now() + limit_s - ANSWER_S
         may_be_stored = False
-        if not self._store.is_reachable:
-            return self._refuse(
-                job, Problem(Code.STORE_UNAVAILABLE, "the store is silent")
-            )
         while True:
             match await self._store.commit(txn):
                 case Success(reply):
@@ -109,12 +120,6 @@
                         return self._refuse(job, failed)
                 case Failure(_):
                     may_be_stored = True
-            if self._clock.now() + RETRY_S >= until:
-                return problem(
-                    Code.WRITE_UNSETTLED,
-                    "the store has not answered",
-                    retry_after_s=RETRY_AFTER_S,
-                )
             await self._clock.sleep(RETRY_S)
 
     async def state(self, job_id: str) -> Result[Phase, Problem]:
@@ -165,8 +170,10 @@
         if state.unwrap().is_final:
             return Success(None)
         key = cancel_key(job_id)
-        stored = await self._store.commit(Txn(puts={key: CANCELLED}))
-        if isinstance(stored, Success):
+        # A mark beside an ended job would stay in the store for good.
+        txn = Txn(expected={ended_key(job_id): 0}, puts={key: CANCELLED})
+        stored = await self._store.commit(txn)
+        if isinstance(stored, Success) and stored.unwrap().revision:
             _log.info("cancel accepted", extra={"job": job_id})
             self._notify(
                 epoch, Item(key, CANCELLED, stored.unwrap().revision or 0)
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -32,6 +32,7 @@
     needed_advice,
     take_advice,
     ticket_for,
+    to_renew,
 )
 
 if TYPE_CHECKING:
@@ -111,7 +112,8 @@
         if plan.pairs:
             self._carry_out(step, plan, now)
         elif unknown:
-            self._ask(step, named_in_ask(queue.advised, unknown), [], now)
+            named = named_in_ask(queue.advised, unknown)
+            self._ask(step, [executor.info.id for executor in named], [])
         elif step.spec.gang:
             held.append((queue.priority, _kept_for_gang(step, tasks, allowed)))
 
@@ -132,10 +134,10 @@
         if step.job.job.queue.advised is None or self._lines is None:
             self._begin(step, attempts, now)
             return
-        used = {attempt.executor for attempt in attempts}
-        expired = [e for e in used if ticket_for(step, e.info.id, now) is None]
-        if expired:
-            self._ask(step, expired, attempts, now)
+        used = {attempt.executor.info.id for attempt in attempts}
+        named = to_renew(step, sorted(used), step.job.job.queue.advised, now)
+        if named:
+            self._ask(step, named, attempts)
         else:
             self._begin(step, attempts, now)
 
@@ -162,11 +164,7 @@
         self._leader.begin(step, attempts)
 
     def _ask(
-        self,
-        step: StepState,
-        named: list[Executor],
-        attempts: list[Attempt],
-        now: float,
+        self, step: StepState, named: list[str], attempts: list[Attempt]
     ) -> None:
         step.asking = True
         step.placed_ahead = attempts
@@ -174,9 +172,8 @@
         self._asks.add(task)
         task.add_done_callback(self._asks.discard)
 
-    async def _advise(self, step: StepState, named: list[Executor]) -> None:
+    async def _advise(self, step: StepState, ids: list[str]) -> None:
         queue = step.job.job.queue
-        ids = [executor.info.id for executor in named]
         got = await self._lines.ask(
             step.name,
             ids,
--- a/libs/cell/dragonflybank/cell/tests/test_rules.py
+++ b/libs/cell/dragonflybank/cell/tests/test_rules.py
@@ -17,6 +17,7 @@
     needed_advice,
     take_advice,
     ticket_for,
+    to_renew,
 )
 from dragonflybank.cell.workload import Workload
 
@@ -141,6 +142,18 @@
         self.assertThat([e.info.id for e in needed.good], Equals(["good"]))
         self.assertThat([e.info.id for e in needed.unknown], Equals(["new"]))
 
+    def test_a_plan_is_renewed_with_tickets_that_expire_meanwhile(self):
+        step = step_of(add_job(Workload(), 1, Step(2), queue="verify"))
+        advised = QUEUES["verify"].advised
+        tickets = {"old": "a", "soon": "b", "fresh": "c"}
+        for name, left_s in (("old", -1.0), ("soon", 0.2), ("fresh", 1.9)):
+            take_advice(step, [name], tickets, valid_until=NOW + left_s)
+        renewed = to_renew(step, sorted(tickets), advised, NOW)
+        self.assertThat(renewed, Equals(["old", "soon"]))
+        self.assertThat(
+            to_renew(step, ["fresh", "soon"], advised, NOW), Equals([])
+        )
+
     def test_a_call_names_no_more_than_the_service_takes(self):
         many = [executor(f"e{n}") for n in range(300)]
         found = named_in_ask(QUEUES["verify"].advised, many)
--- a/libs/cell/dragonflybank/cell/tickets.py
+++ b/libs/cell/dragonflybank/cell/tickets.py
@@ -13,6 +13,7 @@
     "needed_advice",
     "take_advice",
     "ticket_for",
+    "to_renew",
 ]
 
 from collections.abc import Iterable, Mapping, Sequence
@@ -27,6 +28,9 @@
 MIN_NAMED = 4
 # A ticket must live until the start has arrived, also in another region.
 TICKET_MARGIN_S = 0.25
+# Time that a call may take beyond its declared time: the wait for a free line
+# and the way over a peer in another region.
+ASK_EXTRA_S = 0.5
 
 
 @attrs.frozen
@@ -93,3 +97,18 @@
     if verdict is None or not verdict.ticket:
         return None
     return verdict.ticket if verdict.valid_until > now else None
+
+
+def to_renew(
+    step: StepState, used: Iterable[str], advised: Advised, now: float
+) -> list[str]:
+    """Returns the executors of a plan to ask for before it can be begun.
+
+    None if all tickets are valid. Otherwise also those whose tickets would
+    expire during the call, since a plan is begun whole.
+    """
+    used = list(used)
+    if all(ticket_for(step, executor, now) for executor in used):
+        return []
+    ready_at = now + ask_cost_s(advised, len(used)) + ASK_EXTRA_S
+    return [e for e in used if not ticket_for(step, e, ready_at)]
