--- a/libs/cli/dragonflybank/cli/tests/test_docs.py
+++ b/libs/cli/dragonflybank/cli/tests/test_docs.py
@@ -58,7 +58,7 @@
     """Guards against a page that names commands that do not exist."""
 
     def test_every_command_of_the_reference_parses(self):
-        text = (DOCS / "operations.md").read_text()
+        text = (DOCS / "OPERATIONS.md").read_text()
         block = text.split("```text\n")[1].split("```")[0]
         lines = block.splitlines()
         refused = [ln for ln in lines if isinstance(parse(ln), Failure)]
@@ -77,7 +77,7 @@
         self.assertThat(refused, Equals([]))
 
     def test_fields_and_exit_statuses_are_listed(self):
-        text = (DOCS / "operations.md").read_text()
+        text = (DOCS / "OPERATIONS.md").read_text()
         for name in FIELD_TYPES:
             self.assertThat(text, Contains(f"`{name}`"))
             self.assertThat(HELP, Contains(name))
