--- /dev/null
+++ b/libs/bench/dragonflybank/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real host processes under faults from outside."""
--- a/libs/cell/dragonflybank/cell/advising.py
+++ b/libs/cell/dragonflybank/cell/advising.py
@@ -16,6 +16,7 @@
 import attrs
 from returns.result import Failure, Result
 
+from dragonflybank.cell.background import Background
 from dragonflybank.cell.ports import AdviceService
 from dragonflybank.model.codes import Code, Problem
 
@@ -88,7 +89,7 @@
         self._lines: dict[str, _Line] = {"": _Line("", OWN_WAY_S)}
         self._waiting: list[_Call] = []
         self._numbers = itertools.count()
-        self._tasks: set[asyncio.Task] = set()
+        self._background = Background()
 
     def set_peers(self, addresses: Sequence[str]) -> None:
         """Replaces the peers that may be given calls."""
@@ -125,8 +126,7 @@
 
     def close(self) -> None:
         """Gives up all calls."""
-        for task in self._tasks:
-            task.cancel()
+        self._background.cancel()
         for call in self._waiting:
             call.fut.cancel()
 
@@ -148,9 +148,7 @@
             line = idle.pop() if is_long else idle.pop(0)
             line.busy = True
             self._waiting.remove(call)
-            task = asyncio.create_task(self._carry_out(call, line))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._background.spawn(self._carry_out(call, line))
 
     async def _carry_out(self, call: _Call, line: _Line) -> None:
         timeout_s = call.cost_s + EXTRA_TIMEOUT_S
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -5,13 +5,14 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 import mode
 from returns.result import Failure, Result, Success
 
 from dragonflybank.cell.advising import AdviceLines
+from dragonflybank.cell.background import Background
 from dragonflybank.cell.board import Board
 from dragonflybank.cell.election import Candidate, Leadership
 from dragonflybank.cell.front import CellFront
@@ -141,7 +142,7 @@
         self._peers = peers
         self._asked_at: dict[str, float] = {}
         self._lag = LoopLag()
-        self._notices: set[asyncio.Task] = set()
+        self._notices = Background()
         self._lines: AdviceLines | None = None
         self._candidate = Candidate(
             platform.store,
@@ -360,7 +361,7 @@
         if record.address == self._peers.address:
             self._take_notice(epoch, item)
             return
-        self._background(
+        self._notices.spawn(
             self._peers.ask(
                 record.address,
                 NOTICE,
@@ -370,11 +371,6 @@
             )
         )
 
-    def _background(self, work: Coroutine) -> None:
-        task = asyncio.create_task(work)
-        self._notices.add(task)
-        task.add_done_callback(self._notices.discard)
-
     def _is_leading(self, now: float) -> bool:
         # The others look at the leader's key when it is not confirmed.
         leader = self.leader
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -10,11 +10,12 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 
 import attrs
 
 from dragonflybank.cell.advising import AdviceLines
+from dragonflybank.cell.background import Background
 from dragonflybank.cell.commits import Committer
 from dragonflybank.cell.election import Leadership
 from dragonflybank.cell.health import HealthRules
@@ -78,6 +79,8 @@
         health: What is known of sick executors.
         pacing: Pace of filling tasks.
         publish: Called with a job and its state that callers may be told.
+        background: Tasks beside the rounds; a failure ends the leadership.
+        has_failed: Whether one of them failed.
 
     Args:
         platform: The platform.
@@ -116,10 +119,11 @@
         )
         self.scheduling = Scheduling(self, lines)
         self.publish = publish
+        self.has_failed = False
         self._links: dict[str, ExecutorLink] = {}
         self._wake = asyncio.Event()
         self._strangers: dict[tuple[str, TaskId, int], float] = {}
-        self._tasks: set[asyncio.Task] = set()
+        self.background = Background(self._fail)
 
     async def run_rounds(self) -> None:
         """Decides, again and again, until the leadership is lost."""
@@ -137,9 +141,9 @@
 
     async def close(self) -> None:
         """Ends all calls to executors."""
-        self.scheduling.close()
         links, self._links = self._links, {}
         await asyncio.gather(*(link.close() for link in links.values()))
+        await self.background.close()
 
     def wake(self) -> None:
         """Lets the next round of decisions begin."""
@@ -277,17 +281,17 @@
     def _connect(self, executor: Executor) -> None:
         old = self._links.get(executor.info.id)
         if old is not None:
-            self._background(old.close())
+            self.background.spawn(old.close())
         link = ExecutorLink(
             self, executor, self.platform.executor(executor.info)
         )
         self._links[executor.info.id] = link
         link.open()
 
-    def _background(self, work: Coroutine) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+    def _fail(self) -> None:
+        """Gives up after a programming error, whose effects are unknown."""
+        self.has_failed = True
+        self.leadership.lost.set()
 
     def _drop_gone(self, now: float) -> None:
         for executor in list(self.executors.values()):
@@ -300,7 +304,7 @@
                 del self.executors[executor.info.id]
                 link = self._links.pop(executor.info.id, None)
                 if link is not None:
-                    self._background(link.close())
+                    self.background.spawn(link.close())
                 _log.info("executor gone", extra={"executor": executor.info.id})
 
     def _is_silent_for(
@@ -320,7 +324,7 @@
             self.workload.note_placed(attempt)
         if attempts:
             self.committer.mark(step.job, urgent=True)
-            self._background(self._start(step, attempts))
+            self.background.spawn(self._start(step, attempts))
 
     async def _start(self, step: StepState, attempts: list[Attempt]) -> None:
         await self.committer.settled()
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -16,6 +16,7 @@
 
 from returns.result import Failure, Success
 
+from dragonflybank.cell.background import Background
 from dragonflybank.cell.ports import ExecutorClient, Held, Order, OrderReply
 from dragonflybank.cell.state import Attempt, AttemptPhase, Executor
 from dragonflybank.model.codes import Code
@@ -77,19 +78,15 @@
         self._executor = executor
         self._client = client
         self._ack = (0, 0)
-        self._orders: set[asyncio.Task] = set()
-        self._loop_task: asyncio.Task | None = None
+        self._background = Background(leader.background.on_failure)
 
     def open(self) -> None:
         """Begins to hold the executor."""
-        self._loop_task = asyncio.create_task(self._hold_always())
+        self._background.spawn(self._hold_always())
 
     async def close(self) -> None:
         """Ends all calls."""
-        tasks = [t for t in (self._loop_task, *self._orders) if t is not None]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._background.close()
         await self._client.close()
 
     def begin_anew(self) -> None:
@@ -98,31 +95,26 @@
 
     def start(self, attempt: Attempt, ticket: str) -> None:
         """Orders an attempt to start, in the background."""
-        self._order(self._start(attempt, ticket))
+        self._background.spawn(self._start(attempt, ticket))
 
     def stop(self, attempt: Attempt) -> None:
         """Orders an attempt to stop, in the background."""
         if attempt.phase is not AttemptPhase.STOPPING:
             attempt.phase = AttemptPhase.STOPPING
             attempt.absent_after = None
-            self._order(self._stop(attempt))
+            self._background.spawn(self._stop(attempt))
 
     def pace(self, attempt: Attempt, percent: int) -> None:
         """Orders an attempt to work at a share of its speed."""
         attempt.pace = percent
-        self._order(self._pace(attempt, percent))
+        self._background.spawn(self._pace(attempt, percent))
 
     def stop_stranger(self, key: tuple) -> None:
         """Orders an attempt of an ended job to stop."""
-        self._order(
+        self._background.spawn(
             self._client.stop(*key, epoch=self._leader.leadership.epoch)
         )
 
-    def _order(self, call) -> None:
-        task = asyncio.create_task(call)
-        self._orders.add(task)
-        task.add_done_callback(self._orders.discard)
-
     def _lease_until_s(self, now: float) -> float:
         """Returns the end of the lease to ask for.
 
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -7,7 +7,6 @@
 
 __all__ = ["Scheduling"]
 
-import asyncio
 import logging
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
@@ -55,12 +54,6 @@
     def __init__(self, leader: "Leader", lines: AdviceLines | None):
         self._leader = leader
         self._lines = lines
-        self._asks: set[asyncio.Task] = set()
-
-    def close(self) -> None:
-        """Gives up the calls for advice."""
-        for task in self._asks:
-            task.cancel()
 
     def decide(self, now: float, wall: float) -> None:
         """Places what can be placed now.
@@ -168,9 +161,7 @@
     ) -> None:
         step.asking = True
         step.placed_ahead = attempts
-        task = asyncio.create_task(self._advise(step, named))
-        self._asks.add(task)
-        task.add_done_callback(self._asks.discard)
+        self._leader.background.spawn(self._advise(step, named))
 
     async def _advise(self, step: StepState, ids: list[str]) -> None:
         queue = step.job.job.queue
--- a/libs/cell/dragonflybank/cell/session.py
+++ b/libs/cell/dragonflybank/cell/session.py
@@ -48,6 +48,8 @@
                 _log.error("leader failed", exc_info=task.exception())
                 # Another host takes over; state that may be wrong is dropped.
                 await candidate.resign()
+        if leader.has_failed:
+            await candidate.resign()
     finally:
         leader.leadership.lost.set()
         for task in (lost, *tasks):
--- a/libs/standins/dragonflybank/standins/cell/executors.py
+++ b/libs/standins/dragonflybank/standins/cell/executors.py
@@ -42,6 +42,8 @@
         fails_all: Whether all that it starts fails.
         hangs: Whether what it runs makes no progress.
         slowness: Factor on run times.
+        breaks_caller: Whether the next call for lists raises an error in the
+            calling host, as a programming error there would.
     """
 
     is_cut: bool = False
@@ -52,6 +54,7 @@
     fails_all: bool = False
     hangs: bool = False
     slowness: float = 1.0
+    breaks_caller: bool = False
 
 
 @attrs.define
@@ -377,6 +380,9 @@
         self, *, epoch: int, acked: int, lease_until_s: float, wait_s: float
     ) -> Result[Held, Problem]:
         executor = self._executor
+        if executor.faults.breaks_caller:
+            executor.faults.breaks_caller = False
+            raise RuntimeError("a programming error in the host")
         await asyncio.sleep(ANSWER_S)
         if not executor.reaches(self._host):
             await asyncio.sleep(TIMEOUT_S + wait_s)
--- a/libs/standins/dragonflybank/standins/cell/plays.py
+++ b/libs/standins/dragonflybank/standins/cell/plays.py
@@ -176,6 +176,13 @@
     slow.faults.slowness = 1.0
 
 
+async def leader_broken(world: World) -> None:
+    """Programming errors end the leader's calls to executors."""
+    for executor in list(world.executors.values())[:3]:
+        await asyncio.sleep(5.0)
+        executor.faults.breaks_caller = True
+
+
 async def entries_broken(world: World) -> None:
     """Another writer leaves unreadable entries; an executor drains."""
     await asyncio.sleep(3.0)
@@ -202,6 +209,7 @@
         orders_late,
         orders_late_and_killed,
         executors_sick,
+        leader_broken,
         entries_broken,
     )
 }
