Leave a quarter of the lines for advice to short calls

One idle line was kept for short calls, which makes some 60 of them a second. Change: long calls take at most three quarters of the lines. Ruled out: the order of the calls, which was by priority already. Conclusion: busy lines, not order, made urgent work wait.

--- a/libs/cell/dragonflybank/cell/advising.py
+++ b/libs/cell/dragonflybank/cell/advising.py
@@ -2,15 +2,16 @@
 
 The advice service handles one call at a time for each calling host. The leader
 therefore keeps the calls in one queue by priority, gives each host one at a
-time, and leaves one host to short calls, so that urgent steps do not wait
-behind long ones.
+time, and leaves some hosts to short calls, so that urgent steps do not wait
+behind long ones when many of these wait, as after a change of leader.
 """
 
-__all__ = ["AdviceLines", "AskPeer", "order_calls"]
+__all__ = ["AdviceLines", "AskPeer", "most_long_calls", "order_calls"]
 
 import asyncio
 import itertools
 import logging
+import math
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 import attrs
@@ -28,6 +29,9 @@
 # A call that keeps its line for longer delays urgent steps noticeably: their
 # objective is some hundred milliseconds.
 LONG_CALL_S = 0.1
+# Share of the lines that long calls leave free, one at least: a line makes some
+# 60 short calls a second, and urgent jobs come at some 100 a second at a crest.
+SHORT_SHARE = 0.25
 # Above the declared time of a call; covers links between regions.
 EXTRA_TIMEOUT_S = 0.6
 # First guesses of the way to the service: 1 ms within a zone, and 25 ms to a
@@ -57,6 +61,7 @@
     Attributes:
         address: Peer address of the host, or an empty string for this one.
         busy: Whether a call is in progress.
+        is_long: Whether that is a long one.
         rests_until: Time before which it gets no call.
         way_s: Time that its calls take beyond the declared time, in seconds.
     """
@@ -64,6 +69,7 @@
     address: str
     way_s: float
     busy: bool = False
+    is_long: bool = False
     rests_until: float = 0.0
 
 
@@ -91,6 +97,12 @@
         self._numbers = itertools.count()
         self._background = Background()
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether most lines are idle and no call waits."""
+        idle = sum(not line.busy for line in self._lines.values())
+        return not self._waiting and 2 * idle > len(self._lines)
+
     def set_peers(self, addresses: Sequence[str]) -> None:
         """Replaces the peers that may be given calls."""
         for address in addresses:
@@ -138,15 +150,19 @@
             if not line.busy and line.rests_until <= now
         ]
         idle.sort(key=lambda line: line.way_s)
+        lines = self._lines.values()
+        long_calls = sum(line.busy and line.is_long for line in lines)
+        most_long = most_long_calls(len(lines))
         for call in order_calls(self._waiting):
             if not idle:
                 return
             is_long = call.cost_s > LONG_CALL_S
-            if is_long and len(idle) < 2 and len(self._lines) > 1:
+            if is_long and long_calls >= most_long:
                 continue
+            long_calls += is_long
             # Short calls are urgent and take the shortest way.
             line = idle.pop() if is_long else idle.pop(0)
-            line.busy = True
+            line.busy, line.is_long = True, is_long
             self._waiting.remove(call)
             self._background.spawn(self._carry_out(call, line))
 
@@ -188,6 +204,16 @@
         self._give_out()
 
 
+def most_long_calls(lines: int) -> int:
+    """Returns the number of lines that may make long calls.
+
+    Example:
+        >>> [most_long_calls(lines) for lines in (1, 2, 6, 36)]
+        [1, 1, 4, 27]
+    """
+    return max(1, lines - max(1, math.ceil(SHORT_SHARE * lines)))
+
+
 def order_calls(calls: Sequence[_Call]) -> list[_Call]:
     """Returns calls in the order in which they should be made."""
     return sorted(calls, key=lambda c: (c.priority, c.number))
