Let submissions wait for a store that does not answer, within bounds

Each submission was sent to the silent store until the watch had noticed, so that its outcome was not known. A store that does not answer is watched with short waits.

--- a/libs/cell/dragonflybank/cell/front.py
+++ b/libs/cell/dragonflybank/cell/front.py
@@ -7,16 +7,19 @@
 __all__ = ["CellFront"]
 
 import asyncio
+import itertools
 import logging
-import zlib
 from collections.abc import Callable
 
 from returns.result import Failure, Result, Success
 
+from dragonflybank.cell.background import Background
 from dragonflybank.cell.board import Board
+from dragonflybank.cell.election import LEADER_KEY
+from dragonflybank.cell.holding import retry_after_s, useful_wait_s
 from dragonflybank.cell.jobs import Job, Phase, decode_progress, encode
 from dragonflybank.cell.keys import cancel_key, ended_key, job_key
-from dragonflybank.cell.ports import Item, Txn
+from dragonflybank.cell.ports import Item, Txn, TxnReply
 from dragonflybank.cell.relay import RelayedStore
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.model.codes import Code, Problem, problem
@@ -26,15 +29,17 @@
 RETRY_S = 0.05
 # Left for the answer to reach the caller.
 ANSWER_S = 0.3
-# Retry-After of a refusal: the store's outages last some seconds.
-RETRY_AFTER_S = 2.0
-LONG_RETRY_AFTER_S = 3.0
-# Callers that are refused together come back in this many different seconds.
-RETRY_SPREAD_S = 2
-# Age of an outage from which it counts as a long one.
-LONG_OUTAGE_S = 2.0
-# A refusal this long after the last one belongs to another outage.
-FORGET_S = 3.0
+# After this a caller asks again for what is not known at present.
+RETRY_AFTER_S = 1.0
+# A store that refuses or is silent is asked this often by each host, however
+# many submissions wait there.
+PROBE_EVERY_S = 0.2
+# A call without an answer for this long makes others wait. They are certain
+# not to be stored then, and can be refused; the store answers in 4 ms, 25 ms
+# away at most.
+SUSPECT_S = 0.15
+# How often a waiting submission looks whether the store answers again.
+POLL_S = 0.05
 # Value of the key that marks a job as cancelled.
 CANCELLED = b"1"
 # Numbers of waiting jobs may be some seconds old.
@@ -60,8 +65,12 @@
         notify: Callable[[int, Item], None],
     ):
         self._notify = notify
-        self._silent_since: float | None = None
-        self._last_refusal = float("-inf")
+        self._called_at: dict[int, float] = {}
+        self._calls = itertools.count()
+        # Start of the latest call that was answered.
+        self._answered_at = float("-inf")
+        self._probing: asyncio.Task | None = None
+        self._background = Background()
         self._store = store
         self._board = board
         self._clock = clock
@@ -79,13 +88,11 @@
             Success once it is stored; ``STORE_UNAVAILABLE`` if it certainly
             never will be; ``WRITE_UNSETTLED`` if it may be.
         """
-        if not self._store.is_reachable:
-            return self._refuse(
-                job, Problem(Code.STORE_UNAVAILABLE, "the store is silent")
-            )
+        began_at = self._clock.now()
+        until = began_at + useful_wait_s(job, limit_s)
         try:
             async with asyncio.timeout(limit_s - ANSWER_S):
-                return await self._store_job(job)
+                return await self._store_job(job, began_at, until)
         except TimeoutError:
             return problem(
                 Code.WRITE_UNSETTLED,
@@ -93,14 +100,19 @@
                 retry_after_s=RETRY_AFTER_S,
             )
 
-    async def _store_job(self, job: Job) -> Result[None, Problem]:
+    async def _store_job(
+        self, job: Job, began_at: float, until: float
+    ) -> Result[None, Problem]:
         key = job_key(job.id)
-        epoch = self._board.epoch
         raw = encode(job)
         txn = Txn(expected={key: 0, ended_key(job.id): 0}, puts={key: raw})
         may_be_stored = False
         while True:
-            match await self._store.commit(txn):
+            is_away = not await self._wait_for_store(until)
+            if is_away and not may_be_stored:
+                return self._refuse(job, self._clock.now() - began_at)
+            epoch = self._board.epoch
+            match await self._commit(txn):
                 case Success(reply):
                     self._board.publish(job.id, Phase.QUEUED)
                     if reply.revision is not None:
@@ -112,16 +124,69 @@
                             "queue": job.queue.name,
                             "revision": reply.revision,
                             "is_new": reply.revision is not None,
+                            "waited_s": round(self._clock.now() - began_at, 3),
                         },
                     )
                     return Success(None)
-                case Failure(failed) if failed.code is not Code.TIMED_OUT:
-                    if not may_be_stored:
-                        return self._refuse(job, failed)
-                case Failure(_):
+                case Failure(failed) if failed.code is Code.TIMED_OUT:
                     may_be_stored = True
             await self._clock.sleep(RETRY_S)
 
+    async def _commit(self, txn: Txn) -> Result[TxnReply, Problem]:
+        """Calls the store and notes whether it answers."""
+        number, called_at = next(self._calls), self._clock.now()
+        self._called_at[number] = called_at
+        try:
+            got = await self._store.commit(txn)
+        finally:
+            del self._called_at[number]
+        if isinstance(got, Success):
+            self._answered_at = max(self._answered_at, called_at)
+        else:
+            self._suspect()
+        return got
+
+    async def _wait_for_store(self, until: float) -> bool:
+        """Waits until a call to the store is worth a try.
+
+        Returns:
+            Whether it is; False once the time is over.
+        """
+        while not self._is_worth_a_try(self._clock.now()):
+            if self._clock.now() >= until:
+                return False
+            await self._clock.sleep(POLL_S)
+        return True
+
+    def _is_worth_a_try(self, now: float) -> bool:
+        if not self._store.is_reachable:
+            return False
+        later = [
+            at for at in self._called_at.values() if at > self._answered_at
+        ]
+        if now - min(later, default=now) >= SUSPECT_S:
+            self._suspect()
+        return self._probing is None
+
+    def _suspect(self) -> None:
+        """Makes submissions wait until a read is answered.
+
+        A submission that was sent to a silent store cannot be refused any
+        more, so none of them is used to find out.
+        """
+        if self._probing is None:
+            self._probing = self._background.spawn(self._probe())
+
+    async def _probe(self) -> None:
+        while True:
+            called_at = self._clock.now()
+            got = await self._store.get(LEADER_KEY)
+            if isinstance(got, Success):
+                self._answered_at = max(self._answered_at, called_at)
+                self._probing = None
+                return
+            await self._clock.sleep(PROBE_EVERY_S)
+
     async def state(self, job_id: str) -> Result[Phase, Problem]:
         """Returns the state of a job, or ``UNKNOWN_JOB``."""
         known = self._board.state(job_id, self._clock.now())
@@ -195,32 +260,20 @@
                 )
             await self._clock.sleep(RETRY_S)
 
-    def _refuse(self, job: Job, failed: Problem) -> Result:
+    def _refuse(self, job: Job, waited_s: float) -> Result:
+        detail = "the store does not answer"
         _log.warning(
             "refused",
             extra={
                 "job": job.id,
                 "queue": job.queue.name,
-                "code": failed.code.name,
-                "detail": failed.detail,
+                "code": Code.STORE_UNAVAILABLE.name,
+                "detail": detail,
+                "waited_s": round(waited_s, 3),
             },
         )
         return problem(
             Code.STORE_UNAVAILABLE,
-            failed.detail,
-            retry_after_s=self._retry_after_s(job.id),
+            detail,
+            retry_after_s=retry_after_s(job.id),
         )
-
-    def _retry_after_s(self, job_id: str) -> float:
-        """Returns when a refused caller should come back, in seconds.
-
-        Callers give up after a few tries, so an outage that lasts brings
-        longer pauses; callers that were refused together return apart.
-        """
-        now = self._clock.now()
-        if self._silent_since is None or now > self._last_refusal + FORGET_S:
-            self._silent_since = now
-        self._last_refusal = now
-        age_s = now - self._silent_since
-        base_s = RETRY_AFTER_S if age_s < LONG_OUTAGE_S else LONG_RETRY_AFTER_S
-        return base_s + zlib.crc32(job_id.encode()) % RETRY_SPREAD_S
--- a/libs/cell/dragonflybank/cell/order.py
+++ b/libs/cell/dragonflybank/cell/order.py
@@ -6,11 +6,18 @@
 three times their objective earn nothing and come last.
 """
 
-__all__ = ["objective_at", "remaining_s", "step_rank", "worthless_at"]
+__all__ = [
+    "LATE_FACTOR",
+    "objective_at",
+    "queue_objective_s",
+    "remaining_s",
+    "step_rank",
+    "worthless_at",
+]
 
 import functools
 
-from dragonflybank.cell.jobs import Step, longest_chain_s
+from dragonflybank.cell.jobs import Job, Step, longest_chain_s
 from dragonflybank.cell.state import StepState
 
 # Work that ends after three times its objective earns nothing.
@@ -33,13 +40,14 @@
 
 def objective_at(step: StepState) -> float:
     """Returns the time by which its occurrence should be done."""
-    return step.job.job.due_at(step.occurrence) + _objective_s(step)
+    job = step.job.job
+    return job.due_at(step.occurrence) + queue_objective_s(job)
 
 
 def worthless_at(step: StepState) -> float:
     """Returns the time after which its occurrence earns nothing."""
-    due = step.job.job.due_at(step.occurrence)
-    return due + LATE_FACTOR * _objective_s(step)
+    job = step.job.job
+    return job.due_at(step.occurrence) + LATE_FACTOR * queue_objective_s(job)
 
 
 @functools.lru_cache(maxsize=4096)
@@ -53,6 +61,6 @@
     return steps[number].estimate_s + max(behind, default=0.0)
 
 
-def _objective_s(step: StepState) -> float:
-    job = step.job.job
+def queue_objective_s(job: Job) -> float:
+    """Returns the time that a job may take by its queue, in seconds."""
     return job.queue.objective_s + job.queue.slack * longest_chain_s(job.steps)
--- a/libs/cell/dragonflybank/cell/watching.py
+++ b/libs/cell/dragonflybank/cell/watching.py
@@ -14,6 +14,9 @@
 
 # A connection that went silent is noticed after this and the call's time-out.
 WAIT_S = 2.0
+# A store that does not answer is asked without a wait, so that its return is
+# noticed soon.
+SHORT_WAIT_S = 0.01
 RETRY_S = 0.2
 
 
@@ -22,6 +25,8 @@
 
     Attributes:
         is_answered: Whether the last call was answered.
+        written_after: Time after which the changes that were yielded last were
+            made, minus infinity if that is not known.
 
     Args:
         store: The platform's store.
@@ -43,6 +48,7 @@
     ):
         self._pause_s = pause_s
         self.is_answered = False
+        self.written_after = float("-inf")
         self._wait_s = wait_s
         self._store = store
         self._prefix = prefix
@@ -57,12 +63,15 @@
             revision: Revision of the last change that is known; None to
                 begin with all items.
         """
+        earlier_at = float("-inf")
         while True:
+            sent_at = self._clock.now()
             if revision is None:
                 got = await self._store.scan(self._prefix)
             else:
+                wait_s = self._wait_s if self.is_answered else SHORT_WAIT_S
                 got = await self._store.watch(
-                    self._prefix, after=revision, wait_s=self._wait_s
+                    self._prefix, after=revision, wait_s=wait_s
                 )
             self.is_answered = isinstance(got, Success)
             match got:
@@ -77,6 +86,7 @@
                     )
                     await self._clock.sleep(RETRY_S)
                 case Success(found) if getattr(found, "is_lost", False):
+                    earlier_at = float("-inf")
                     _log.warning(
                         "history lost",
                         extra={"prefix": self._prefix, "revision": revision},
@@ -85,6 +95,9 @@
                 case Success(found):
                     is_whole = revision is None
                     revision = found.revision
+                    # An answer holds all changes up to its call at least.
+                    self.written_after = earlier_at
+                    earlier_at = sent_at
                     if found.items or is_whole:
                         yield found.items, is_whole
                         await self._clock.sleep(self._pause_s)
