Do not break gangs that wait for their slowest, evacuate, use tickets at hand

Attempts that held their room while they waited for a ticket counted this time as standing still. Change: health.py knows a waiting gang; draining.py moves work off executors that leave, and takes one as gone whose entry is removed sooner than it could lapse; renewals name executors that have room soon, tickets at hand are used during a call, first calls name what a step needs and gangs get three calls at a time; no stops for gangs that are done; a pause between looks while ends wait for the store; the leader's lease is 1.4 s. Fields that nothing read are gone.

--- a/libs/bench/dragonflybank/bench/soak/faults.py
+++ b/libs/bench/dragonflybank/bench/soak/faults.py
@@ -6,6 +6,8 @@
 import random
 from collections.abc import Awaitable, Callable
 
+import attrs
+
 from dragonflybank.bench.soak.processes import HostProcess
 from dragonflybank.bench.soak.world import SoakWorld
 
@@ -176,7 +178,7 @@
 async def executor_crashed(world: SoakWorld, rng: random.Random) -> None:
     """An executor crashes and comes back under its identity."""
     executor = rng.choice(list(world.executors.values()))
-    if executor.faults.is_crashed:
+    if executor.faults.is_crashed or executor.info.draining:
         return
     executor.crash()
     await asyncio.sleep(rng.uniform(*OUTAGE_S))
@@ -185,6 +187,22 @@
         world.list_executor(executor)
 
 
+async def executor_leaves(world: SoakWorld, rng: random.Random) -> None:
+    """An executor says that it leaves, leaves, and another life follows."""
+    executor = rng.choice(list(world.executors.values()))
+    if executor.faults.is_crashed or executor.info.draining:
+        return
+    left_s = rng.uniform(1.0, 4.0)
+    world.drain_executor(executor, left_s=left_s)
+    await asyncio.sleep(left_s)
+    executor.crash()
+    world.unlist_executor(executor)
+    await asyncio.sleep(rng.uniform(*SHORT_S))
+    executor.info = attrs.evolve(executor.info, draining=False)
+    executor.restart()
+    world.list_executor(executor)
+
+
 async def orders_late(world: SoakWorld, rng: random.Random) -> None:
     """Orders are carried out without an answer, or late."""
     executors = list(world.executors.values())
@@ -237,6 +255,7 @@
         executor_links,
         executor_cut,
         executor_crashed,
+        executor_leaves,
         orders_late,
         executor_sick,
         config_changed,
--- a/libs/bench/dragonflybank/bench/soak/processes.py
+++ b/libs/bench/dragonflybank/bench/soak/processes.py
@@ -32,6 +32,7 @@
         life: Number of its present process, from 1.
         touched_at: Time at which it was last disturbed.
         stopping_since: Time of a SIGTERM that it has not ended after yet.
+        was_ready: Whether its present process has answered the balancer.
         wrong: What its processes did that they must not.
     """
 
@@ -51,6 +52,7 @@
         self.life = 0
         self.touched_at = 0.0
         self.stopping_since: float | None = None
+        self.was_ready = False
         self.wrong: list[str] = []
         self._ip = ip
         self._rng = rng
@@ -68,19 +70,13 @@
         """Where the balancer asks."""
         return f"http://{self._ip}:{READY_PORT}/"
 
-    @property
-    def is_paused(self) -> bool:
-        """Whether it may not answer since it was stopped by a signal."""
-        return self._paused
-
-    _paused = False
-
     async def run(self, ip: str) -> None:
         """Keeps the host running until `close`."""
         await self.front.start(ip)
         while not self._is_over:
             self.life += 1
             self._was_killed, self.stopping_since = False, None
+            self.was_ready = False
             with self._log.open("ab") as log:
                 self._process = await asyncio.create_subprocess_exec(
                     sys.executable,
@@ -95,7 +91,6 @@
                     },
                 )
             status = await self._process.wait()
-            self._paused = False
             if not self._was_killed and not self._is_over:
                 self._check_end(status)
             await asyncio.sleep(self._rng.uniform(*RESTART_S))
@@ -116,13 +111,11 @@
     def pause(self) -> None:
         """Pauses the process."""
         self._touch()
-        self._paused = True
         self._send(signal.SIGSTOP)
 
     def wake(self) -> None:
         """Lets a paused process continue."""
         self._touch()
-        self._paused = False
         self._send(signal.SIGCONT)
 
     def reload(self) -> None:
@@ -160,6 +153,9 @@
     def _check_end(self, status: int) -> None:
         if self.stopping_since is None:
             self.wrong.append(f"{self.name} ended by itself with {status}")
+        elif status == -signal.SIGTERM and not self.was_ready:
+            # The interpreter was still starting, so nothing was in progress.
+            return
         elif status:
             self.wrong.append(f"{self.name} ended with {status} after SIGTERM")
 
--- a/libs/bench/dragonflybank/bench/soak/world.py
+++ b/libs/bench/dragonflybank/bench/soak/world.py
@@ -331,6 +331,7 @@
             for name, host in self.processes.items():
                 status = await self._ask(host.ready_url, limit_s=0.5)
                 misses[name] = 0 if status == 200 else misses[name] + 1
+                host.was_ready |= status == 200
             self._ready = {n for n, count in misses.items() if count < 2}
             await asyncio.sleep(READY_EVERY_S)
 
--- a/libs/cell/dragonflybank/cell/election.py
+++ b/libs/cell/dragonflybank/cell/election.py
@@ -31,8 +31,8 @@
 TERM_KEY = "term"
 # A cell is without a decider for about this long after its leader died; the
 # store's shortest lease is 1 s.
-LEASE_S = 2.0
-RENEW_S = 0.5
+LEASE_S = 1.4
+RENEW_S = 0.3
 # Time since the last confirmation after which nothing new is started.
 CONFIRM_LIMIT_S = 1.0
 CONFIRM_EVERY_S = 0.4
--- a/libs/cell/dragonflybank/cell/health.py
+++ b/libs/cell/dragonflybank/cell/health.py
@@ -2,11 +2,14 @@
 
 An executor on which several jobs failed in a row, none of which had failed
 elsewhere before, gets no new work for a while, and then one more chance. An
-attempt whose progress stands still is stopped and its executor rested.
+attempt whose progress stands still is stopped and its executor rested. Members
+of a gang stand still without fault: until all are present, and from their own
+end until that of the slowest.
 """
 
 __all__ = ["HealthRules"]
 
+import itertools
 import logging
 from collections.abc import Iterable, Iterator
 
@@ -23,6 +26,7 @@
 STUCK_MIN_S = 3.0
 STUCK_SHARE = 0.3
 CHECK_EVERY_S = 0.5
+DONE_PERCENT = 100
 
 
 class HealthRules:
@@ -88,5 +92,19 @@
                 continue
             limit_s = max(STUCK_MIN_S, STUCK_SHARE * spec.estimate_s)
             still_s = now - attempt.advanced_at
-            if still_s > limit_s:
+            if still_s > limit_s and not _waits_for_gang(attempt):
                 yield attempt, f"no progress for {still_s:.1f} s"
+
+
+def _waits_for_gang(attempt: Attempt) -> bool:
+    """Returns whether a member of a gang has nothing to do at present."""
+    step = attempt.task.step
+    if not step.spec.gang:
+        return False
+    if attempt.percent >= DONE_PERCENT:
+        return True
+    members = itertools.chain.from_iterable(t.attempts for t in step.tasks)
+    return not any(
+        member.percent > 0 and member.number == attempt.number
+        for member in members
+    )
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -17,6 +17,7 @@
 from dragonflybank.cell.advising import AdviceLines
 from dragonflybank.cell.background import Background
 from dragonflybank.cell.commits import Committer
+from dragonflybank.cell.draining import has_left, to_evacuate
 from dragonflybank.cell.election import Leadership
 from dragonflybank.cell.health import HealthRules
 from dragonflybank.cell.jobs import Phase, TaskId
@@ -45,6 +46,7 @@
     Executor,
     JobState,
     StepState,
+    Task,
 )
 from dragonflybank.cell.tickets import ticket_for
 from dragonflybank.cell.workload import Workload
@@ -155,13 +157,22 @@
 
     # Executors.
 
-    def executor_listed(self, info: ExecutorInfo) -> None:
-        """Takes in what the platform's list says of an executor."""
+    def executor_listed(
+        self, info: ExecutorInfo, *, written_after: float = float("-inf")
+    ) -> None:
+        """Takes in what the platform's list says of an executor.
+
+        Args:
+            info: What the list says.
+            written_after: Time after which it was written.
+        """
         executor = self.executors.get(info.id)
         if executor is None:
             executor = Executor(info)
             self.executors[info.id] = executor
             self._connect(executor)
+            if info.draining:
+                self._note_draining(executor, info, written_after)
             _log.info(
                 "executor listed",
                 extra={"executor": info.id, "zone": info.zone},
@@ -176,7 +187,7 @@
             if info.incarnation > known > 0:
                 self.executor_replaced(executor)
             if info.draining and not executor.info.draining:
-                _log.info("executor draining", extra={"executor": info.id})
+                self._note_draining(executor, info, written_after)
             has_moved = info.address != executor.info.address
             is_new = executor.info.id not in self._links
             executor.info = info
@@ -191,9 +202,21 @@
     def executor_unlisted(self, executor_id: str) -> None:
         """Notes that the platform's list lacks an executor."""
         executor = self.executors.get(executor_id)
-        if executor is not None and executor.is_listed:
-            executor.is_listed = False
-            _log.info("executor unlisted", extra={"executor": executor_id})
+        if executor is None or not executor.is_listed:
+            return
+        executor.is_listed = False
+        is_gone = has_left(executor, self.limits, self.clock.now())
+        _log.info(
+            "executor unlisted",
+            extra={
+                "executor": executor_id,
+                "attempts": len(executor.attempts),
+                "has_left": is_gone,
+            },
+        )
+        if is_gone:
+            self._lose_attempts(executor, "left")
+            self._forget_executor(executor)
 
     def executor_silent(self, executor: Executor, failed: Problem) -> None:
         """Notes a call to an executor that failed."""
@@ -216,6 +239,8 @@
         self._lose_attempts(executor, "another incarnation")
         executor.acked = executor.seen_end = 0
         executor.lease_until_s = 0.0
+        executor.leaves_at = float("inf")
+        executor.drained_after = float("-inf")
         executor.claimed = False
         executor.strangers.clear()
         if executor.info.id in self._links:
@@ -293,6 +318,32 @@
         self.has_failed = True
         self.leadership.lost.set()
 
+    def _note_draining(
+        self, executor: Executor, info: ExecutorInfo, written_after: float
+    ) -> None:
+        executor.leaves_at = self.clock.now() + info.drain_left_s
+        executor.drained_after = written_after
+        _log.info(
+            "executor draining",
+            extra={
+                "executor": info.id,
+                "left_s": info.drain_left_s,
+                "attempts": len(executor.attempts),
+            },
+        )
+
+    def _evacuate(self, now: float) -> None:
+        for executor in self.executors.values():
+            for attempt in to_evacuate(executor, self.limits, now):
+                self.stop(attempt, "executor leaves")
+
+    def _forget_executor(self, executor: Executor) -> None:
+        del self.executors[executor.info.id]
+        link = self._links.pop(executor.info.id, None)
+        if link is not None:
+            self.background.spawn(link.close())
+        _log.info("executor gone", extra={"executor": executor.info.id})
+
     def _drop_gone(self, now: float) -> None:
         for executor in list(self.executors.values()):
             if (
@@ -301,11 +352,7 @@
                 and self._is_silent_for(executor, GONE_AFTER_S, now)
                 and lease_is_over(executor, now)
             ):
-                del self.executors[executor.info.id]
-                link = self._links.pop(executor.info.id, None)
-                if link is not None:
-                    self.background.spawn(link.close())
-                _log.info("executor gone", extra={"executor": executor.info.id})
+                self._forget_executor(executor)
 
     def _is_silent_for(
         self, executor: Executor, seconds: float, now: float
@@ -373,10 +420,7 @@
         if attempt.phase is AttemptPhase.STOPPING:
             return
         if reply is OrderReply.OK:
-            if attempt.phase is AttemptPhase.STARTING:
-                attempt.phase = AttemptPhase.RUNNING
-            attempt.absent_after = now
-            self._begun(attempt.task.step.job)
+            self._note_running(attempt, now)
             return
         _log.warning(
             "start refused",
@@ -499,6 +543,7 @@
             changed |= self.workload.finish_task(task, end.attempt, now)
             for other in list(task.attempts):
                 self.stop(other, "another attempt is done")
+            self._expect_gang_ends(task, end.attempt)
         elif end.kind is EndKind.FAILED and not state.phase.is_final:
             changed = True
             self.health.failed(executor, task, now)
@@ -512,6 +557,21 @@
                 self.committer.mark(state)
         self._freed(task.step, now)
 
+    def _expect_gang_ends(self, task: Task, number: int) -> None:
+        """Leaves the members of a gang that is done to end by themselves.
+
+        They end together; their room is free when each end is listed.
+        """
+        if not task.step.spec.gang:
+            return
+        for member in task.step.tasks:
+            for attempt in member.attempts:
+                if (
+                    attempt.number == number
+                    and attempt.phase is AttemptPhase.RUNNING
+                ):
+                    attempt.phase = AttemptPhase.STOPPING
+
     def _take_running(
         self,
         executor: Executor,
@@ -554,10 +614,16 @@
             attempt.advanced_at = now
         attempt.load = row.load
         self.workload.save(attempt.task, row.saved)
+        if attempt.phase is AttemptPhase.STARTING:
+            self._note_running(attempt, now)
+
+    def _note_running(self, attempt: Attempt, now: float) -> None:
         if attempt.phase is AttemptPhase.STARTING:
             attempt.phase = AttemptPhase.RUNNING
-            attempt.absent_after = now
-            self._begun(attempt.task.step.job)
+            # It may have held its room for long before, for want of a ticket.
+            attempt.began_at = attempt.advanced_at = now
+        attempt.absent_after = now
+        self._begun(attempt.task.step.job)
 
     def _adopt(self, executor: Executor, row: Listed, now: float) -> None:
         key = (row.task, row.attempt)
@@ -685,6 +751,7 @@
             self.wall(), early_s=self.limits.early_s, now=now
         )
         self._drop_gone(now)
+        self._evacuate(now)
         if now >= self.leadership.began_at + doubt_ends_s(self.limits.lease_s):
             for executor in self.executors.values():
                 if not executor.claimed and executor.attempts:
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -164,6 +164,8 @@
                 case Success(Held(reply=OrderReply.OK) as held):
                     if leader.take_lists(executor, held, sent_at=now):
                         self._ack = (leader.committer.marked, executor.seen_end)
+                    if executor.acked < executor.seen_end:
+                        # Ends that are not acknowledged are told at once.
                         await self._settled()
                 case Success(Held(reply=OrderReply.FENCED)):
                     leader.deposed(executor)
@@ -186,7 +188,10 @@
 
     def _wait_s(self) -> float:
         attempts = self._executor.attempts
-        if any(a.task.step.spec.filling for _, a in attempts.items()):
+        specs = [a.task.step.spec for a in attempts.values()]
+        if any(s.filling for s in specs) and any(
+            s.tail_target_s for s in specs
+        ):
             return PACED_HOLD_WAIT_S
         return HOLD_WAIT_S if attempts else IDLE_HOLD_WAIT_S
 
--- a/libs/cell/dragonflybank/cell/placement.py
+++ b/libs/cell/dragonflybank/cell/placement.py
@@ -48,7 +48,6 @@
     allowed: list[Executor],
     *,
     held_back: Mapping[str, int],
-    now: float,
 ) -> Plan:
     """Chooses executors for the waiting tasks of a step.
 
@@ -58,7 +57,6 @@
         allowed: Executors that may run it.
         held_back: Processors by executor that waiting work of higher priority
             needs, in thousandths of a core.
-        now: Present time, seconds since 1970.
     """
     groups = _groups(step, allowed)
     room = {e.info.id: _room(step, e, held_back) for e in allowed}
@@ -108,7 +106,7 @@
     size = step.spec.millicores
     by_rest = sorted(
         (e for e in group if room[e.info.id] > 0),
-        key=lambda e: (e.slowness > SLOW, e.free_millicores - size, e.info.id),
+        key=lambda e: (e.free_millicores - size, e.info.id),
     )
     pairs = []
     for task in tasks:
@@ -122,10 +120,6 @@
     return pairs
 
 
-# Executors that take twice as long as the others come last.
-SLOW = 2.0
-
-
 def _first(
     executors: list[Executor],
     room: dict[str, int],
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -7,6 +7,7 @@
 
 __all__ = ["Scheduling"]
 
+import asyncio
 import logging
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
@@ -27,7 +28,8 @@
 from dragonflybank.cell.tickets import (
     TICKET_MARGIN_S,
     ask_cost_s,
-    named_in_ask,
+    extra_renewals,
+    first_calls,
     needed_advice,
     take_advice,
     ticket_for,
@@ -77,10 +79,11 @@
     def _is_placeable(
         self, step: StepState, tasks: list[Task], now: float
     ) -> bool:
-        if step.asking or step.blocked_until > now:
+        if step.blocked_until > now:
             return False
         # A gang is started anew only when all of its members have ended.
-        return not step.spec.gang or len(tasks) == step.undone
+        is_whole = not step.asking and len(tasks) == step.undone
+        return not step.spec.gang or is_whole
 
     def _place_step(
         self,
@@ -92,7 +95,11 @@
         queue = step.job.job.queue
         allowed = candidates(step, self._leader.executors.values(), now)
         unknown: Sequence[Executor] = ()
-        if queue.advised is not None and self._lines is not None:
+        is_advised = queue.advised is not None and self._lines is not None
+        if is_advised and step.asking:
+            # A call is in progress; tickets at hand are used meanwhile.
+            allowed = [e for e in allowed if ticket_for(step, e.info.id, now)]
+        elif is_advised:
             needed = needed_advice(step, allowed)
             allowed, unknown = list(needed.good), needed.unknown
         held_back = {
@@ -101,16 +108,23 @@
             if priority < queue.priority
             for executor, cores in kept.items()
         }
-        plan = place(step, tasks, allowed, held_back=held_back, now=now)
+        plan = place(step, tasks, allowed, held_back=held_back)
         if plan.pairs:
-            self._carry_out(step, plan, now)
+            self._carry_out(step, plan, allowed, now)
         elif unknown:
-            named = named_in_ask(queue.advised, unknown)
-            self._ask(step, [executor.info.id for executor in named], [])
+            calls = first_calls(
+                step,
+                len(tasks),
+                unknown,
+                has_idle_lines=self._lines.has_idle,
+            )
+            self._ask(step, calls, [])
         elif step.spec.gang:
             held.append((queue.priority, _kept_for_gang(step, tasks, allowed)))
 
-    def _carry_out(self, step: StepState, plan: Plan, now: float) -> None:
+    def _carry_out(
+        self, step: StepState, plan: Plan, allowed: list[Executor], now: float
+    ) -> None:
         leader = self._leader
         workload = leader.workload
         if step.spec.gang:
@@ -127,13 +141,31 @@
         if step.job.job.queue.advised is None or self._lines is None:
             self._begin(step, attempts, now)
             return
+        if not step.spec.gang:
+            ready = [a for a in attempts if self._has_ticket(step, a, now)]
+            self._begin(step, ready, now)
+            attempts = [a for a in attempts if a not in ready]
         used = {attempt.executor.info.id for attempt in attempts}
-        named = to_renew(step, sorted(used), step.job.job.queue.advised, now)
+        advised = step.job.job.queue.advised
+        named = to_renew(step, sorted(used), advised, now)
+        if named and step.waiting():
+            others = [
+                e
+                for e in allowed
+                if e.info.id not in used
+                and ticket_for(step, e.info.id, now) is None
+            ]
+            named += extra_renewals(advised, named, others, now)
         if named:
-            self._ask(step, named, attempts)
+            self._ask(step, [named], attempts)
         else:
             self._begin(step, attempts, now)
 
+    def _has_ticket(
+        self, step: StepState, attempt: Attempt, now: float
+    ) -> bool:
+        return ticket_for(step, attempt.executor.info.id, now) is not None
+
     def _begin(
         self, step: StepState, attempts: list[Attempt], now: float
     ) -> None:
@@ -157,13 +189,25 @@
         self._leader.begin(step, attempts)
 
     def _ask(
-        self, step: StepState, named: list[str], attempts: list[Attempt]
+        self,
+        step: StepState,
+        calls: list[list[str]],
+        attempts: list[Attempt],
     ) -> None:
         step.asking = True
         step.placed_ahead = attempts
-        self._leader.background.spawn(self._advise(step, named))
+        self._leader.background.spawn(self._advise(step, calls))
 
-    async def _advise(self, step: StepState, ids: list[str]) -> None:
+    async def _advise(self, step: StepState, calls: list[list[str]]) -> None:
+        await asyncio.gather(*(self._call(step, ids) for ids in calls))
+        now = self._leader.clock.now()
+        step.asking = False
+        attempts, step.placed_ahead = step.placed_ahead, []
+        self._begin_reserved(step, attempts, now)
+        self._leader.workload.requeue(step)
+        self._leader.wake()
+
+    async def _call(self, step: StepState, ids: list[str]) -> None:
         queue = step.job.job.queue
         got = await self._lines.ask(
             step.name,
@@ -172,8 +216,6 @@
             cost_s=ask_cost_s(queue.advised, len(ids)),
         )
         now = self._leader.clock.now()
-        step.asking = False
-        attempts, step.placed_ahead = step.placed_ahead, []
         match got:
             case Success(tickets):
                 take_advice(
@@ -192,9 +234,6 @@
                 )
             case Failure(_):
                 step.blocked_until = now + ADVICE_RETRY_S
-        self._begin_reserved(step, attempts, now)
-        self._leader.workload.requeue(step)
-        self._leader.wake()
 
     def _begin_reserved(
         self, step: StepState, attempts: list[Attempt], now: float
--- a/libs/cell/dragonflybank/cell/session.py
+++ b/libs/cell/dragonflybank/cell/session.py
@@ -22,9 +22,11 @@
 
 # Hosts tell the leader of each job; the watch finds those that it missed.
 JOBS_PAUSE_S = 0.5
-# Heartbeats change entries all the time. An executor that drains must get no
-# new work 2.5 s later.
-EXECUTORS_PAUSE_S = 0.6
+# Executors may leave two seconds after they say so, and what runs on them has
+# to be moved by then.
+EXECUTORS_PAUSE_S = 0.25
+# Bounds what is not known of the time of a change.
+EXECUTORS_WAIT_S = 1.0
 # States are kept for minutes; reading all of them is a few calls.
 CLEAN_EVERY_S = 60.0
 CLEAN_SLACK_S = 10.0
@@ -84,14 +86,18 @@
 async def _watch_executors(leader: Leader, revision: int) -> None:
     prefix = leader.platform.executors_prefix
     watch = Watch(
-        leader.platform.store, prefix, leader.clock, pause_s=EXECUTORS_PAUSE_S
+        leader.platform.store,
+        prefix,
+        leader.clock,
+        wait_s=EXECUTORS_WAIT_S,
+        pause_s=EXECUTORS_PAUSE_S,
     )
     async for items, is_whole in watch.changes(revision):
         infos = executor_infos(
             leader, tuple(i for i in items if i.value is not None)
         )
         for info in infos:
-            leader.executor_listed(info)
+            leader.executor_listed(info, written_after=watch.written_after)
         gone = _unlisted(leader, items, is_whole, {i.id for i in infos})
         for executor_id in gone:
             leader.executor_unlisted(executor_id)
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -59,6 +59,16 @@
     pace: int = 100
     absent_after: float | None = None
 
+    def remaining_s(self, now: float) -> float:
+        """Returns how long it will still run, by its progress or estimate."""
+        spec = self.task.step.spec
+        if spec.lasting:
+            return float("inf")
+        elapsed_s = now - self.began_at
+        if self.percent > 0:
+            return elapsed_s * (100.0 - self.percent) / self.percent
+        return max(0.0, spec.estimate_s - elapsed_s)
+
 
 @attrs.define(eq=False)
 class Task:
@@ -200,8 +210,9 @@
         acked: Number of the last end that the store knows the effect of.
         seen_end: Number of the last end that was taken in.
         sick_until: Time before which nothing is placed on it.
+        leaves_at: Time until which it stays at least, once it drains.
+        drained_after: Time after which it wrote that it drains.
         failed_jobs: Jobs that failed on it since its last success.
-        slowness: Ratio of run times on it to those elsewhere.
     """
 
     info: ExecutorInfo
@@ -219,8 +230,9 @@
     acked: int = 0
     seen_end: int = 0
     sick_until: float = 0.0
+    leaves_at: float = float("inf")
+    drained_after: float = float("-inf")
     failed_jobs: set[str] = attrs.field(factory=set)
-    slowness: float = 1.0
 
     @property
     def free_millicores(self) -> int:
--- a/libs/cell/dragonflybank/cell/tests/test_placement.py
+++ b/libs/cell/dragonflybank/cell/tests/test_placement.py
@@ -15,9 +15,7 @@
 
 
 def plan_of(step, allowed, held_back=None):
-    return place(
-        step, step.waiting(), allowed, held_back=held_back or {}, now=NOW
-    )
+    return place(step, step.waiting(), allowed, held_back=held_back or {})
 
 
 def names(plan) -> list[str]:
--- a/libs/cell/dragonflybank/cell/tests/test_rules.py
+++ b/libs/cell/dragonflybank/cell/tests/test_rules.py
@@ -1,6 +1,7 @@
 """Tests of boards, sick executors, pace and tickets."""
 
 import asyncio
+import itertools
 
 import testtools
 from testtools.matchers import Equals, HasLength
@@ -13,7 +14,9 @@
 from dragonflybank.cell.state import AttemptPhase
 from dragonflybank.cell.tests.scene import QUEUES, add_job, executor, step_of
 from dragonflybank.cell.tickets import (
-    named_in_ask,
+    ask_cost_s,
+    extra_renewals,
+    first_calls,
     needed_advice,
     take_advice,
     ticket_for,
@@ -107,6 +110,40 @@
         still = list(self.rules.stuck([attempt], NOW + 3.5))
         self.assertThat(still, HasLength(1))
 
+    def _gang(self, percents):
+        """Returns the attempts of a gang at work, each on its executor."""
+        step = step_of(
+            add_job(self.workload, 9, Step(len(percents), gang=True))
+        )
+        attempts = []
+        for task, percent in zip(step.tasks, percents, strict=True):
+            attempt = reserve(
+                executor(str(task.id)),
+                task,
+                1,
+                phase=AttemptPhase.RUNNING,
+                now=NOW,
+            )
+            attempt.percent = percent
+            attempts.append(attempt)
+        return attempts
+
+    def _stuck(self, attempts):
+        return [a for a, _ in self.rules.stuck(attempts, NOW + 9.0)]
+
+    def test_members_that_wait_for_the_slowest_are_not_stuck(self):
+        attempts = self._gang([100.0, 100.0, 30.0])
+        attempts[2].advanced_at = NOW + 8.0
+        self.assertThat(self._stuck(attempts), Equals([]))
+
+    def test_a_gang_that_is_not_complete_is_not_stuck(self):
+        self.assertThat(self._stuck(self._gang([0.0, 0.0])), Equals([]))
+
+    def test_a_member_that_hangs_while_others_work_is_stuck(self):
+        attempts = self._gang([100.0, 0.0, 30.0])
+        attempts[2].advanced_at = NOW + 8.0
+        self.assertThat(self._stuck(attempts), Equals([attempts[1]]))
+
 
 class TestPace(testtools.TestCase):
     """Guards against filling tasks that harm serving ones."""
@@ -156,5 +193,46 @@
 
     def test_a_call_names_no_more_than_the_service_takes(self):
         many = [executor(f"e{n}") for n in range(300)]
-        found = named_in_ask(QUEUES["verify"].advised, many)
-        self.assertThat(len(found) <= 100, Equals(True))
+        for gang, idle in itertools.product((True, False), repeat=2):
+            spec = Step(900, millicores=64000, gang=gang)
+            step = step_of(add_job(Workload(), 1, spec, queue="verify"))
+            calls = first_calls(step, 900, many, has_idle_lines=idle)
+            self.assertThat(max(map(len, calls)) <= 100, Equals(True))
+
+    def test_a_first_call_names_what_the_step_needs(self):
+        many = [executor(f"e{n}", cores=32) for n in range(300)]
+        spec = Step(12, millicores=9000)
+        step = step_of(add_job(Workload(), 1, spec, queue="verify"))
+        # Three tasks fit on each, so four of them; a third may be used.
+        calls = first_calls(step, 12, many, has_idle_lines=True)
+        self.assertThat([len(call) for call in calls], Equals([14]))
+
+    def test_a_gang_gets_several_calls_while_lines_are_idle(self):
+        many = [executor(f"e{n}", cores=32) for n in range(300)]
+        spec = Step(12, millicores=9000, gang=True)
+        step = step_of(add_job(Workload(), 1, spec, queue="verify"))
+        # 0.3 s for a call are worth 75 executors of 4 ms.
+        for idle, sizes in ((True, [50, 50, 50]), (False, [75])):
+            calls = first_calls(step, 12, many, has_idle_lines=idle)
+            self.assertThat([len(call) for call in calls], Equals(sizes))
+            self.assertThat(
+                len(set(itertools.chain(*calls))), Equals(sum(sizes))
+            )
+
+    def test_a_renewal_names_executors_that_have_room_soon(self):
+        workload, advised = Workload(), QUEUES["verify"].advised
+        others = [executor(f"e{n}") for n in range(3)]
+        for number, one in enumerate(others):
+            task = step_of(add_job(workload, number + 1, Step(1))).tasks[0]
+            attempt = reserve(
+                one, task, 1, phase=AttemptPhase.RUNNING, now=NOW - 1.0
+            )
+            attempt.percent = 30.0 + 20.0 * number
+        found = extra_renewals(advised, ["plan"], others, NOW)
+        self.assertThat(found, Equals(["e2", "e1", "e0"]))
+
+    def test_a_renewal_costs_at_most_twice_a_call(self):
+        advised = QUEUES["verify"].advised
+        others = [executor(f"e{n}") for n in range(300)]
+        named = ["plan", *extra_renewals(advised, ["plan"], others, NOW)]
+        self.assertThat(ask_cost_s(advised, len(named)) <= 0.6, Equals(True))
--- /dev/null
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -0,0 +1,121 @@
+"""Replays of steps that wait for room on a few advised executors."""
+
+import asyncio
+
+import testtools
+from returns.result import Success
+from testtools.matchers import Equals
+
+from dragonflybank.cell.background import Background
+from dragonflybank.cell.election import Leadership
+from dragonflybank.cell.jobs import Step
+from dragonflybank.cell.ledger import release, reserve
+from dragonflybank.cell.metrics import CellMetrics
+from dragonflybank.cell.scheduling import Scheduling
+from dragonflybank.cell.state import AttemptPhase
+from dragonflybank.cell.tests.scene import add_job, executor, step_of
+from dragonflybank.cell.workload import Workload
+from dragonflybank.standins.cell.virtual import VirtualClock, play
+
+CALL_S = 0.7
+
+
+class _Lines:
+    """Advice that takes its time; every executor is good."""
+
+    has_idle = True
+
+    def __init__(self):
+        self.named = []
+
+    async def ask(self, step, executors, *, priority, cost_s):
+        self.named.append(sorted(executors))
+        await asyncio.sleep(CALL_S)
+        return Success({name: f"ticket/{name}" for name in executors})
+
+
+class _Leader:
+    """What the scheduling needs of a leader; starts are recorded."""
+
+    def __init__(self, executors):
+        self.clock = VirtualClock()
+        self.executors = {e.info.id: e for e in executors}
+        self.workload = Workload()
+        self.leadership = Leadership(1, 1, 0.0, float("inf"))
+        self.background = Background()
+        self.metrics = CellMetrics()
+        self.begun = []
+
+    def place(self, step, pairs, number, now):
+        return [
+            reserve(e, t, number, phase=AttemptPhase.RESERVED, now=now)
+            for t, e in pairs
+        ]
+
+    def begin(self, step, attempts):
+        now = self.clock.now()
+        self.begun += [(now, a.executor.info.id) for a in attempts]
+
+    def stop(self, attempt, reason):
+        release(attempt)
+
+    def wake(self):
+        """Rounds are run by the test."""
+
+
+class TestAdvisedSteps(testtools.TestCase):
+    """Guards against free room that waits for a call for each task."""
+
+    def _play(self, main):
+        executors = [executor(f"e{n}", cores=4) for n in range(4)]
+        leader, lines = _Leader(executors), _Lines()
+        scheduling = Scheduling(leader, lines)
+        spec = Step(9, millicores=4000, estimate_s=4.0)
+        step = step_of(add_job(leader.workload, 1, spec, queue="verify"))
+
+        async def run():
+            await main(leader, scheduling, step)
+
+        play(run())
+        return leader, lines
+
+    def test_freed_room_is_used_with_the_tickets_at_hand(self):
+        freed = []
+
+        async def main(leader, scheduling, step):
+            def decide():
+                scheduling.decide(leader.clock.now(), 1000.0)
+
+            decide()
+            await asyncio.sleep(CALL_S + 0.1)
+            decide()
+            # The tickets expire; one task after another ends then.
+            await asyncio.sleep(3.0)
+            for attempt in [t.attempts[0] for t in step.tasks if t.attempts]:
+                release(attempt)
+                freed.append(leader.clock.now())
+                leader.workload.requeue(step)
+                decide()
+                await asyncio.sleep(CALL_S + 0.1)
+                decide()
+
+        leader, lines = self._play(main)
+        waits = [
+            round(began - at, 3)
+            for at, (began, _) in zip(freed, leader.begun[4:], strict=True)
+        ]
+        # The first call renews all four; the others start at once.
+        self.assertThat(waits, Equals([CALL_S, 0.0, 0.0, 0.0]))
+
+    def test_a_call_in_progress_blocks_no_ticket_at_hand(self):
+        async def main(leader, scheduling, step):
+            scheduling.decide(leader.clock.now(), 1000.0)
+            await asyncio.sleep(CALL_S + 0.1)
+            scheduling.decide(leader.clock.now(), 1000.0)
+            step.asking = True
+            release(step.tasks[0].attempts[0])
+            leader.workload.requeue(step)
+            scheduling.decide(leader.clock.now(), 1000.0)
+
+        leader, _ = self._play(main)
+        self.assertThat(len(leader.begun), Equals(5))
--- a/libs/standins/dragonflybank/standins/cell/executors.py
+++ b/libs/standins/dragonflybank/standins/cell/executors.py
@@ -93,6 +93,7 @@
         info: What it says of itself.
         faults: Its present faults.
         started: All runs, for the checks.
+        holds: Number of calls for its lists.
         overloaded: Times at which it was over its capacity.
         lapsed_at: Times at which it held no lease.
 
@@ -118,6 +119,7 @@
         self.info = info
         self.faults = ExecutorFaults()
         self.started: list[Started] = []
+        self.holds = 0
         self.overloaded: list[float] = []
         self.lapsed_at: list[float] = []
         self._step_of = step_of
@@ -203,6 +205,7 @@
         self, epoch: int, acked: int, lease_until_s: float, wait_s: float
     ) -> Held:
         """Carries out a renewal."""
+        self.holds += 1
         if not self._take_epoch(epoch):
             return Held(OrderReply.FENCED)
         self._extend(lease_until_s)
--- a/libs/standins/dragonflybank/standins/cell/plays.py
+++ b/libs/standins/dragonflybank/standins/cell/plays.py
@@ -10,6 +10,8 @@
 
 Play = Callable[[World], Awaitable[None]]
 LOAD = Load()
+# Three heartbeat intervals.
+LAPSE_S = 4.5
 
 
 def play_fault(name: str, seed: int) -> list[str]:
@@ -176,6 +178,28 @@
     slow.faults.slowness = 1.0
 
 
+async def executors_leave(world: World) -> None:
+    """Executors leave two seconds after they say so."""
+    for executor in list(world.executors.values())[:3]:
+        await asyncio.sleep(3.0)
+        world.drain_executor(executor, left_s=2.0)
+        await asyncio.sleep(2.0)
+        executor.crash()
+        world.unlist_executor(executor)
+
+
+async def leaving_executor_cut(world: World) -> None:
+    """An executor that drains is cut off, and its entry lapses."""
+    for executor in list(world.executors.values())[:2]:
+        await asyncio.sleep(3.0)
+        world.drain_executor(executor, left_s=30.0)
+        executor.faults.is_cut = True
+        await asyncio.sleep(LAPSE_S)
+        world.unlist_executor(executor)
+        await asyncio.sleep(4.0)
+        executor.faults.is_cut = False
+
+
 async def leader_broken(world: World) -> None:
     """Programming errors end the leader's calls to executors."""
     for executor in list(world.executors.values())[:3]:
@@ -209,6 +233,8 @@
         orders_late,
         orders_late_and_killed,
         executors_sick,
+        executors_leave,
+        leaving_executor_cut,
         leader_broken,
         entries_broken,
     )
--- a/libs/standins/dragonflybank/standins/cell/world.py
+++ b/libs/standins/dragonflybank/standins/cell/world.py
@@ -125,9 +125,13 @@
         key = "executors/" + executor.info.id
         self.store.put(key, msgspec.json.encode(executor.info))
 
-    def drain_executor(self, executor: MemoryExecutor) -> None:
-        """Writes that an executor is leaving."""
-        executor.info = attrs.evolve(executor.info, draining=True)
+    def drain_executor(
+        self, executor: MemoryExecutor, *, left_s: float = 30.0
+    ) -> None:
+        """Writes that an executor leaves, and how long it stays at least."""
+        executor.info = attrs.evolve(
+            executor.info, draining=True, drain_left_s=left_s
+        )
         self.list_executor(executor)
 
     def unlist_executor(self, executor: MemoryExecutor) -> None:
