Split the leader into fleet, attempts and rounds

Change: fleet.py keeps the executors, attempts.py what runs on them; leader.py is left with the rounds and the ends of jobs.

--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -162,7 +162,7 @@
             )
             match got:
                 case Success(Held(reply=OrderReply.OK) as held):
-                    if leader.take_lists(executor, held, sent_at=now):
+                    if leader.fleet.take_lists(executor, held, sent_at=now):
                         self._ack = (leader.committer.marked, executor.seen_end)
                     if executor.acked < executor.seen_end:
                         # Ends that are not acknowledged are told at once.
@@ -171,7 +171,7 @@
                     leader.deposed(executor)
                     return
                 case Success(Held(reply=OrderReply.OTHER_INSTANCE)):
-                    leader.executor_replaced(executor)
+                    leader.fleet.replaced(executor)
                     await leader.clock.sleep(RETRY_S)
                 case Success(held):
                     _log.warning(
@@ -183,7 +183,7 @@
                     )
                     await leader.clock.sleep(RETRY_S)
                 case Failure(failed):
-                    leader.executor_silent(executor, failed)
+                    leader.fleet.silent(executor, failed)
                     await leader.clock.sleep(RETRY_S)
 
     def _wait_s(self) -> float:
@@ -229,15 +229,15 @@
             if isinstance(got, Success):
                 reply = got.unwrap()
                 if reply is OrderReply.OK or not sent:
-                    leader.start_answered(attempt, reply)
+                    leader.attempts.answered(attempt, reply)
                     return
                 break
             failed = got.failure()
             if failed.code is Code.UNREACHABLE and not sent:
-                leader.start_answered(attempt, OrderReply.UNHEALTHY)
+                leader.attempts.answered(attempt, OrderReply.UNHEALTHY)
                 return
         if attempt.phase is AttemptPhase.STARTING:
-            leader.start_unknown(attempt)
+            leader.attempts.unknown(attempt)
 
     async def _pace(self, attempt: Attempt, percent: int) -> None:
         got = await self._client.pace(
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -93,7 +93,7 @@
         now: float,
     ) -> None:
         queue = step.job.job.queue
-        allowed = candidates(step, self._leader.executors.values(), now)
+        allowed = candidates(step, self._leader.fleet.executors.values(), now)
         unknown: Sequence[Executor] = ()
         is_advised = queue.advised is not None and self._lines is not None
         if is_advised and step.asking:
@@ -129,12 +129,12 @@
         workload = leader.workload
         if step.spec.gang:
             number = workload.next_attempt([task for task, _ in plan.pairs])
-            attempts = leader.place(step, plan.pairs, number, now)
+            attempts = leader.attempts.place(step, plan.pairs, number, now)
         else:
             attempts = [
                 attempt
                 for pair in plan.pairs
-                for attempt in leader.place(
+                for attempt in leader.attempts.place(
                     step, [pair], workload.next_attempt([pair[0]]), now
                 )
             ]
@@ -186,7 +186,7 @@
                     "gang": step.spec.gang,
                 },
             )
-        self._leader.begin(step, attempts)
+        self._leader.attempts.begin(step, attempts)
 
     def _ask(
         self,
@@ -250,7 +250,7 @@
         if rest and step.spec.gang or step.job.phase.is_final:
             usable, rest = [], [*usable, *rest]
         for attempt in rest:
-            self._leader.stop(attempt, "no valid ticket")
+            self._leader.attempts.stop(attempt, "no valid ticket")
         self._begin(step, usable, now)
 
 
--- a/libs/cell/dragonflybank/cell/session.py
+++ b/libs/cell/dragonflybank/cell/session.py
@@ -97,17 +97,17 @@
             leader, tuple(i for i in items if i.value is not None)
         )
         for info in infos:
-            leader.executor_listed(info, written_after=watch.written_after)
+            leader.fleet.listed(info, written_after=watch.written_after)
         gone = _unlisted(leader, items, is_whole, {i.id for i in infos})
         for executor_id in gone:
-            leader.executor_unlisted(executor_id)
+            leader.fleet.unlisted(executor_id)
 
 
 def _unlisted(
     leader: Leader, items: tuple[Item, ...], is_whole: bool, present: set[str]
 ) -> set[str]:
     if is_whole:
-        return set(leader.executors) - present
+        return set(leader.fleet.executors) - present
     prefix = leader.platform.executors_prefix
     return {i.key.removeprefix(prefix) for i in items} - present
 
--- a/libs/cell/dragonflybank/cell/takeover.py
+++ b/libs/cell/dragonflybank/cell/takeover.py
@@ -47,8 +47,8 @@
     # Ends can be taken in only once their jobs are known.
     take_jobs(leader, jobs.unwrap().items, progress.unwrap().items)
     for info in executor_infos(leader, listed.unwrap().items):
-        leader.executor_listed(info)
-    placed = leader.restore_attempts()
+        leader.fleet.listed(info)
+    placed = leader.attempts.restore()
     _log.info(
         "taken over",
         extra={
@@ -56,7 +56,7 @@
             "term": leader.leadership.term,
             "jobs": len(leader.workload.jobs),
             "ended": len(leader.workload.ended),
-            "executors": len(leader.executors),
+            "executors": len(leader.fleet.executors),
             "placed": placed,
         },
     )
--- a/libs/cell/dragonflybank/cell/tests/test_scheduling.py
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import testtools
 from returns.result import Success
 from testtools.matchers import Equals
@@ -39,12 +40,26 @@
 
     def __init__(self, executors):
         self.clock = VirtualClock()
-        self.executors = {e.info.id: e for e in executors}
+        self.fleet = _Fleet({e.info.id: e for e in executors})
         self.workload = Workload()
         self.leadership = Leadership(1, 1, 0.0, float("inf"))
         self.background = Background()
         self.metrics = CellMetrics()
+        self.attempts = _Attempts(self.clock)
+
+    def wake(self):
+        """Rounds are run by the test."""
+
+
+@attrs.frozen
+class _Fleet:
+    executors: dict
+
+
+class _Attempts:
+    def __init__(self, clock):
         self.begun = []
+        self._clock = clock
 
     def place(self, step, pairs, number, now):
         return [
@@ -53,15 +68,12 @@
         ]
 
     def begin(self, step, attempts):
-        now = self.clock.now()
+        now = self._clock.now()
         self.begun += [(now, a.executor.info.id) for a in attempts]
 
     def stop(self, attempt, reason):
         release(attempt)
 
-    def wake(self):
-        """Rounds are run by the test."""
-
 
 class TestAdvisedSteps(testtools.TestCase):
     """Guards against free room that waits for a call for each task."""
@@ -102,7 +114,9 @@
         leader, lines = self._play(main)
         waits = [
             round(began - at, 3)
-            for at, (began, _) in zip(freed, leader.begun[4:], strict=True)
+            for at, (began, _) in zip(
+                freed, leader.attempts.begun[4:], strict=True
+            )
         ]
         # The first call renews all four; the others start at once.
         self.assertThat(waits, Equals([CALL_S, 0.0, 0.0, 0.0]))
@@ -118,4 +132,4 @@
             scheduling.decide(leader.clock.now(), 1000.0)
 
         leader, _ = self._play(main)
-        self.assertThat(len(leader.begun), Equals(5))
+        self.assertThat(len(leader.attempts.begun), Equals(5))
