--- a/libs/bench/dragonflybank/bench/soak/processes.py
+++ b/libs/bench/dragonflybank/bench/soak/processes.py
@@ -20,6 +20,8 @@
 GRACE_S = 6.0
 # The platform starts a process that ended again after a short delay.
 RESTART_S = (0.3, 1.0)
+# Until the interpreter runs the daemon's first line.
+INTERPRETER_S = 0.3
 
 
 class HostProcess:
@@ -61,6 +63,7 @@
         self._settings = folder / f"{name}.json"
         self._process: asyncio.subprocess.Process | None = None
         self._was_killed = False
+        self._started_at = 0.0
         self._is_over = False
         self._clock.write_text("0")
         self._write_settings(advice_address)
@@ -77,6 +80,7 @@
             self.life += 1
             self._was_killed, self.stopping_since = False, None
             self.was_ready = False
+            self._started_at = asyncio.get_running_loop().time()
             with self._log.open("ab") as log:
                 self._process = await asyncio.create_subprocess_exec(
                     sys.executable,
@@ -120,13 +124,17 @@
 
     def reload(self) -> None:
         """Says that the settings changed."""
-        self._send(signal.SIGHUP)
+        now = asyncio.get_running_loop().time()
+        if now - self._started_at > INTERPRETER_S:
+            self._send(signal.SIGHUP)
 
     def set_clock(self, offset_s: float) -> None:
         """Sets the time of day off by some seconds."""
         self._touch()
         self._clock.write_text(str(offset_s))
-        self._send(CLOCK_SIGNAL)
+        if self.was_ready:
+            # A process that starts reads the file by itself.
+            self._send(CLOCK_SIGNAL)
 
     def disturb(self) -> None:
         """Notes that its links are disturbed."""
@@ -145,8 +153,6 @@
         self.touched_at = asyncio.get_running_loop().time()
 
     def _send(self, number: int) -> None:
-        # Signals that arrive before the handlers are set would end a process
-        # that the platform would not have ended.
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
