Take each entry of a leaving executor as a sign of life, and the last change of a key

An entry that was written and removed between two readings counted as present, since both changes came in one answer; and a watch that hears of a change a second late could make an entry's lapse look like a departure. Change: of several changes of a key the last one counts; each entry of a draining executor counts as a sign of life; the bound below which a removal proves that it has left is three quarters of three heartbeats; the list is watched with waits of 0.5 s, which bounds when a change was made. Conclusion: the proof holds also for late watches.

--- a/libs/cell/dragonflybank/cell/draining.py
+++ b/libs/cell/dragonflybank/cell/draining.py
@@ -11,9 +11,9 @@
 from dragonflybank.cell.state import Attempt, AttemptPhase, Executor
 
 # The platform drops the entry of a silent executor after this many heartbeats,
-# whose interval is approximate.
+# whose interval is approximate. A watch may hear of a change a second late.
 SILENT_HEARTBEATS = 3
-HEARTBEAT_MARGIN = 0.9
+HEARTBEAT_MARGIN = 0.75
 # Executors often stay a little longer than they say, and run times are only
 # estimated, so work without checkpoints is left to its luck for this long.
 HOPE_S = 1.0
--- a/libs/cell/dragonflybank/cell/fleet.py
+++ b/libs/cell/dragonflybank/cell/fleet.py
@@ -87,7 +87,7 @@
                 return
             if info.incarnation > known > 0:
                 self.replaced(executor)
-            if info.draining and not executor.info.draining:
+            if info.draining:
                 self._note_draining(executor, info, written_after)
             has_moved = info.address != executor.info.address
             is_new = executor.info.id not in self._links
@@ -251,8 +251,12 @@
     def _note_draining(
         self, executor: Executor, info: ExecutorInfo, written_after: float
     ) -> None:
+        is_known = executor.leaves_at < float("inf")
         executor.leaves_at = self._leader.clock.now() + info.drain_left_s
-        executor.drained_after = written_after
+        # Each entry is a sign of life of the executor.
+        executor.drained_after = max(executor.drained_after, written_after)
+        if is_known:
+            return
         _log.info(
             "executor draining",
             extra={
--- a/libs/cell/dragonflybank/cell/session.py
+++ b/libs/cell/dragonflybank/cell/session.py
@@ -1,9 +1,10 @@
 """One leadership, from the election to its loss."""
 
-__all__ = ["lead"]
+__all__ = ["latest_items", "lead"]
 
 import asyncio
 import logging
+from collections.abc import Iterable
 
 from returns.result import Failure, Success
 
@@ -26,7 +27,7 @@
 # to be moved by then.
 EXECUTORS_PAUSE_S = 0.25
 # Bounds what is not known of the time of a change.
-EXECUTORS_WAIT_S = 1.0
+EXECUTORS_WAIT_S = 0.5
 # States are kept for minutes; reading all of them is a few calls.
 CLEAN_EVERY_S = 60.0
 CLEAN_SLACK_S = 10.0
@@ -92,7 +93,8 @@
         wait_s=EXECUTORS_WAIT_S,
         pause_s=EXECUTORS_PAUSE_S,
     )
-    async for items, is_whole in watch.changes(revision):
+    async for changes, is_whole in watch.changes(revision):
+        items = latest_items(changes)
         infos = executor_infos(
             leader, tuple(i for i in items if i.value is not None)
         )
@@ -103,6 +105,18 @@
             leader.fleet.unlisted(executor_id)
 
 
+def latest_items(items: Iterable[Item]) -> tuple[Item, ...]:
+    """Returns the last change of each key.
+
+    Example:
+        >>> changes = (Item("a", b"1", 1), Item("b", b"2", 2),
+        ...            Item("a", None, 3))
+        >>> [(item.key, item.value) for item in latest_items(changes)]
+        [('a', None), ('b', b'2')]
+    """
+    return tuple({item.key: item for item in items}.values())
+
+
 def _unlisted(
     leader: Leader, items: tuple[Item, ...], is_whole: bool, present: set[str]
 ) -> set[str]:
--- a/libs/standins/dragonflybank/standins/cell/world.py
+++ b/libs/standins/dragonflybank/standins/cell/world.py
@@ -134,6 +134,12 @@
         )
         self.list_executor(executor)
 
+    def replace_executor(self, executor: MemoryExecutor) -> None:
+        """Starts another life of an executor that has left."""
+        executor.info = attrs.evolve(executor.info, draining=False)
+        executor.restart()
+        self.list_executor(executor)
+
     def unlist_executor(self, executor: MemoryExecutor) -> None:
         """Removes an executor's entry."""
         self.store.put("executors/" + executor.info.id, None)
