--- a/libs/bench/dragonflybank/bench/soak/faults.py
+++ b/libs/bench/dragonflybank/bench/soak/faults.py
@@ -6,8 +6,6 @@
 import random
 from collections.abc import Awaitable, Callable
 
-import attrs
-
 from dragonflybank.bench.soak.processes import HostProcess
 from dragonflybank.bench.soak.world import SoakWorld
 
@@ -198,9 +196,7 @@
     executor.crash()
     world.unlist_executor(executor)
     await asyncio.sleep(rng.uniform(*SHORT_S))
-    executor.info = attrs.evolve(executor.info, draining=False)
-    executor.restart()
-    world.list_executor(executor)
+    world.replace_executor(executor)
 
 
 async def orders_late(world: SoakWorld, rng: random.Random) -> None:
