Keep accepting after a read of the store that breaks

Cause: reading the diff. Submissions wait while a read finds out whether the store is back; if that read ended with an exception, nothing let them go on. Change: only a read in progress makes them wait. Before: the new test in test_front fails (refused); after: it passes, with all of libs/cell.

--- a/libs/cell/dragonflybank/cell/front.py
+++ b/libs/cell/dragonflybank/cell/front.py
@@ -166,7 +166,7 @@
         ]
         if now - min(later, default=now) >= SUSPECT_S:
             self._suspect()
-        return self._probing is None
+        return not self._is_probing()
 
     def _suspect(self) -> None:
         """Makes submissions wait until a read is answered.
@@ -174,16 +174,18 @@
         A submission that was sent to a silent store cannot be refused any
         more, so none of them is used to find out.
         """
-        if self._probing is None:
+        if not self._is_probing():
             self._probing = self._background.spawn(self._probe())
 
+    def _is_probing(self) -> bool:
+        return self._probing is not None and not self._probing.done()
+
     async def _probe(self) -> None:
         while True:
             called_at = self._clock.now()
             got = await self._store.get(LEADER_KEY)
             if isinstance(got, Success):
                 self._answered_at = max(self._answered_at, called_at)
-                self._probing = None
                 return
             await self._clock.sleep(PROBE_EVERY_S)
 
--- a/libs/cell/dragonflybank/cell/tests/test_front.py
+++ b/libs/cell/dragonflybank/cell/tests/test_front.py
@@ -33,9 +33,10 @@
     def __init__(self):
         self.store = MemoryStore(random.Random(1))
         self.is_answering = True
+        self.client = self.store.client("host")
         self.front = CellFront(
             RelayedStore(
-                self.store.client("host"),
+                self.client,
                 None,
                 is_answering=lambda: self.is_answering,
                 relay_address=lambda: "",
@@ -113,6 +114,21 @@
         self.assertThat(outcome.failure().code, Equals(Code.WRITE_UNSETTLED))
         self.assertTrue(stored is not None)
 
+    def test_a_read_that_breaks_does_not_keep_submissions_away(self):
+        outage = _Outage()
+
+        async def broken(key):
+            raise ValueError("an answer that cannot be read")
+
+        async def main():
+            outage.store.faults.is_refusing = True
+            outage.client.get = broken
+            await outage.front.submit(_job(1), limit_s=LIMIT_S)
+            outage.store.faults.is_refusing = False
+            return await outage.front.submit(_job(2), limit_s=LIMIT_S)
+
+        self.assertTrue(isinstance(play(main()), Success))
+
     def test_urgent_work_waits_no_longer_than_it_is_worth(self):
         lookup = _job(1, "lookup")
         urgent = attrs.evolve(lookup, steps=(Step(1, estimate_s=0.1),))
