Open no further steps of a job that has ended

These ends opened the steps behind, whose 58 tasks were placed again and again, since the ends of an ended job are not recorded. Change: an ended job opens no step. Before: test_a_cancelled_job_goes_no_further fails; after: it passes, with all of libs/cell.

--- a/libs/cell/dragonflybank/cell/tests/test_workload.py
+++ b/libs/cell/dragonflybank/cell/tests/test_workload.py
@@ -25,6 +25,14 @@
         self.workload.finish_task(first.tasks[1], 1, 2.0)
         self.assertThat(list(self.workload.ready), Equals([second]))
 
+    def test_a_cancelled_job_goes_no_further(self):
+        state = add_job(self.workload, 1, Step(1), Step(1, after=(0,)))
+        first, _ = state.occurrences[0]
+        self.workload.end(state, Phase.CANCELLED, 1.0)
+        # The order to stop it came too late.
+        self.workload.finish_task(first.tasks[0], 1, 2.0)
+        self.assertThat(list(self.workload.ready), Equals([]))
+
     def test_one_end_of_a_gang_stands_for_all(self):
         state = add_job(self.workload, 1, Step(3, gang=True))
         self.workload.finish_task(step_of(state).tasks[1], 1, 1.0)
--- a/libs/cell/dragonflybank/cell/workload.py
+++ b/libs/cell/dragonflybank/cell/workload.py
@@ -250,6 +250,9 @@
         )
 
     def _open_next(self, state: JobState, occurrence: int, now: float) -> None:
+        if state.phase.is_final:
+            # A task can end as done after its job was cancelled.
+            return
         steps = state.occurrences[occurrence]
         for step in steps:
             if step.ready_at is None and all(
