Remove state that nothing reads, and a test's wait on real time

Candidate.seen_at was written and never read, Workload.next_due and the soak's GRACE_S had no caller, and test_background waited on real time where the others run in virtual time. Ruled out: a change of behaviour, by libs/cell, the plays and platform (all pass).

--- a/libs/bench/dragonflybank/bench/soak/processes.py
+++ b/libs/bench/dragonflybank/bench/soak/processes.py
@@ -17,7 +17,6 @@
 READY_PORT = 8167
 METRICS_PORT = 9464
 PEER_PORTS = (7720, 7735)
-GRACE_S = 6.0
 # The platform starts a process that ended again after a short delay.
 RESTART_S = (0.3, 1.0)
 # Until the interpreter runs the daemon's first line.
--- a/libs/cell/dragonflybank/cell/election.py
+++ b/libs/cell/dragonflybank/cell/election.py
@@ -100,7 +100,6 @@
 
     Attributes:
         record: The present leader as last read, or None.
-        seen_at: Time at which ``record`` was last read from the store.
 
     Args:
         store: The platform's store.
@@ -127,7 +126,6 @@
         lag: LoopLag,
     ):
         self.record: LeaderRecord | None = None
-        self.seen_at = float("-inf")
         self._store = store
         self._name = name
         self._address = address
@@ -193,7 +191,6 @@
             )
             match changes:
                 case Success(found) if not found.is_lost:
-                    self.seen_at = self._clock.now()
                     revision = max(revision, found.revision)
                     latest = [i for i in found.items if i.key == LEADER_KEY]
                     if latest and latest[-1].value is None:
@@ -216,7 +213,6 @@
                 extra={"leader": record.name, "term": record.term},
             )
         self.record = record
-        self.seen_at = self._clock.now()
 
     async def _stand(self, round_trip_s: float) -> Leadership | None:
         delay_s = min(FAR_HOST_DELAY_MAX_S, DELAY_PER_ROUND_TRIP * round_trip_s)
--- a/libs/cell/dragonflybank/cell/tests/test_background.py
+++ b/libs/cell/dragonflybank/cell/tests/test_background.py
@@ -6,6 +6,7 @@
 from testtools.matchers import Equals
 
 from dragonflybank.cell.background import Background
+from dragonflybank.standins.cell.virtual import play
 
 
 class TestBackground(testtools.TestCase):
@@ -20,7 +21,7 @@
             await asyncio.sleep(0.01)
             await background.close()
 
-        asyncio.run(main())
+        play(main())
         return len(failures)
 
     def test_an_exception_is_reported(self):
--- a/libs/cell/dragonflybank/cell/workload.py
+++ b/libs/cell/dragonflybank/cell/workload.py
@@ -78,11 +78,6 @@
             else:
                 del self.timed[state.job.id]
 
-    def next_due(self) -> float | None:
-        """Returns the time of the next occurrence, seconds since 1970."""
-        times = [s.job.due_at(len(s.occurrences)) for s in self.timed.values()]
-        return min(times, default=None)
-
     def task(self, task_id: TaskId) -> Task | None:
         """Returns a task of a known job whose occurrence is open."""
         state = self.jobs.get(task_id.job)
