Give the last resort of a leaving host all the time that a lookup has left

Cause: a host that leaves forwards its waiting lookups; the first forward got half of the time left, so that a silent peer leaves time for another one, also when no other one is there. With 22 lookups on 8 slots of the only peer the last ones end after 0.6 s, at half of 1.19 s: the forward timed out, nothing was left to try, and the caller was told 'an attempt may have run' with a Retry-After of 37 to 55 s, the expected wait of a host without slots. Change: a forward that has neither the own workers nor another peer behind it takes the whole rest; a leaving host without workers answers 'not run, 0.1 s'.

--- a/libs/host/dragonflybank/host/lookups.py
+++ b/libs/host/dragonflybank/host/lookups.py
@@ -215,12 +215,20 @@
         peers = set(self._host.membership.live(region, now))
         return sorted(peers - {self._host.name} - done.tried)
 
+    def _is_last_resort(self, done: _Attempts, now: float) -> bool:
+        """Returns whether neither this host nor another peer is left to try."""
+        is_vain = self._host.draining or done.own_exhausted
+        return is_vain and not self._untried_peers(done, now)
+
     async def _forward(
         self, req, route, wc, done, left_s
     ) -> Result[str, Problem]:
         done.tried.add(route.host)
         self._host.metrics.forwards.labels(route.kind.value).inc()
-        timeout_s = self._attempt_s(req, wc, done, left_s)
+        is_last = self._is_last_resort(done, self._host.clock())
+        timeout_s = (
+            left_s if is_last else self._attempt_s(req, wc, done, left_s)
+        )
         # The other host answers in time to be heard here, so that its refusal
         # is not taken for a lost answer.
         way_s = self._host.round_trip_s(route.host) + ANSWER_MARGIN_S
@@ -241,6 +249,11 @@
         )
 
     async def _run_here(self, req, wc, done, deadline) -> Result[str, Problem]:
+        now = self._host.clock()
+        if self._host.draining and not self._host.owner.ready_sessions(now):
+            return problem(
+                Code.NO_WORKER, "the host is leaving", retry_after_s=0.1
+            )
         granted = await self.slots.acquire(req.request_id, wc, deadline)
         if isinstance(granted, Failure):
             return granted
--- a/libs/host/dragonflybank/host/tests/test_daemon.py
+++ b/libs/host/dragonflybank/host/tests/test_daemon.py
@@ -82,6 +82,23 @@
         counts = collections.Counter(a["outcome"] for a in asyncio.run(run()))
         self.assertThat(counts, Equals({"done": 30}))
 
+    def test_only_peer_gets_all_the_time_of_a_lookup(self):
+        # 8 slots: the last lookups wait for the first ones there, and half
+        # of their time would not do.
+        async def run():
+            async with running_cell("a", "b", workers=2) as cell:
+                host = cell.hosts.pop("a")
+                lookups = [
+                    asyncio.create_task(cell.lookup(host, n=n, run_s=0.35))
+                    for n in range(24)
+                ]
+                await until(lambda: host.http.in_progress == 24)
+                await host.stop()
+                return [await lookup for lookup in lookups]
+
+        counts = collections.Counter(a["outcome"] for a in asyncio.run(run()))
+        self.assertThat(counts, Equals({"done": 24}))
+
     def test_workers_and_shards_are_served_by_the_next_host(self):
         async def run():
             async with running_cell("a", "b") as cell:
