Count the bound of a configuration change from its acceptance

Cause: check I8 counted the 16 s from the moment at which the store took the write. In store_down__apply and cut_and_store_down__apply the store takes it and is down for 21 s before it answers, so that nobody can know of it. Trace of both cells: written at 0.0 s, store down until 21.0 s, first read by a host at 21.03 s, operator told at 21.53 s, in force at all hosts (sampled each 0.5 s) at 21.8 s. The store stand-in records an answer when it leaves, the callers of a cell record what operators are told. Ruled out: a fault of the hosts, by the trace (0.8 s from the store's return).

--- a/libs/bench/dragonflybank/bench/matrix/calls.py
+++ b/libs/bench/dragonflybank/bench/matrix/calls.py
@@ -21,6 +21,7 @@
 from dragonflybank.model.codes import Code
 from dragonflybank.model.work import JobState, Outcome, is_final
 from dragonflybank.standins.answers import CallerAnswer, Violation
+from dragonflybank.standins.records import ChangeAnswered
 
 ASK_LIMIT_S = 5.0
 # An operator's change may last as long as an outage of the store.
@@ -184,12 +185,17 @@
                 ) as resp:
                     reply = await resp.json()
                 if reply["code"] not in _UNDECIDED:
+                    self._note_change(text, reply)
                     return reply
                 await asyncio.sleep(PAUSE_S)
             except (aiohttp.ClientError, TimeoutError, OSError):
                 await asyncio.sleep(PAUSE_S)
                 url = f"{self._any_url()}/v1/query"
 
+    def _note_change(self, text: str, reply: dict) -> None:
+        if text.startswith("apply") and reply["code"] == Code.OK:
+            self._world.log.add(ChangeAnswered(time.time()))
+
     def unexpected(self) -> list[str]:
         """Returns the jobs whose final answer is not one of the expected."""
         return [
--- a/libs/standins/dragonflybank/standins/gate.py
+++ b/libs/standins/dragonflybank/standins/gate.py
@@ -5,7 +5,7 @@
 paused VM, a lost reply.
 """
 
-__all__ = ["Gate"]
+__all__ = ["ANSWERED", "Gate"]
 
 import asyncio
 import enum
@@ -18,6 +18,10 @@
 from dragonflybank.standins.faults import Action, Hook, Switches, When
 from dragonflybank.standins.records import FaultSet, RecordLog
 
+# Key of a request under which a handler leaves a function that makes the record
+# of its answer from the time at which the answer is sent.
+ANSWERED = web.RequestKey("answered", Callable)
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -111,6 +115,8 @@
         if reply is _NoReply.HANG or request.transport in self._silenced:
             # Ends by cancellation when the connection is closed.
             await asyncio.get_running_loop().create_future()
+        if ANSWERED in request and not _is_gone(request):
+            self._log.add(request[ANSWERED](time.time()))
         return reply
 
     async def _pass(self, request, handler, hooks):
@@ -161,6 +167,10 @@
         return None
 
 
+def _is_gone(request: web.Request) -> bool:
+    return request.transport is None or request.transport.is_closing()
+
+
 class _NoReply(enum.Enum):
     CLOSE = 1
     HANG = 2
--- a/libs/standins/dragonflybank/standins/records.py
+++ b/libs/standins/dragonflybank/standins/records.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "RECORD_TYPES",
+    "ChangeAnswered",
     "ClaimWon",
     "FaultSet",
     "GenerationRead",
@@ -18,6 +19,7 @@
     "Record",
     "RecordLog",
     "Refused",
+    "StoreAnswered",
     "StoreWritten",
     "TaskEnded",
     "TaskStarted",
@@ -174,6 +176,19 @@
     deleted: bool = False
 
 
+@attrs.frozen
+class StoreAnswered(Record):
+    """The store's answer to a write was sent to the writer."""
+
+    key: str
+    version: int
+
+
+@attrs.frozen
+class ChangeAnswered(Record):
+    """An operator was told that a change of the configuration is in force."""
+
+
 @attrs.frozen
 class GenerationRead(Record):
     """The store gave out the active configuration."""
@@ -239,6 +254,8 @@
     LookupEnded,
     Refused,
     StoreWritten,
+    StoreAnswered,
+    ChangeAnswered,
     GenerationRead,
     GenerationSeen,
     HostDrained,
--- a/libs/standins/dragonflybank/standins/store_server.py
+++ b/libs/standins/dragonflybank/standins/store_server.py
@@ -14,11 +14,13 @@
 import attrs
 from aiohttp import web
 
+from dragonflybank.standins.gate import ANSWERED
 from dragonflybank.standins.program import run_program
 from dragonflybank.standins.records import (
     GenerationRead,
     RecordLog,
     Refused,
+    StoreAnswered,
     StoreWritten,
 )
 from dragonflybank.standins.server import Route, StandinServer
@@ -127,6 +129,7 @@
         if is_absent and value is None:
             return web.json_response({"version": entry.version})
         version = self.write(key, value, lease)
+        request[ANSWERED] = lambda at: StoreAnswered(at, key, version)
         return web.json_response({"version": version})
 
     async def _list(self, request: web.Request) -> web.Response:
