Elect a successor as soon as connections to the dead leader are refused

Cause: after a kill of the leader the cell waited for the end of its lease, 1.4 s after the last renewal, whatever the others knew. Nothing is started meanwhile: urgent lookups have 0.4 s. Change: a host whose connection to the leader's process is down tries a new one; if the machine refuses it, the process has ended, and the host replaces the leader's key under the condition that it is still that leader's. A host that was the leader and was started again knows the same of itself. Before opening a lease a candidate reads the key once more, so that the slower ones stop there. A host that waits for news from the former leader asks the new one at once. Safety does not rest on the lease: executors refuse older epochs, progress is stored under the condition that the key is unchanged, and the doubt about old leases now counts from the answer to the election, not from its question. Play leader_seems_gone takes living leaders for dead, three times, under load. Ruled out: a shorter lease (the store grants 1 s at least, and a slow renewal would end leaderships); a time-out of the connection as proof (a paused or cut leader looks the same): these two still wait for the lease (play leader_dark).

--- a/libs/cell/dragonflybank/cell/election.py
+++ b/libs/cell/dragonflybank/cell/election.py
@@ -7,6 +7,11 @@
 
 A lease that is renewed does not prove that the key still exists. Leadership is
 confirmed only by a read of the key or by a transaction that expects it.
+
+The lease of a leader that was killed need not be waited for: a host whose
+connection to the leader's process is refused replaces the key, under the
+condition that it is still that leader's. Should the leader live after all, the
+key's new revision ends its leadership as the end of its lease would.
 """
 
 __all__ = ["Candidate", "LeaderRecord", "Leadership"]
@@ -14,7 +19,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 import msgspec
@@ -73,7 +78,7 @@
     Attributes:
         epoch: Revision of the key's creation.
         term: Number of this leadership.
-        began_at: Time at which the key was asked for.
+        began_at: Time after which no other host held the key.
         confirmed_at: Time of the start of the last call that proved that the
             key still existed.
         lost: Set once the key is known to be gone.
@@ -100,6 +105,7 @@
 
     Attributes:
         record: The present leader as last read, or None.
+        changed: Set and replaced by a new event as the record changes.
 
     Args:
         store: The platform's store.
@@ -110,6 +116,7 @@
         rng: Seeded generator.
         is_leader_heard: Returns whether the leader has answered this host
             lately, as a leader that had confirmed its key.
+        is_gone: Returns whether the process at a peer address has ended.
         lag: Lateness of the host's timers.
     """
 
@@ -123,9 +130,11 @@
         is_weak: bool,
         rng: random.Random,
         is_leader_heard: Callable[[float], bool],
+        is_gone: Callable[[str], Awaitable[bool]],
         lag: LoopLag,
     ):
         self.record: LeaderRecord | None = None
+        self.changed = asyncio.Event()
         self._store = store
         self._name = name
         self._address = address
@@ -133,6 +142,7 @@
         self._is_weak = is_weak
         self._rng = rng
         self._is_leader_heard = is_leader_heard
+        self._is_gone = is_gone
         self._lag = lag
         self._revision = 0
         self._lease = 0
@@ -145,16 +155,16 @@
             if isinstance(found, Failure):
                 await self._clock.sleep(RETRY_S)
                 continue
+            round_trip_s = self._clock.now() - asked_at
             item = found.unwrap()
-            if item is None:
-                won = await self._stand(self._clock.now() - asked_at)
-                if won is not None:
-                    return won
-                continue
-            self._read(item)
-            while self._is_leader_heard(self._clock.now()):
-                await self._clock.sleep(RETRY_S)
-            await self._follow(item)
+            if item is not None:
+                self._read(item)
+                if not await self._has_died():
+                    await self._follow(item)
+                    continue
+            won = await self._stand(item, round_trip_s)
+            if won is not None:
+                return won
 
     async def keep(self, leadership: Leadership) -> None:
         """Renews and confirms a leadership until it is lost."""
@@ -174,7 +184,7 @@
                 await self._clock.sleep(CONFIRM_EVERY_S / 4)
         finally:
             renewing.cancel()
-            self.record = None
+            self._change(None)
             _log.info("leadership lost", extra={"epoch": leadership.epoch})
 
     async def resign(self) -> None:
@@ -183,6 +193,27 @@
             await self._store.end_lease(self._lease)
             self._lease = 0
 
+    async def _has_died(self) -> bool:
+        """Waits until the leader is gone or is not heard; which of both."""
+        while True:
+            if self.record is not None and await self._is_dead(self.record):
+                _log.info(
+                    "leader is gone",
+                    extra={
+                        "leader": self.record.name,
+                        "term": self.record.term,
+                    },
+                )
+                return True
+            if not self._is_leader_heard(self._clock.now()):
+                return False
+            await self._clock.sleep(RETRY_S)
+
+    async def _is_dead(self, record: LeaderRecord) -> bool:
+        # A leadership of this address is an earlier process's, or over.
+        is_own = record.address == self._address
+        return is_own or await self._is_gone(record.address)
+
     async def _follow(self, item: Item) -> None:
         revision = item.revision
         while not self._is_leader_heard(self._clock.now()):
@@ -208,22 +239,39 @@
             _log.error("leader record unreadable", extra={"error": str(exc)})
             return
         if record != self.record:
+            self._change(record)
             _log.info(
                 "leader known",
                 extra={"leader": record.name, "term": record.term},
             )
+
+    def _change(self, record: LeaderRecord | None) -> None:
         self.record = record
+        self.changed.set()
+        self.changed = asyncio.Event()
 
-    async def _stand(self, round_trip_s: float) -> Leadership | None:
+    async def _stand(
+        self, former: Item | None, round_trip_s: float
+    ) -> Leadership | None:
+        """Asks for the key, which is free or that of a dead leader."""
         delay_s = min(FAR_HOST_DELAY_MAX_S, DELAY_PER_ROUND_TRIP * round_trip_s)
         delay_s += min(LAG_DELAY_MAX_S, LAG_DELAY_FACTOR * self._lag.mean_s)
         if self._is_weak:
             delay_s += WEAK_HOST_DELAY_S
         await self._clock.sleep(delay_s + self._rng.uniform(0.0, 0.02))
-        began_at = self._clock.now()
-        term = await self._store.get(TERM_KEY)
+        revision = former.revision if former else 0
+        current, term = await asyncio.gather(
+            self._store.get(LEADER_KEY), self._store.get(TERM_KEY)
+        )
+        if isinstance(current, Failure) or isinstance(term, Failure):
+            await self._clock.sleep(RETRY_S)
+            return None
+        present = current.unwrap()
+        if present is not None and present.revision != revision:
+            # Another host was quicker.
+            return None
         lease = await self._store.open_lease(LEASE_S)
-        if isinstance(term, Failure) or isinstance(lease, Failure):
+        if isinstance(lease, Failure):
             await self._clock.sleep(RETRY_S)
             return None
         previous = term.unwrap()
@@ -231,7 +279,7 @@
         record = LeaderRecord(self._name, self._address, number)
         txn = Txn(
             expected={
-                LEADER_KEY: 0,
+                LEADER_KEY: present.revision if present else 0,
                 TERM_KEY: previous.revision if previous else 0,
             },
             puts={
@@ -241,15 +289,18 @@
             lease=lease.unwrap(),
             leased=frozenset({LEADER_KEY}),
         )
+        called_at = self._clock.now()
         match await self._store.commit(txn):
             case Success(reply) if reply.revision is not None:
                 self._lease = lease.unwrap()
-                self.record = record
+                self._change(record)
                 _log.info(
                     "elected",
                     extra={"epoch": reply.revision, "term": number},
                 )
-                return Leadership(reply.revision, number, began_at, began_at)
+                return Leadership(
+                    reply.revision, number, self._clock.now(), called_at
+                )
             case Failure(found) if found.code is Code.TIMED_OUT:
                 # The key may be created yet; it goes with its lease.
                 await self._clock.sleep(RETRY_S)
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -152,6 +152,7 @@
             is_weak=settings.cores < STRONG_CORES,
             rng=random.Random(settings.name),
             is_leader_heard=self._is_leader_heard,
+            is_gone=peers.is_gone,
             lag=self._lag,
         )
 
@@ -292,21 +293,19 @@
             if record is None or record.address == self._peers.address:
                 await clock.sleep(SYNC_RETRY_S)
                 continue
-            version = self.config.version if self.config else 0
-            question = Sync(
-                self._peers.address,
-                self._board.epoch,
-                self._board.number,
-                version,
-            )
-            got = await self._peers.ask(
-                record.address,
-                SYNC,
-                question,
-                SyncReply,
-                timeout_s=SYNC_TIMEOUT_S,
-            )
-            match got:
+            changed = asyncio.create_task(self._candidate.changed.wait())
+            asking = asyncio.create_task(self._ask_for_news(record.address))
+            try:
+                # A leader that has been replaced may never answer.
+                await asyncio.wait(
+                    (changed, asking), return_when=asyncio.FIRST_COMPLETED
+                )
+            finally:
+                changed.cancel()
+                asking.cancel()
+            if not asking.done() or asking.cancelled():
+                continue
+            match asking.result():
                 case Success(reply) if reply.epoch:
                     self._board.take(reply, clock.now())
                     if reply.config:
@@ -315,6 +314,17 @@
                     self._board.fresh_at = float("-inf")
                     await clock.sleep(SYNC_RETRY_S)
 
+    async def _ask_for_news(self, address: str) -> Result:
+        question = Sync(
+            self._peers.address,
+            self._board.epoch,
+            self._board.number,
+            self.config.version if self.config else 0,
+        )
+        return await self._peers.ask(
+            address, SYNC, question, SyncReply, timeout_s=SYNC_TIMEOUT_S
+        )
+
     async def _answer_sync(self, sender: str, req: Sync) -> Result:
         now = self._clock_of_host.now()
         if not self._is_leading(now):
--- a/libs/cell/dragonflybank/cell/peering.py
+++ b/libs/cell/dragonflybank/cell/peering.py
@@ -3,6 +3,7 @@
 __all__ = ["Answer", "NngPeers", "Peers"]
 
 import abc
+import asyncio
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
@@ -13,6 +14,9 @@
 
 # Waiting questions of all other hosts and calls for advice.
 CONTEXTS = 96
+# A machine that is up refuses a connection within a round trip, 24 ms between
+# regions; a slow one may take longer.
+REFUSAL_LIMIT_S = 0.3
 
 Answer = Callable[[str, Any], Awaitable[Result]]
 
@@ -47,6 +51,13 @@
     ) -> Result:
         """Returns the answer of the host at an address."""
 
+    @abc.abstractmethod
+    async def is_gone(self, address: str) -> bool:
+        """Returns whether the process at an address has surely ended.
+
+        A process that does not answer, or cannot be reached, may live.
+        """
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Closes all connections."""
@@ -58,12 +69,13 @@
     Args:
         name: Name of this host.
         ip: IP number to listen on.
-        port: Port to listen on.
+        port: Port to listen on, 0 for one that the kernel chooses.
     """
 
     def __init__(self, name: str, ip: str, port: int):
         self.address = f"{ip}:{port}"
         self._name = name
+        self._ip = ip
         self._server = PeerServer(ip, port, contexts=CONTEXTS)
         self._links: dict[str, PeerLink] = {}
 
@@ -75,6 +87,7 @@
                 for kind, (request_class, answer) in answers.items()
             }
         )
+        self.address = f"{self._ip}:{self._server.port}"
 
     async def ask(
         self,
@@ -93,6 +106,22 @@
         )
         return raw.bind(lambda reply: decode_reply(reply, reply_class))
 
+    async def is_gone(self, address: str) -> bool:
+        """See `Peers.is_gone`: its machine refuses connections to the port."""
+        link = self._links.get(address)
+        if link is not None and link.is_connected:
+            return False
+        ip, port = address.rsplit(":", 1)
+        try:
+            async with asyncio.timeout(REFUSAL_LIMIT_S):
+                _, writer = await asyncio.open_connection(ip, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
+
     async def close(self) -> None:
         """See `Peers.close`."""
         for link in self._links.values():
--- a/libs/cluster/dragonflybank/cluster/links.py
+++ b/libs/cluster/dragonflybank/cluster/links.py
@@ -98,6 +98,11 @@
         # if the peer was only slow.
         self._retired: set[_Dialled] = set()
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the peer is connected, as far as the socket knows."""
+        return self._dialled is not None and self._dialled.is_connected
+
     async def call(
         self, kind: str, body: bytes, *, timeout_s: float
     ) -> Result[bytes, Problem]:
@@ -202,6 +207,11 @@
         self.sock.add_post_pipe_remove_cb(lambda _: self._tell(False))
         self.sock.dial(f"tcp://{address}", block=False)
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether a connection is open."""
+        return self._connected.is_set()
+
     async def wait_connected(self, limit_s: float) -> bool:
         """Returns whether it is connected within a time in seconds."""
         try:
--- a/libs/standins/dragonflybank/standins/cell/plays.py
+++ b/libs/standins/dragonflybank/standins/cell/plays.py
@@ -33,7 +33,7 @@
 
 
 async def leader_killed(world: World) -> None:
-    """The leader is killed, and its successor in its takeover."""
+    """Leaders are killed and started again."""
     for pause_s in (6.0, 2.3, 3.0):
         await asyncio.sleep(pause_s)
         name = world.leader()
@@ -43,6 +43,37 @@
             await world.start_host(name)
 
 
+async def successors_killed(world: World) -> None:
+    """The leader is killed, and two successors in their takeovers."""
+    await asyncio.sleep(6.0)
+    for pause_s in (0.0, 0.01, 0.03):
+        name = await world.until_led()
+        await asyncio.sleep(pause_s)
+        world.kill_host(name)
+        await asyncio.sleep(0.1)
+        await world.start_host(name)
+
+
+async def leader_dark(world: World) -> None:
+    """The leader's machine loses power, and so does its successor's."""
+    for pause_s in (6.0, 5.0):
+        await asyncio.sleep(pause_s)
+        name = world.leader()
+        world.kill_host(name, power=True)
+        if name:
+            await asyncio.sleep(3.0)
+            await world.start_host(name)
+
+
+async def leader_seems_gone(world: World) -> None:
+    """Connections to leaders are refused while they go on leading."""
+    for pause_s in (6.0, 1.0, 4.0):
+        await asyncio.sleep(pause_s)
+        world.refusing = {world.leader()}
+    await asyncio.sleep(4.0)
+    world.refusing = set()
+
+
 async def all_killed(world: World) -> None:
     """All hosts are killed at once, twice."""
     for _ in range(2):
@@ -234,6 +265,9 @@
     for fault in (
         calm,
         leader_killed,
+        successors_killed,
+        leader_dark,
+        leader_seems_gone,
         all_killed,
         store_down,
         answers_lost,
--- a/libs/standins/dragonflybank/standins/cell/world.py
+++ b/libs/standins/dragonflybank/standins/cell/world.py
@@ -39,6 +39,7 @@
 
 SERVICE = "directory"
 POLL_S = 0.5
+LEADER_POLL_S = 0.005
 LIMIT_S = 3.0
 
 
@@ -67,6 +68,9 @@
         executors: Executors by identity.
         hosts: Live hosts by name.
         story: What callers did and were told.
+        cut_peers: Hosts that other hosts do not reach.
+        dark: Hosts whose machines are off.
+        refusing: Live hosts that seem to have ended.
 
     Args:
         seed: Seed of all that is drawn.
@@ -88,6 +92,8 @@
         self.story = Story()
         self.hosts: dict[str, CellHost] = {}
         self.cut_peers: set[str] = set()
+        self.dark: set[str] = set()
+        self.refusing: set[str] = set()
         self._serving: dict[str, Mapping] = {}
         self._names = [f"host-{n}" for n in range(hosts)]
         self._started = 0
@@ -147,6 +153,7 @@
     async def start_host(self, name: str) -> None:
         """Starts a host in a new life."""
         self._started += 1
+        self.dark.discard(name)
         process = self._lives[name] = f"{name}#{self._started}"
 
         async def start() -> None:
@@ -163,8 +170,15 @@
 
         await asyncio.create_task(start())
 
-    def kill_host(self, name: str) -> None:
-        """Ends a host without notice."""
+    def kill_host(self, name: str, *, power: bool = False) -> None:
+        """Ends a host without notice.
+
+        Args:
+            name: Name of the host.
+            power: Whether its machine goes off, until the host is started.
+        """
+        if power:
+            self.dark.add(name)
         host = self.hosts.pop(name, None)
         if host is None:
             return
@@ -177,6 +191,14 @@
             (n for n, h in self.hosts.items() if h.leader is not None), ""
         )
 
+    async def until_led(self) -> str:
+        """Waits until a host leads and returns its name."""
+        while True:
+            name = self.leader()
+            if name:
+                return name
+            await asyncio.sleep(LEADER_POLL_S)
+
     async def submit(self, job: Job) -> bool:
         """Submits a job as a caller does; False if it was refused."""
         self.story.jobs[job.id] = job
@@ -415,6 +437,13 @@
         except TimeoutError:
             return problem(Code.TIMED_OUT, f"no answer from {address}")
 
+    async def is_gone(self, address: str) -> bool:
+        world = self._world
+        await asyncio.sleep(0.002)
+        if {address, self.address} & (world.cut_peers | world.dark):
+            return False
+        return address in world.refusing or address not in world._serving
+
     async def close(self) -> None:
         self._world._serving.pop(self.address, None)
 
