Find out on a new connection whether the store answers

Cause: after a call without an answer a host reads a key again and again until the store answers, and submissions wait for it. The reads went over connections that were open before and may be silent for good: two time-outs passed until new ones were dialled. Change: Store.probe reads on a connection of its own; when that is answered, connections whose last call timed out are closed. Ruled out: closing all connections at each time-out: an answer that is lost silences one connection, and what runs on the others would be cut off.

--- a/libs/cell/dragonflybank/cell/front.py
+++ b/libs/cell/dragonflybank/cell/front.py
@@ -183,7 +183,7 @@
     async def _probe(self) -> None:
         while True:
             called_at = self._clock.now()
-            got = await self._store.get(LEADER_KEY)
+            got = await self._store.probe(LEADER_KEY)
             if isinstance(got, Success):
                 self._answered_at = max(self._answered_at, called_at)
                 return
--- a/libs/cell/dragonflybank/cell/ports.py
+++ b/libs/cell/dragonflybank/cell/ports.py
@@ -119,6 +119,14 @@
     async def get(self, key: str) -> Result[Item | None, Problem]:
         """Returns an item, or None if the key does not exist."""
 
+    @abc.abstractmethod
+    async def probe(self, key: str) -> Result[None, Problem]:
+        """Reads a key to find out whether the store answers.
+
+        Connections that were open during an outage may stay silent for good,
+        so a new one is used; if it works, so are new ones for what follows.
+        """
+
     @abc.abstractmethod
     async def scan(self, prefix: str) -> Result[Scan, Problem]:
         """Returns all items with a prefix."""
--- a/libs/cell/dragonflybank/cell/relay.py
+++ b/libs/cell/dragonflybank/cell/relay.py
@@ -72,6 +72,12 @@
             )
         )
 
+    async def probe(self, key: str) -> Result[None, Problem]:
+        """See `Store.probe`."""
+        if self._relay():
+            return (await self.get(key)).map(lambda _: None)
+        return await self._store.probe(key)
+
     async def commit(self, txn: Txn) -> Result[TxnReply, Problem]:
         """See `Store.commit`; for transactions without leases."""
         address = self._relay()
--- a/libs/cell/dragonflybank/cell/tests/test_front.py
+++ b/libs/cell/dragonflybank/cell/tests/test_front.py
@@ -122,7 +122,7 @@
 
         async def main():
             outage.store.faults.is_refusing = True
-            outage.client.get = broken
+            outage.client.probe = broken
             await outage.front.submit(_job(1), limit_s=LIMIT_S)
             outage.store.faults.is_refusing = False
             return await outage.front.submit(_job(2), limit_s=LIMIT_S)
--- a/libs/platform/dragonflybank/platform/connection.py
+++ b/libs/platform/dragonflybank/platform/connection.py
@@ -97,6 +97,13 @@
             self._timeouts = 0
         return Success(reply)
 
+    async def redial_if_silent(self) -> None:
+        """Closes the connections if the last call on them timed out."""
+        if self._timeouts:
+            self._timeouts = 0
+            self.redials += 1
+            await self.close()
+
     async def close(self) -> None:
         """Closes all connections."""
         session, self._session = self._session, None
--- a/libs/standins/dragonflybank/standins/cell/store.py
+++ b/libs/standins/dragonflybank/standins/cell/store.py
@@ -248,6 +248,9 @@
 
         return await self._call("get", work)
 
+    async def probe(self, key: str) -> Result[None, Problem]:
+        return (await self.get(key)).map(lambda _: None)
+
     async def scan(self, prefix: str) -> Result[Scan, Problem]:
         return await self._call("scan", lambda: self._store.scan(prefix))
 
