--- a/libs/cell/dragonflybank/cell/election.py
+++ b/libs/cell/dragonflybank/cell/election.py
@@ -27,9 +27,8 @@
 from returns.result import Failure, Success
 
 from dragonflybank.cell.lag import LoopLag
-from dragonflybank.cell.ports import Item, Store, Txn
+from dragonflybank.cell.ports import Item, Store, Txn, TxnReply
 from dragonflybank.cluster.clock import Clock
-from dragonflybank.model.codes import Code
 
 _log = logging.getLogger(__name__)
 
@@ -286,35 +285,51 @@
         previous = term.unwrap()
         number = 1 + (int(previous.value) if previous else 0)
         record = LeaderRecord(self._name, self._address, number)
+        raw = msgspec.json.encode(record)
         txn = Txn(
             expected={
                 LEADER_KEY: present.revision if present else 0,
                 TERM_KEY: previous.revision if previous else 0,
             },
             puts={
-                LEADER_KEY: msgspec.json.encode(record),
+                LEADER_KEY: raw,
                 TERM_KEY: str(number).encode(),
             },
             lease=lease.unwrap(),
             leased=frozenset({LEADER_KEY}),
         )
         called_at = self._clock.now()
+        epoch = await self._created(txn, raw)
+        if epoch is None:
+            await self._store.end_lease(lease.unwrap())
+            return None
+        self._lease = lease.unwrap()
+        self._change(record)
+        _log.info("elected", extra={"epoch": epoch, "term": number})
+        return Leadership(epoch, number, self._clock.now(), called_at)
+
+    async def _created(self, txn: Txn, raw: bytes) -> int | None:
+        """Asks for the key; returns its revision if it is this host's."""
         match await self._store.commit(txn):
-            case Success(reply) if reply.revision is not None:
-                self._lease = lease.unwrap()
-                self._change(record)
-                _log.info(
-                    "elected",
-                    extra={"epoch": reply.revision, "term": number},
-                )
-                return Leadership(
-                    reply.revision, number, self._clock.now(), called_at
-                )
-            case Failure(found) if found.code is Code.TIMED_OUT:
-                # The key may be created yet; it goes with its lease.
-                await self._clock.sleep(RETRY_S)
-        await self._store.end_lease(lease.unwrap())
-        return None
+            case Success(TxnReply(revision=int(revision))):
+                return revision
+            case Success(reply):
+                found = reply.current
+            case Failure(_):
+                # The key may have been created without an answer; if it is
+                # created later, it goes with its lease.
+                read = await self._store.get(LEADER_KEY)
+                found = (read.value_or(None),)
+        return next(
+            (
+                item.revision
+                for item in found
+                if item is not None
+                and item.key == LEADER_KEY
+                and item.value == raw
+            ),
+            None,
+        )
 
     async def _renew(self) -> None:
         while True:
--- a/libs/cell/dragonflybank/cell/front.py
+++ b/libs/cell/dragonflybank/cell/front.py
@@ -36,8 +36,11 @@
 PROBE_EVERY_S = 0.2
 # A call without an answer for this long makes others wait. They are certain
 # not to be stored then, and can be refused; the store answers in 4 ms, 25 ms
-# away at most.
+# away at most. A slow store gets twice the time of its last answer, and no
+# more than a call to it takes at most.
 SUSPECT_S = 0.15
+SUSPECT_FACTOR = 2.0
+SUSPECT_MAX_S = 0.7
 # How often a waiting submission looks whether the store answers again.
 POLL_S = 0.05
 # Value of the key that marks a job as cancelled.
@@ -69,6 +72,7 @@
         self._calls = itertools.count()
         # Start of the latest call that was answered.
         self._answered_at = float("-inf")
+        self._answer_s = 0.0
         self._probing: asyncio.Task | None = None
         self._background = Background()
         self._store = store
@@ -141,11 +145,16 @@
         finally:
             del self._called_at[number]
         if isinstance(got, Success):
-            self._answered_at = max(self._answered_at, called_at)
+            self._note_answer(called_at)
         else:
             self._suspect()
         return got
 
+    def _note_answer(self, called_at: float) -> None:
+        if called_at >= self._answered_at:
+            self._answered_at = called_at
+            self._answer_s = self._clock.now() - called_at
+
     async def _wait_for_store(self, until: float) -> bool:
         """Waits until a call to the store is worth a try.
 
@@ -164,7 +173,8 @@
         later = [
             at for at in self._called_at.values() if at > self._answered_at
         ]
-        if now - min(later, default=now) >= SUSPECT_S:
+        limit_s = max(SUSPECT_S, SUSPECT_FACTOR * self._answer_s)
+        if now - min(later, default=now) >= min(SUSPECT_MAX_S, limit_s):
             self._suspect()
         return not self._is_probing()
 
@@ -185,7 +195,7 @@
             called_at = self._clock.now()
             got = await self._store.probe(LEADER_KEY)
             if isinstance(got, Success):
-                self._answered_at = max(self._answered_at, called_at)
+                self._note_answer(called_at)
                 return
             await self._clock.sleep(PROBE_EVERY_S)
 
--- a/libs/cell/dragonflybank/cell/tests/test_front.py
+++ b/libs/cell/dragonflybank/cell/tests/test_front.py
@@ -114,6 +114,27 @@
         self.assertThat(outcome.failure().code, Equals(Code.WRITE_UNSETTLED))
         self.assertTrue(stored is not None)
 
+    def test_a_slow_store_is_not_taken_for_a_silent_one(self):
+        outage = _Outage()
+        waited = []
+
+        async def submit(number: int):
+            await asyncio.sleep(0.05 * number)
+            began_at = asyncio.get_running_loop().time()
+            outcome = await outage.front.submit(_job(number), limit_s=LIMIT_S)
+            waited.append(asyncio.get_running_loop().time() - began_at)
+            return isinstance(outcome, Success)
+
+        async def main():
+            # 50 times as long as usual.
+            outage.store.faults.answer_s = 0.2
+            return await asyncio.gather(*(submit(n) for n in range(60)))
+
+        self.assertThat(set(play(main())), Equals({True}))
+        # After the first answers each one is sent at once.
+        late = [wait_s for wait_s in waited[20:] if wait_s > 0.25]
+        self.assertThat(late, Equals([]))
+
     def test_a_read_that_breaks_does_not_keep_submissions_away(self):
         outage = _Outage()
 
