Check the settings files of the adapter with all faults at once

Cause: `dragonflybank check` knew the project's own settings only; a host on the users' platform told the first fault of its file, at its start. Change: the adapter offers its check under the entry point dragonflybank.checks, the command line finds it by the file's fields. Missing fields are refused, unknown ones passed over. The decoder takes tables of names. Ruled out: the check in the daemon, whose memory is dear; the libraries of the check are not deployed.

--- a/libs/cli/dragonflybank/cli/checks.py
+++ b/libs/cli/dragonflybank/cli/checks.py
@@ -1,9 +1,15 @@
-"""Check of a settings file, an operator configuration or a topology."""
+"""Check of a settings file, an operator configuration or a topology.
+
+The settings of hosts on a platform of their own are checked by its adapter, if
+that is installed.
+"""
 
 __all__ = ["FileKind", "check_file"]
 
 import enum
+import importlib.metadata
 import pathlib
+from collections.abc import Callable
 from typing import Any
 
 from returns.result import Failure, Success
@@ -21,7 +27,11 @@
     SETTINGS = "settings"
     OPERATOR = "operator"
     TOPOLOGY = "topology"
+    PLATFORM = "platform"
+
 
+# Entry points under which an adapter offers the check of its settings file.
+CHECKS_GROUP = "dragonflybank.checks"
 
 _CHECKS = {
     FileKind.SETTINGS: check_settings,
@@ -35,6 +45,7 @@
     "breaks": FileKind.OPERATOR,
     "workers": FileKind.TOPOLOGY,
     "racks": FileKind.TOPOLOGY,
+    "callers_address": FileKind.PLATFORM,
 }
 
 
@@ -55,11 +66,23 @@
     match parse_json(text, code=Code.BAD_SETTINGS):
         case Success(document):
             kind = kind or _kind_of(document)
-            return kind, _CHECKS[kind](document)
+            return kind, _check_of(kind)(document)
         case Failure(failed):
             return assumed, (failed,)
 
 
+def _check_of(kind: FileKind) -> Callable[[Any], tuple[Problem, ...]]:
+    if kind in _CHECKS:
+        return _CHECKS[kind]
+    found = importlib.metadata.entry_points(group=CHECKS_GROUP, name=kind)
+    return next((entry.load() for entry in found), _not_installed)
+
+
+def _not_installed(document: Any) -> tuple[Problem, ...]:
+    detail = "the adapter to this platform is not installed"
+    return (Problem(Code.BAD_SETTINGS, detail),)
+
+
 def _kind_of(document: Any) -> FileKind:
     names = document if isinstance(document, dict) else ()
     found = (_MARKS[name] for name in _MARKS if name in names)
--- a/libs/config/dragonflybank/config/decode.py
+++ b/libs/config/dragonflybank/config/decode.py
@@ -119,6 +119,9 @@
     conv.register_structure_hook_func(
         _is_tuple, lambda value, kind: _structure_tuple(conv, value, kind)
     )
+    conv.register_structure_hook_func(
+        _is_dict, lambda value, kind: _structure_dict(conv, value, kind)
+    )
     conv.register_structure_hook_func(
         attrs.has,
         lambda value, kind: _structure_class(conv, rules, value, kind),
@@ -180,6 +183,24 @@
     return tuple(items)
 
 
+def _is_dict(kind) -> bool:
+    return get_origin(kind) is dict
+
+
+def _structure_dict(conv, value, kind):
+    if not isinstance(value, dict):
+        raise _InvalidError([Fault("", _shown(value), "an object")])
+    faults, items = [], {}
+    for name, item in value.items():
+        try:
+            items[name] = conv.structure(item, get_args(kind)[1])
+        except _InvalidError as exc:
+            faults.extend(_below(name, fault) for fault in exc.faults)
+    if faults:
+        raise _InvalidError(faults, items)
+    return items
+
+
 def _structure_class(conv, rules, value, kind):
     if not isinstance(value, dict):
         raise _InvalidError([Fault("", _shown(value), "an object")])
@@ -187,7 +208,7 @@
     faults = [
         Fault(str(name), "an unknown field", f"one of {', '.join(fields)}")
         for name in value
-        if name not in fields
+        if name not in fields and not rules.ignores_unknown
     ]
     partial = {}
     for name, field in fields.items():
--- a/libs/config/dragonflybank/config/rules.py
+++ b/libs/config/dragonflybank/config/rules.py
@@ -1,6 +1,7 @@
 """Rules for the fields of JSON documents."""
 
 __all__ = [
+    "ADDRESS",
     "HTTP_URL",
     "IP_NUMBER",
     "PORT",
@@ -60,10 +61,13 @@
         fields: Rules by class and field name.
         checks: Rules over several fields, by class. A check gets the fields
             that could be decoded, by name, and returns the faults.
+        ignores_unknown: Whether fields without a name in the class are passed
+            over.
     """
 
     fields: Mapping[type, Mapping[str, Accept]]
     checks: Mapping[type, Callable[[Mapping[str, Any]], Iterable[Fault]]]
+    ignores_unknown: bool = False
 
 
 def at_least(lowest: float, unit: str = "") -> Accept:
@@ -126,6 +130,12 @@
         return False
 
 
+def _is_address(text: str) -> bool:
+    ip, _, port = text.rpartition(":")
+    return _is_ip(ip) and port.isdecimal() and 0 < int(port) < 1 << 16
+
+
 IP_NUMBER = Accept("an IP number", _is_ip)
+ADDRESS = Accept("an IP number and a port, as 10.0.0.1:80", _is_address)
 HTTP_URL = Accept("an http or https URL", _is_url)
 PORT = between(0, 65535)
