--- a/libs/standins/dragonflybank/standins/cell/executors.py
+++ b/libs/standins/dragonflybank/standins/cell/executors.py
@@ -145,6 +145,7 @@
 
     def restart(self) -> None:
         """Starts it again as another incarnation with the same identity."""
+        self.crash()
         self.faults.is_crashed = False
         self.info = attrs.evolve(
             self.info, incarnation=self.info.incarnation + 1
--- a/libs/standins/dragonflybank/standins/cell/schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/schedules.py
@@ -242,7 +242,8 @@
     executor.crash()
     world.unlist_executor(executor)
     await asyncio.sleep(3.0)
-    world.replace_executor(executor)
+    if executor.faults.is_crashed:
+        world.replace_executor(executor)
 
 
 Fault = Callable[[World, Strike], Awaitable[None]]
