Keep attempts that an executor's next life has already taken

Cause: an executor crashed and was back 0.2 s later under its identity, within one waiting call of the leader. An attempt was ordered and answered by the new life; 50 ms later the list told of the new life, all attempts were given up, and the task was placed a second time. Change: an attempt whose order was answered after the last list of the known life may run on the new one; it is kept until a list of the new life, asked for after the answer, lacks it. Ruled out: a longer wait before work is given up (any fixed time can be too short); the clock in the answer to the order, which the next list tells anyway. Test: the schedule is kept and fails on the former code.

--- a/libs/cell/dragonflybank/cell/attempts.py
+++ b/libs/cell/dragonflybank/cell/attempts.py
@@ -273,21 +273,21 @@
             self._leader.fleet.link(executor).pace(attempt, percent)
 
     def lose(
-        self, executor: Executor, reason: str, *, keep_arriving: bool = False
+        self, executor: Executor, reason: str, *, keep_moved: bool = False
     ) -> None:
         """Notes that nothing runs on an executor any more.
 
         Args:
             executor: The executor.
             reason: Why nothing does, for the log.
-            keep_arriving: Whether orders without an answer may yet be carried
-                out there; what they start is followed or stopped.
+            keep_moved: Whether to keep what a newer incarnation may run; its
+                lists, or a stop, decide.
         """
         now = self._leader.clock.now()
         lost = [
             attempt
             for attempt in executor.attempts.values()
-            if not (keep_arriving and attempt.may_arrive)
+            if not (keep_moved and attempt.may_have_moved)
         ]
         if lost:
             self._leader.metrics.executors_lost.labels(reason).inc()
--- a/libs/cell/dragonflybank/cell/fleet.py
+++ b/libs/cell/dragonflybank/cell/fleet.py
@@ -139,12 +139,12 @@
 
         Args:
             executor: The executor; it runs nothing but what was ordered
-                without an answer so far.
+                since the last list of its former incarnation.
             has_moved: Whether it has another address, which orders that are
                 on their way do not reach.
         """
         self._leader.attempts.lose(
-            executor, "another incarnation", keep_arriving=not has_moved
+            executor, "another incarnation", keep_moved=not has_moved
         )
         executor.reborn_at = self._leader.clock.now()
         executor.acked = executor.seen_end = 0
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -63,9 +63,16 @@
     is_ordered: bool = False
 
     @property
-    def may_arrive(self) -> bool:
-        """Whether an order to start it may yet be carried out."""
-        return self.is_ordered and self.absent_after is None
+    def may_have_moved(self) -> bool:
+        """Whether a newer incarnation of its executor may run it.
+
+        Its order has no answer yet, or was answered after the last list of
+        the incarnation that was known.
+        """
+        if not self.is_ordered:
+            return False
+        answered_at = self.absent_after
+        return answered_at is None or answered_at > self.executor.reached_at
 
     def remaining_s(self, now: float) -> float:
         """Returns how long it will still run, by its progress or estimate."""
--- a/libs/standins/dragonflybank/standins/cell/tests/test_schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_schedules.py
@@ -41,6 +41,16 @@
             Strike(11.889728661050484, "executor_crashed", 71, 2.5),
         ],
     ),
+    "order_answered_by_a_life_that_is_not_known_yet": (
+        2018,
+        [
+            Strike(0.9477289392959798, "executor_leaves", 28, 1.0),
+            Strike(1.4452245027815764, "store_silent", 70, 1.0),
+            Strike(1.5290518129786403, "host_turned_away", 80, 2.5),
+            Strike(2.824547860170732, "executor_crashed", 8, 5.0),
+            Strike(7.659723805921226, "executor_crashed", 58, 0.2),
+        ],
+    ),
 }
 
 
