Give up attempts at once where another executor answers

Where another executor has got the address, every call is answered as meant for another one: nothing ever confirmed the stop, and a gang of which one member was kept so was never started again. Change: an executor whose identity is not found at its address is not reached by any order on its way, so all its attempts are given up as before.

--- a/libs/cell/dragonflybank/cell/attempts.py
+++ b/libs/cell/dragonflybank/cell/attempts.py
@@ -125,7 +125,7 @@
                 self._leader.deposed(executor)
                 return
             case OrderReply.OTHER_INSTANCE:
-                self._leader.fleet.replaced(executor)
+                self._leader.fleet.replaced(executor, is_elsewhere=True)
             case OrderReply.NO_TICKET:
                 attempt.task.step.verdicts.pop(executor.info.id, None)
             case OrderReply.UNHEALTHY:
--- a/libs/cell/dragonflybank/cell/fleet.py
+++ b/libs/cell/dragonflybank/cell/fleet.py
@@ -88,7 +88,7 @@
             is_new = executor.info.id not in self._links
             has_moved = not is_new and info.address != executor.info.address
             if has_moved or info.incarnation > known > 0:
-                self.replaced(executor, has_moved=has_moved)
+                self.replaced(executor, is_elsewhere=has_moved)
             if info.draining:
                 self._note_draining(executor, info, written_after)
             executor.info = info
@@ -134,17 +134,19 @@
         if executor.claimed and lease_is_over(executor, now):
             self._leader.attempts.lose(executor, "lease over")
 
-    def replaced(self, executor: Executor, *, has_moved: bool = False) -> None:
+    def replaced(
+        self, executor: Executor, *, is_elsewhere: bool = False
+    ) -> None:
         """Notes that an executor was started anew.
 
         Args:
             executor: The executor; it runs nothing but what was ordered
                 since the last list of its former incarnation.
-            has_moved: Whether it has another address, which orders that are
-                on their way do not reach.
+            is_elsewhere: Whether its identity is not found at its address any
+                more, so that orders on their way do not reach it.
         """
         self._leader.attempts.lose(
-            executor, "another incarnation", keep_moved=not has_moved
+            executor, "another incarnation", keep_moved=not is_elsewhere
         )
         executor.reborn_at = self._leader.clock.now()
         executor.acked = executor.seen_end = 0
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -172,7 +172,7 @@
                     leader.deposed(executor)
                     return
                 case Success(Held(reply=OrderReply.OTHER_INSTANCE)):
-                    leader.fleet.replaced(executor)
+                    leader.fleet.replaced(executor, is_elsewhere=True)
                     await leader.clock.sleep(RETRY_S)
                 case Success(held):
                     _log.warning(
--- a/libs/standins/dragonflybank/standins/cell/executors.py
+++ b/libs/standins/dragonflybank/standins/cell/executors.py
@@ -39,6 +39,7 @@
         is_cut: Whether no host reaches it; what runs goes on.
         cut_hosts: Hosts that do not reach it.
         is_crashed: Whether it runs nothing and answers nothing.
+        is_replaced: Whether another executor answers at its address.
         lost_share: Share of the orders that are carried out and not answered.
         late_share: Share of the orders that are carried out seconds later.
         fails_all: Whether all that it starts fails.
@@ -51,6 +52,7 @@
     is_cut: bool = False
     cut_hosts: set[str] = attrs.field(factory=set)
     is_crashed: bool = False
+    is_replaced: bool = False
     lost_share: float = 0.0
     late_share: float = 0.0
     fails_all: bool = False
@@ -152,6 +154,12 @@
         )
         self._begin()
 
+    def replace(self) -> None:
+        """Leaves its address to an executor of another identity, for good."""
+        self.crash()
+        self.faults.is_crashed = False
+        self.faults.is_replaced = True
+
     def clock_s(self) -> float:
         """Returns its own steady clock."""
         return (self._now() - self._born) * self._rate + 1.0
@@ -243,6 +251,8 @@
         if not self.reaches(host):
             await asyncio.sleep(TIMEOUT_S)
             return problem(Code.TIMED_OUT, "the executor is silent")
+        if faults.is_replaced:
+            return Success(OrderReply.OTHER_INSTANCE)
         drawn = self._rng.random()
         if is_order and drawn < faults.late_share:
             self._later(work, incarnation)
@@ -396,6 +406,8 @@
         if not executor.reaches(self._host):
             await asyncio.sleep(TIMEOUT_S + wait_s)
             return problem(Code.TIMED_OUT, "the executor is silent")
+        if executor.faults.is_replaced:
+            return Success(Held(OrderReply.OTHER_INSTANCE))
         held = await executor.hold(epoch, acked, lease_until_s, wait_s)
         if not executor.reaches(self._host):
             await asyncio.sleep(TIMEOUT_S)
--- a/libs/standins/dragonflybank/standins/cell/schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/schedules.py
@@ -20,6 +20,8 @@
 LOAD = Load(jobs_per_s=5.0, seconds=12.0)
 LAST_STRIKE_S = 12.0
 MAX_STRIKES = 7
+# The others must have room for the widest gang.
+MAX_REPLACED = 2
 LENGTHS_S = (0.2, 1.0, 2.5, 5.0)
 SLOW_ANSWER_S = 0.25
 
@@ -227,6 +229,8 @@
 async def executor_crashed(world: World, strike: Strike) -> None:
     """An executor crashes and starts again under its identity."""
     executor = _executor(world, strike)
+    if executor.faults.is_replaced:
+        return
     executor.crash()
     await asyncio.sleep(strike.for_s)
     if executor.faults.is_crashed:
@@ -237,6 +241,8 @@
 async def executor_leaves(world: World, strike: Strike) -> None:
     """An executor leaves after its notice; another life comes later."""
     executor = _executor(world, strike)
+    if executor.faults.is_replaced:
+        return
     world.drain_executor(executor, left_s=strike.for_s)
     await asyncio.sleep(strike.for_s)
     executor.crash()
@@ -246,6 +252,16 @@
         world.replace_executor(executor)
 
 
+async def executor_replaced(world: World, strike: Strike) -> None:
+    """An executor crashes, and another one gets its address."""
+    gone = [e for e in world.executors.values() if e.faults.is_replaced]
+    executor = _executor(world, strike)
+    if len(gone) < MAX_REPLACED and not executor.faults.is_crashed:
+        executor.replace()
+        await asyncio.sleep(strike.for_s)
+        world.unlist_executor(executor)
+
+
 Fault = Callable[[World, Strike], Awaitable[None]]
 FAULTS: dict[str, Fault] = {
     fault.__name__: fault
@@ -270,6 +286,7 @@
         executor_hanging,
         executor_crashed,
         executor_leaves,
+        executor_replaced,
     )
 }
 
--- a/libs/standins/dragonflybank/standins/cell/tests/test_schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_schedules.py
@@ -51,6 +51,13 @@
             Strike(7.659723805921226, "executor_crashed", 58, 0.2),
         ],
     ),
+    "stop_of_an_attempt_whose_executor_has_left_its_address": (
+        117,
+        [
+            Strike(2.176903292334298, "executor_replaced", 51, 1.0),
+            Strike(6.702586627601672, "executor_failing", 91, 2.5),
+        ],
+    ),
 }
 
 
