--- a/libs/standins/dragonflybank/standins/cell/executors.py
+++ b/libs/standins/dragonflybank/standins/cell/executors.py
@@ -134,9 +134,14 @@
         self._tasks: set[asyncio.Task] = set()
         self._begin()
 
-    def client(self, host: str) -> ExecutorClient:
-        """Returns the executor as a host reaches it."""
-        return _Client(self, host)
+    def client(self, host: str, *, address: str = "") -> ExecutorClient:
+        """Returns the executor as a host reaches it.
+
+        Args:
+            host: Name of the host.
+            address: Address at which it is looked for, its own by default.
+        """
+        return _Client(self, host, address or self.info.address)
 
     def crash(self) -> None:
         """Ends all that runs; nothing answers until `restart`."""
@@ -145,12 +150,18 @@
             run.ended_at, run.kind = self._now(), EndKind.LAPSED
         self.running.clear()
 
-    def restart(self) -> None:
-        """Starts it again as another incarnation with the same identity."""
+    def restart(self, *, address: str = "") -> None:
+        """Starts it again as another incarnation with the same identity.
+
+        Args:
+            address: Its new address, by default the one that it had.
+        """
         self.crash()
         self.faults.is_crashed = False
         self.info = attrs.evolve(
-            self.info, incarnation=self.info.incarnation + 1
+            self.info,
+            incarnation=self.info.incarnation + 1,
+            address=address or self.info.address,
         )
         self._begin()
 
@@ -243,12 +254,12 @@
             tuple(self._ends[:500]),
         )
 
-    async def call(self, host: str, work, *, is_order: bool):
+    async def call(self, host: str, address: str, work, *, is_order: bool):
         """Plays one call of a host with the present faults."""
         faults = self.faults
         await asyncio.sleep(ANSWER_S)
         incarnation = self.info.incarnation
-        if not self.reaches(host):
+        if not self.is_reached(host, address):
             await asyncio.sleep(TIMEOUT_S)
             return problem(Code.TIMED_OUT, "the executor is silent")
         if faults.is_replaced:
@@ -264,12 +275,12 @@
             return problem(Code.TIMED_OUT, "the answer was lost")
         return Success(found)
 
-    def reaches(self, host: str) -> bool:
-        """Returns whether calls of a host arrive."""
+    def is_reached(self, host: str, address: str) -> bool:
+        """Returns whether calls of a host to an address arrive."""
         faults = self.faults
-        return not (
-            faults.is_cut or faults.is_crashed or host in faults.cut_hosts
-        )
+        is_away = faults.is_cut or faults.is_crashed
+        is_cut_off = is_away or host in faults.cut_hosts
+        return not is_cut_off and address == self.info.address
 
     def _begin(self) -> None:
         self.running: dict[tuple[TaskId, int], Started] = {}
@@ -375,13 +386,15 @@
 
 
 class _Client(ExecutorClient):
-    def __init__(self, executor: MemoryExecutor, host: str):
+    def __init__(self, executor: MemoryExecutor, host: str, address: str):
         self._executor = executor
         self._host = host
+        self._address = address
 
     async def start(self, order: Order) -> Result[OrderReply, Problem]:
         return await self._executor.call(
             self._host,
+            self._address,
             lambda late: self._executor.start(order, late=late),
             is_order=True,
         )
@@ -391,6 +404,7 @@
     ) -> Result[OrderReply, Problem]:
         return await self._executor.call(
             self._host,
+            self._address,
             lambda late: self._executor.stop(task, attempt, epoch),
             is_order=True,
         )
@@ -403,13 +417,13 @@
             executor.faults.breaks_caller = False
             raise RuntimeError("a programming error in the host")
         await asyncio.sleep(ANSWER_S)
-        if not executor.reaches(self._host):
+        if not executor.is_reached(self._host, self._address):
             await asyncio.sleep(TIMEOUT_S + wait_s)
             return problem(Code.TIMED_OUT, "the executor is silent")
         if executor.faults.is_replaced:
             return Success(Held(OrderReply.OTHER_INSTANCE))
         held = await executor.hold(epoch, acked, lease_until_s, wait_s)
-        if not executor.reaches(self._host):
+        if not executor.is_reached(self._host, self._address):
             await asyncio.sleep(TIMEOUT_S)
             return problem(Code.TIMED_OUT, "the executor is silent")
         return Success(held)
--- a/libs/standins/dragonflybank/standins/cell/schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/schedules.py
@@ -238,6 +238,19 @@
         world.list_executor(executor)
 
 
+async def executor_moves(world: World, strike: Strike) -> None:
+    """An executor crashes and starts again at another address."""
+    executor = _executor(world, strike)
+    if executor.faults.is_replaced:
+        return
+    executor.crash()
+    await asyncio.sleep(strike.for_s)
+    if executor.faults.is_crashed:
+        address = f"10.1.{strike.target}.{executor.info.incarnation}:80"
+        executor.restart(address=address)
+        world.list_executor(executor)
+
+
 async def executor_leaves(world: World, strike: Strike) -> None:
     """An executor leaves after its notice; another life comes later."""
     executor = _executor(world, strike)
@@ -285,6 +298,7 @@
         executor_failing,
         executor_hanging,
         executor_crashed,
+        executor_moves,
         executor_leaves,
         executor_replaced,
     )
--- a/libs/standins/dragonflybank/standins/cell/world.py
+++ b/libs/standins/dragonflybank/standins/cell/world.py
@@ -387,7 +387,8 @@
             return problem(Code.BAD_REQUEST, str(exc))
 
     def executor(self, info: ExecutorInfo) -> ExecutorClient:
-        return self._world.executors[info.id].client(self._name)
+        executor = self._world.executors[info.id]
+        return executor.client(self._name, address=info.address)
 
     async def close(self) -> None:
         """Nothing is open."""
