--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -282,7 +282,7 @@
     async def _report(self, leader: Leader) -> None:
         while True:
             now = self._clock_of_host.now()
-            if leader.leadership.may_start(now):
+            if self._is_leading(now):
                 self._board.pending = leader.workload.pending()
                 self._board.fresh_at = now
             if self._lines is not None:
@@ -393,9 +393,14 @@
         )
 
     def _is_leading(self, now: float) -> bool:
-        # The others look at the leader's key when it is not confirmed.
+        # The others look at the leader's key when it is not confirmed, and
+        # into the store while the leader does not know all jobs.
         leader = self.leader
-        return leader is not None and leader.leadership.may_start(now)
+        return (
+            leader is not None
+            and leader.is_loaded
+            and leader.leadership.may_start(now)
+        )
 
     async def _answer_advise(self, sender: str, req: Advise) -> Result:
         if self.platform.advice is None:
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -53,6 +53,7 @@
         publish: Called with a job and its state that callers may be told.
         background: Tasks beside the rounds; a failure ends the leadership.
         has_failed: Whether one of them failed.
+        is_loaded: Whether it knows all jobs of its predecessors.
 
     Args:
         platform: The platform.
@@ -93,6 +94,7 @@
         self.scheduling = Scheduling(self, lines)
         self.publish = publish
         self.has_failed = False
+        self.is_loaded = False
         self._wake = asyncio.Event()
         self.background = Background(self._fail)
 
--- a/libs/cell/dragonflybank/cell/takeover.py
+++ b/libs/cell/dragonflybank/cell/takeover.py
@@ -49,6 +49,7 @@
     for info in executor_infos(leader, listed.unwrap().items):
         leader.fleet.listed(info)
     placed = leader.attempts.restore()
+    leader.is_loaded = True
     _log.info(
         "taken over",
         extra={
--- a/libs/cell/dragonflybank/cell/tests/test_election.py
+++ b/libs/cell/dragonflybank/cell/tests/test_election.py
@@ -3,11 +3,12 @@
 import asyncio
 
 import testtools
-from testtools.matchers import GreaterThan, LessThan
+from returns.result import Success
+from testtools.matchers import Equals, GreaterThan, LessThan
 
 from dragonflybank.cell.election import LEASE_S, RENEW_S
 from dragonflybank.standins.cell.virtual import play
-from dragonflybank.standins.cell.world import World
+from dragonflybank.standins.cell.world import Load, World
 
 # Objective of the most urgent queue of the users.
 LOOKUP_OBJECTIVE_S = 0.4
@@ -48,6 +49,41 @@
     return waited_s
 
 
+async def _pending_after_a_loss_of_all() -> list[int]:
+    """Returns what hosts say of five waiting jobs as they start anew."""
+    world = World(1)
+    await world.start()
+    await asyncio.sleep(2.0)
+    for each in world.executors.values():
+        each.faults.is_cut = True
+    queue = "sweep"
+    for _ in range(5):
+        job = world.draw_job(Load())
+        while job.queue.name != queue:
+            job = world.draw_job(Load())
+        await world.submit(job)
+    names = list(world.hosts)
+    for name in names:
+        world.kill_host(name)
+    world.store.faults.answer_s = 0.3
+    for name in names:
+        await world.start_host(name)
+    told = []
+    for _ in range(200):
+        await asyncio.sleep(0.05)
+        said = [host.front.pending(queue) for host in world.hosts.values()]
+        told += [got.unwrap() for got in said if isinstance(got, Success)]
+    return told
+
+
+class TestTakeover(testtools.TestCase):
+    """Guards against a new leader that speaks of jobs it has not read."""
+
+    def test_waiting_jobs_are_not_denied(self):
+        told = play(_pending_after_a_loss_of_all())
+        self.assertThat(set(told), Equals({5}))
+
+
 class TestSuccession(testtools.TestCase):
     """Guards against a cell that waits for a leader known to be dead."""
 
