--- a/libs/cell/dragonflybank/cell/attempts.py
+++ b/libs/cell/dragonflybank/cell/attempts.py
@@ -37,9 +37,6 @@
 STRANGER_RETRY_S = 1.0
 # A step whose start an executor called wrong is not placed for this long.
 BAD_START_REST_S = 1.0
-# What an executor answers about such an attempt changes nothing any more; one
-# that is over may have run on an earlier incarnation.
-_ENDING = frozenset({AttemptPhase.STOPPING, AttemptPhase.OVER})
 
 
 class Attempts:
@@ -104,7 +101,7 @@
         now = self._leader.clock.now()
         executor = attempt.executor
         self._leader.metrics.starts.labels(reply.value).inc()
-        if attempt.phase in _ENDING:
+        if attempt.is_ending:
             return
         if reply is OrderReply.OK:
             self._note_running(attempt, now)
@@ -112,9 +109,7 @@
         _log.warning(
             "start refused",
             extra={
-                "task": str(attempt.task.id),
-                "attempt": attempt.number,
-                "executor": executor.info.id,
+                **attempt.log_fields,
                 "reply": reply.value,
                 "free_millicores": executor.free_millicores,
                 "free_memory_mb": executor.free_memory_mb,
@@ -139,14 +134,7 @@
 
     def unknown(self, attempt: Attempt) -> None:
         """Stops an attempt whose start may yet be carried out."""
-        _log.warning(
-            "start unknown",
-            extra={
-                "task": str(attempt.task.id),
-                "attempt": attempt.number,
-                "executor": attempt.executor.info.id,
-            },
-        )
+        _log.warning("start unknown", extra=attempt.log_fields)
         self._leader.fleet.link(attempt.executor).stop(attempt)
         self.abandon_gang(attempt)
 
@@ -170,14 +158,12 @@
         if attempt.phase is AttemptPhase.RESERVED:
             self._drop(attempt)
             return
-        if attempt.phase in _ENDING:
+        if attempt.is_ending:
             return
         _log.info(
             "stop",
             extra={
-                "task": str(attempt.task.id),
-                "attempt": attempt.number,
-                "executor": attempt.executor.info.id,
+                **attempt.log_fields,
                 "reason": reason,
                 "percent": attempt.percent,
             },
@@ -371,14 +357,7 @@
         self._leader.workload.note_placed(attempt)
         self._update(attempt, row, now)
         self._leader.begun(state)
-        _log.info(
-            "attempt adopted",
-            extra={
-                "task": str(row.task),
-                "attempt": row.attempt,
-                "executor": executor.info.id,
-            },
-        )
+        _log.info("attempt adopted", extra=attempt.log_fields)
         if state.phase.is_final or task.done or others:
             self.stop(attempt, "not wanted")
 
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -100,7 +100,7 @@
 
     def stop(self, attempt: Attempt) -> None:
         """Orders an attempt to stop, in the background."""
-        if attempt.phase not in (AttemptPhase.STOPPING, AttemptPhase.OVER):
+        if not attempt.is_ending:
             attempt.phase = AttemptPhase.STOPPING
             attempt.absent_after = None
             self._background.spawn(self._stop(attempt))
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -178,9 +178,7 @@
             _log.info(
                 "place",
                 extra={
-                    "task": str(attempt.task.id),
-                    "attempt": attempt.number,
-                    "executor": attempt.executor.info.id,
+                    **attempt.log_fields,
                     "free_millicores": attempt.executor.free_millicores,
                     "waited_s": round(waited_s, 3),
                     "gang": step.spec.gang,
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -74,6 +74,24 @@
         answered_at = self.absent_after
         return answered_at is None or answered_at > self.executor.reached_at
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether it is over or was told to stop.
+
+        What an executor answers about it changes nothing any more; one that
+        is over may have run on an earlier incarnation.
+        """
+        return self.phase in (AttemptPhase.STOPPING, AttemptPhase.OVER)
+
+    @property
+    def log_fields(self) -> dict[str, str | int]:
+        """What log lines say of it."""
+        return {
+            "task": str(self.task.id),
+            "attempt": self.number,
+            "executor": self.executor.info.id,
+        }
+
     def remaining_s(self, now: float) -> float:
         """Returns how long it will still run, by its progress or estimate."""
         spec = self.task.step.spec
--- a/libs/host/dragonflybank/host/tests/test_daemon.py
+++ b/libs/host/dragonflybank/host/tests/test_daemon.py
@@ -67,36 +67,30 @@
 class TestDrain(testtools.TestCase):
     """Guards against requests that a graceful shutdown cuts off."""
 
-    def test_lookups_in_progress_are_answered_by_the_leaving_host(self):
+    def _outcomes_at_a_leaving_host(self, lookups: int, *, run_s: float):
+        """Returns the outcomes of lookups at a host that leaves, counted."""
+
         async def run():
-            async with running_cell("a", "b") as cell:
+            async with running_cell("a", "b", workers=2) as cell:
                 host = cell.hosts.pop("a")
-                lookups = [
-                    asyncio.create_task(cell.lookup(host, n=n, run_s=0.15))
-                    for n in range(30)
+                asked = [
+                    asyncio.create_task(cell.lookup(host, n=n, run_s=run_s))
+                    for n in range(lookups)
                 ]
-                await until(lambda: host.http.in_progress == 30)
+                await until(lambda: host.http.in_progress == lookups)
                 await host.stop()
-                return [await lookup for lookup in lookups]
+                return [await lookup for lookup in asked]
+
+        return collections.Counter(a["outcome"] for a in asyncio.run(run()))
 
-        counts = collections.Counter(a["outcome"] for a in asyncio.run(run()))
+    def test_lookups_in_progress_are_answered_by_the_leaving_host(self):
+        counts = self._outcomes_at_a_leaving_host(30, run_s=0.15)
         self.assertThat(counts, Equals({"done": 30}))
 
     def test_only_peer_gets_all_the_time_of_a_lookup(self):
         # 8 slots: the last lookups wait for the first ones there, and half
         # of their time would not do.
-        async def run():
-            async with running_cell("a", "b", workers=2) as cell:
-                host = cell.hosts.pop("a")
-                lookups = [
-                    asyncio.create_task(cell.lookup(host, n=n, run_s=0.35))
-                    for n in range(24)
-                ]
-                await until(lambda: host.http.in_progress == 24)
-                await host.stop()
-                return [await lookup for lookup in lookups]
-
-        counts = collections.Counter(a["outcome"] for a in asyncio.run(run()))
+        counts = self._outcomes_at_a_leaving_host(24, run_s=0.35)
         self.assertThat(counts, Equals({"done": 24}))
 
     def test_workers_and_shards_are_served_by_the_next_host(self):
--- a/libs/standins/dragonflybank/standins/cell/executors.py
+++ b/libs/standins/dragonflybank/standins/cell/executors.py
@@ -3,7 +3,6 @@
 __all__ = ["ExecutorFaults", "MemoryExecutor", "Started"]
 
 import asyncio
-import contextvars
 import random
 from collections.abc import Callable
 
@@ -22,7 +21,7 @@
     OrderReply,
 )
 from dragonflybank.model.codes import Code, Problem, problem
-from dragonflybank.standins.cell.virtual import life
+from dragonflybank.standins.cell.virtual import create_task_of
 
 ANSWER_S = 0.003
 TIMEOUT_S = 0.4
@@ -299,9 +298,7 @@
 
     def _spawn(self, work) -> None:
         # What an executor does goes on when the host that ordered it ends.
-        context = contextvars.copy_context()
-        context.run(life.set, self.info.id)
-        task = context.run(asyncio.create_task, work)
+        task = create_task_of(self.info.id, work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/libs/standins/dragonflybank/standins/cell/schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/schedules.py
@@ -13,7 +13,11 @@
 
 import attrs
 
-from dragonflybank.standins.cell.executors import MemoryExecutor
+from dragonflybank.standins.cell.executors import (
+    ExecutorFaults,
+    MemoryExecutor,
+)
+from dragonflybank.standins.cell.store import StoreFaults
 from dragonflybank.standins.cell.virtual import play
 from dragonflybank.standins.cell.world import Load, World
 
@@ -118,34 +122,30 @@
 
 async def host_seems_gone(world: World, strike: Strike) -> None:
     """Connections to a live host are refused."""
-    name = _host(world, strike)
-    world.refusing.add(name)
-    await asyncio.sleep(strike.for_s)
-    world.refusing.discard(name)
+    await _host_among(world.refusing, world, strike)
 
 
 async def host_cut_from_store(world: World, strike: Strike) -> None:
     """A host gets no answer from the store."""
-    name = _host(world, strike)
-    world.store.faults.cut.add(name)
-    await asyncio.sleep(strike.for_s)
-    world.store.faults.cut.discard(name)
+    await _host_among(world.store.faults.cut, world, strike)
 
 
 async def host_turned_away(world: World, strike: Strike) -> None:
     """The store refuses a host."""
-    name = _host(world, strike)
-    world.store.faults.refused.add(name)
-    await asyncio.sleep(strike.for_s)
-    world.store.faults.refused.discard(name)
+    await _host_among(world.store.faults.refused, world, strike)
 
 
 async def host_cut_from_peers(world: World, strike: Strike) -> None:
     """A host and its peers do not reach each other."""
+    await _host_among(world.cut_peers, world, strike)
+
+
+async def _host_among(names: set[str], world: World, strike: Strike) -> None:
+    """Adds a host to a set of names for the time of the strike."""
     name = _host(world, strike)
-    world.cut_peers.add(name)
+    names.add(name)
     await asyncio.sleep(strike.for_s)
-    world.cut_peers.discard(name)
+    names.discard(name)
 
 
 async def key_revoked(world: World, strike: Strike) -> None:
@@ -179,11 +179,7 @@
 
 
 async def _store_fault(world: World, strike: Strike, name: str, value) -> None:
-    faults = world.store.faults
-    usual = getattr(type(faults)(), name)
-    setattr(faults, name, value)
-    await asyncio.sleep(strike.for_s)
-    setattr(faults, name, usual)
+    await _fault(world.store.faults, strike, name, value)
 
 
 async def history_lost(world: World, strike: Strike) -> None:
@@ -219,7 +215,13 @@
 async def _executor_fault(
     world: World, strike: Strike, name: str, value
 ) -> None:
-    faults = _executor(world, strike).faults
+    await _fault(_executor(world, strike).faults, strike, name, value)
+
+
+async def _fault(
+    faults: StoreFaults | ExecutorFaults, strike: Strike, name: str, value
+) -> None:
+    """Sets a fault for the time of the strike."""
     usual = getattr(type(faults)(), name)
     setattr(faults, name, value)
     await asyncio.sleep(strike.for_s)
--- a/libs/standins/dragonflybank/standins/cell/store.py
+++ b/libs/standins/dragonflybank/standins/cell/store.py
@@ -3,7 +3,6 @@
 __all__ = ["MemoryStore", "StoreFaults"]
 
 import asyncio
-import contextvars
 import random
 
 import attrs
@@ -11,7 +10,7 @@
 
 from dragonflybank.cell.ports import Changes, Item, Scan, Store, Txn, TxnReply
 from dragonflybank.model.codes import Code, Problem, problem
-from dragonflybank.standins.cell.virtual import life
+from dragonflybank.standins.cell.virtual import create_task_of
 
 ANSWER_S = 0.004
 TIMEOUT_S = 1.0
@@ -228,9 +227,7 @@
             work()
 
         # It is carried out also if the host that made the call has ended.
-        context = contextvars.copy_context()
-        context.run(life.set, "store")
-        task = context.run(asyncio.create_task, late())
+        task = create_task_of("store", late())
         self._late.add(task)
         task.add_done_callback(self._late.discard)
 
--- a/libs/standins/dragonflybank/standins/cell/virtual.py
+++ b/libs/standins/dragonflybank/standins/cell/virtual.py
@@ -1,6 +1,6 @@
 """An event loop whose time advances at once to the next timer."""
 
-__all__ = ["VirtualClock", "VirtualLoop", "life", "play"]
+__all__ = ["VirtualClock", "VirtualLoop", "create_task_of", "life", "play"]
 
 import asyncio
 import contextvars
@@ -15,6 +15,18 @@
 life: contextvars.ContextVar[str] = contextvars.ContextVar("life", default="")
 
 
+def create_task_of(name: str, work: Coroutine) -> asyncio.Task:
+    """Returns a task that outlives the process that creates it.
+
+    Args:
+        name: What the task belongs to instead.
+        work: What it does.
+    """
+    context = contextvars.copy_context()
+    context.run(life.set, name)
+    return context.run(asyncio.create_task, work)
+
+
 class VirtualLoop(asyncio.SelectorEventLoop):
     """A loop without waits: timers fire in order, as soon as nothing is ready.
 
