Give slots for advice in the order of steps; reserve capacity only during a call

Calls for advice waited in a queue of the dispatcher for 3 to 7 s, each with capacity reserved for its plan, and for steps that had become late meanwhile. Lookups that asked at the same time named the same freest executors, and asked again once these were taken (2.1 to 2.5 calls for each lookup in the burst).

A first call counts the cores that others in a call will take. A full cell's waiting steps are passed over without a look at all executors. One line a second logs the load.

Ruled out: that executors differ in how often they are good (trial with names logged,: the variance over executors is that of a binomial draw); the processor of the leader as the cause of waits of seconds.

A test expected a gang of 12 to name 75 executors or more; it names what it needs and half as many in addition now. The test of the cap uses a gang of 150.

--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -280,8 +280,6 @@
         finally:
             updating.cancel()
             await releasing
-            if self._advice_dispatcher is not None:
-                self._advice_dispatcher.close()
             self.leader = self._advice_dispatcher = None
 
     async def _release_waiters_on_loss(self, leadership: Leadership) -> None:
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -10,6 +10,7 @@
 __all__ = ["Leader"]
 
 import asyncio
+import collections
 import logging
 from collections.abc import Callable
 
@@ -37,6 +38,8 @@
 ROUND_DELAY_S = 0.01
 # Interval of rounds without an event, which check timeouts.
 IDLE_ROUND_INTERVAL_S = 0.25
+# Interval of the log line that sums up the load of the cell.
+LOAD_LOG_INTERVAL_S = 1.0
 
 
 class Leader:
@@ -103,6 +106,7 @@
         self.has_failed = False
         self.is_loaded = False
         self.reported_entries: dict[str, int] = {}
+        self._load_logged_at = float("-inf")
         self._wake = asyncio.Event()
         self.background = BackgroundTasks(self._on_background_failure)
 
@@ -119,6 +123,9 @@
             now = self.clock.now()
             self._run_timed_checks(now)
             self.scheduler.place_waiting_steps(now, self.unix_time())
+            if now - self._load_logged_at >= LOAD_LOG_INTERVAL_S:
+                self._load_logged_at = now
+                self._log_load()
 
     async def close(self) -> None:
         """Ends all calls to executors and background tasks."""
@@ -199,6 +206,35 @@
         metrics.executors.labels("silent").set(len(silent))
         metrics.free_cores.set(sum(e.free_millicores for e in claimed) / 1000)
 
+    def _log_load(self) -> None:
+        """Logs what waits and what is free, to explain late jobs afterwards."""
+        executors = [e for e in self.fleet.executors.values() if e.claimed]
+        if not self.workload.ready and not any(e.attempts for e in executors):
+            return
+        waiting: dict[int, list[int]] = {}
+        for step in self.workload.ready:
+            counts = waiting.setdefault(
+                step.job_state.job.queue.priority, [0, 0]
+            )
+            counts[0] += 1
+            counts[1] += len(step.waiting_tasks())
+        phases = collections.Counter(
+            attempt.phase.value
+            for executor in executors
+            for attempt in executor.attempts.values()
+        )
+        _log.info(
+            "load",
+            extra={
+                "waiting_steps_and_tasks": waiting,
+                "attempts": phases,
+                "free_cores": sum(e.free_millicores for e in executors) // 1000,
+                "cores": sum(e.info.millicores for e in executors) // 1000,
+                "silent": sum(e.silent_since is not None for e in executors),
+                "idle_advice_slots": self.scheduler.idle_advice_slots,
+            },
+        )
+
     def _on_ended(self, state: JobState) -> None:
         self.record_phase(state.job.id, state.phase)
 
--- a/libs/cell/dragonflybank/cell/placement.py
+++ b/libs/cell/dragonflybank/cell/placement.py
@@ -6,7 +6,12 @@
 rack if it fits there.
 """
 
-__all__ = ["PlacementPlan", "candidate_executors", "plan_placement"]
+__all__ = [
+    "PlacementPlan",
+    "accepting_executors",
+    "candidate_executors",
+    "plan_placement",
+]
 
 from collections.abc import Callable, Iterable, Mapping
 
@@ -33,18 +38,27 @@
     reason: str = ""
 
 
+def accepting_executors(
+    executors: Iterable[Executor], now: float
+) -> dict[str, list[Executor]]:
+    """Returns the executors that accept new work now, by service."""
+    accepting: dict[str, list[Executor]] = {}
+    for executor in executors:
+        if accepts_new_work(executor, now):
+            accepting.setdefault(executor.info.service, []).append(executor)
+    return accepting
+
+
 def candidate_executors(
-    step: StepState, executors: Iterable[Executor], now: float
+    step: StepState, executors: Iterable[Executor]
 ) -> list[Executor]:
-    """Returns the executors that may run a step and accept new work now."""
-    service = step.job_state.job.queue.service
-    return [
-        e
-        for e in executors
-        if e.info.service == service
-        and accepts_new_work(e, now)
-        and fits_when_empty(e, step.spec)
-    ]
+    """Returns those executors that may run a step.
+
+    Args:
+        step: The step.
+        executors: Executors of its service that accept new work.
+    """
+    return [e for e in executors if fits_when_empty(e, step.spec)]
 
 
 def plan_placement(
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -3,21 +3,35 @@
 Steps are considered in the order of `step_order.step_rank`. A gang that does
 not fit reserves the executors that it would need against steps of lower
 priority, so that small work does not starve it.
+
+Advice is limited to one call at a time for each host. Steps get the free slots
+for calls in their order, and capacity is reserved for a step only while its
+call is in progress, not while it waits for a slot.
 """
 
 __all__ = ["Scheduler"]
 
 import asyncio
 import logging
-from collections.abc import Sequence
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
+import attrs
 from returns.result import Failure, Success
 
-from dragonflybank.cell.advice_dispatch import AdviceDispatcher
+from dragonflybank.cell.advice_dispatch import (
+    AdviceDispatcher,
+    AdviceSlot,
+    is_long_call,
+)
+from dragonflybank.cell.advice_spending import (
+    AdviceHistory,
+    pending_demand,
+)
 from dragonflybank.cell.capacity import accepts_new_work
 from dragonflybank.cell.placement import (
     PlacementPlan,
+    accepting_executors,
     candidate_executors,
     plan_placement,
 )
@@ -47,6 +61,33 @@
 
 # Time for which a step is not placed after a failed call for advice.
 ADVICE_RETRY_DELAY_S = 0.2
+# A waiting gang asks about no further executors while the good ones that it
+# knows have this multiple of the capacity that it needs.
+GANG_CAPACITY_FACTOR = 2
+
+
+@attrs.define
+class _Round:
+    """State of one round.
+
+    Attributes:
+        now: Time of the round.
+        accepting: Executors that accept new work, by service.
+        free_millicores: Upper bound of the free CPU cores of any executor, by
+            service, in thousandths of a core.
+        gang_reservations: Priority and reserved capacity by executor of each
+            waiting gang.
+        refused: Steps that got no slot for a call, as their priority and
+            whether the call is a long one.
+    """
+
+    now: float
+    accepting: dict[str, list[Executor]]
+    free_millicores: dict[str, int]
+    gang_reservations: list[tuple[int, dict[str, int]]] = attrs.field(
+        factory=list
+    )
+    refused: set[tuple[int, bool]] = attrs.field(factory=set)
 
 
 class Scheduler:
@@ -63,6 +104,13 @@
     ):
         self._leader = leader
         self._advice_dispatcher = advice_dispatcher
+        self._history = AdviceHistory()
+
+    @property
+    def idle_advice_slots(self) -> int:
+        """Number of hosts without a call for advice in progress."""
+        dispatcher = self._advice_dispatcher
+        return dispatcher.idle_slots if dispatcher is not None else 0
 
     def place_waiting_steps(self, now: float, unix_time: float) -> None:
         """Runs one round: places all waiting steps that can be placed now.
@@ -74,7 +122,7 @@
         leader = self._leader
         if not leader.leadership.may_start_attempts(now):
             return
-        gang_reservations: list[tuple[int, dict[str, int]]] = []
+        current = _begin_round(leader.fleet.executors.values(), now)
         ready = sorted(
             leader.workload.ready, key=lambda s: step_rank(s, unix_time)
         )
@@ -83,7 +131,7 @@
             if not tasks:
                 leader.workload.ready.pop(step, None)
             elif self._is_placeable(step, tasks, now):
-                self._place_step(step, tasks, gang_reservations, now)
+                self._place_step(step, tasks, current)
 
     def _is_placeable(
         self, step: StepState, tasks: list[Task], now: float
@@ -97,88 +145,150 @@
         return not step.spec.gang or is_whole
 
     def _place_step(
-        self,
-        step: StepState,
-        tasks: list[Task],
-        gang_reservations: list[tuple[int, dict[str, int]]],
-        now: float,
+        self, step: StepState, tasks: list[Task], current: _Round
     ) -> None:
         queue = step.job_state.job.queue
-        allowed = candidate_executors(
-            step, self._leader.fleet.executors.values(), now
-        )
-        unknown: Sequence[Executor] = ()
         is_advised = (
             queue.advised is not None and self._advice_dispatcher is not None
         )
+        if self._must_wait(step, is_advised, current):
+            return
+        allowed = candidate_executors(
+            step, current.accepting.get(queue.service, ())
+        )
+        unknown: list[Executor] = []
         if is_advised and step.advice_pending:
             # Valid tickets are used while a call for advice is in progress.
-            allowed = [e for e in allowed if valid_ticket(step, e.info.id, now)]
+            allowed = [
+                e for e in allowed if valid_ticket(step, e.info.id, current.now)
+            ]
         elif is_advised:
             split = split_by_advice(step, allowed)
-            allowed, unknown = list(split.good), split.unknown
+            allowed, unknown = list(split.good), list(split.unknown)
         reserved_millicores = {
             executor: cores
-            for priority, reserved in gang_reservations
+            for priority, reserved in current.gang_reservations
             if priority < queue.priority
             for executor, cores in reserved.items()
         }
         plan = plan_placement(
             step, tasks, allowed, reserved_millicores=reserved_millicores
         )
-        if plan.pairs:
-            self._execute_plan(step, plan, allowed, now)
-        elif unknown:
-            calls = first_advice_calls(
-                step,
-                len(tasks),
-                unknown,
-                has_idle_slots=self._advice_dispatcher.is_mostly_idle,
-            )
-            self._start_advice_calls(step, calls, [])
+        if plan.pairs and self._execute_plan(step, plan, allowed, current):
+            return
+        if (
+            not plan.pairs
+            and unknown
+            and self._needs_more(step, tasks, allowed)
+        ):
+            self._request_first_advice(step, tasks, unknown, current)
         elif step.spec.gang:
-            gang_reservations.append(
-                (queue.priority, _reservation_for_gang(step, tasks, allowed))
-            )
+            reservation = _reservation_for_gang(step, tasks, allowed)
+            current.gang_reservations.append((queue.priority, reservation))
+
+    def _must_wait(
+        self, step: StepState, is_advised: bool, current: _Round
+    ) -> bool:
+        """Returns whether the step can neither be placed nor ask for advice.
+
+        Most steps of a full cell wait, and are passed over without a look at
+        all executors.
+        """
+        queue, spec = step.job_state.job.queue, step.spec
+        most_free = current.free_millicores.get(queue.service, 0)
+        is_full = not spec.filling and spec.millicores > most_free
+        if not is_advised:
+            return is_full and not spec.gang
+        needs_long_call = is_long_call(queue.advised.base_s)
+        if not step.advice_by_executor:
+            return (queue.priority, needs_long_call) in current.refused
+        return is_full and not spec.gang and needs_long_call
+
+    def _needs_more(
+        self, step: StepState, tasks: list[Task], good: list[Executor]
+    ) -> bool:
+        """Returns whether a step should ask about further executors.
+
+        A waiting gang gets the capacity of good executors as it becomes free.
+        """
+        if not step.spec.gang or self._advice_dispatcher.is_mostly_idle:
+            return True
+        size = max(1, step.spec.millicores)
+        places = sum(executor.info.millicores // size for executor in good)
+        return places < GANG_CAPACITY_FACTOR * len(tasks)
+
+    def _request_first_advice(
+        self,
+        step: StepState,
+        tasks: list[Task],
+        unknown: list[Executor],
+        current: _Round,
+    ) -> None:
+        queue = step.job_state.job.queue
+        calls = first_advice_calls(
+            step,
+            len(tasks),
+            unknown,
+            has_idle_slots=self._advice_dispatcher.is_mostly_idle,
+            good_share=self._history.good_share(queue.name),
+            other_millicores=pending_demand(
+                self._leader.workload.ready, queue.service, queue.priority
+            ),
+        )
+        slots = [self._acquire_slot(step, len(ids), current) for ids in calls]
+        granted = [
+            (slot, ids)
+            for slot, ids in zip(slots, calls, strict=True)
+            if slot is not None
+        ]
+        if granted:
+            self._start_advice_calls(step, granted, [])
+
+    def _acquire_slot(
+        self, step: StepState, names: int, current: _Round
+    ) -> AdviceSlot | None:
+        queue = step.job_state.job.queue
+        duration_s = advice_call_s(queue.advised, names)
+        slot = self._advice_dispatcher.acquire_slot(
+            priority=queue.priority, duration_s=duration_s, now=current.now
+        )
+        if slot is None:
+            current.refused.add((queue.priority, is_long_call(duration_s)))
+        return slot
 
     def _execute_plan(
         self,
         step: StepState,
         plan: PlacementPlan,
         allowed: list[Executor],
-        now: float,
-    ) -> None:
-        leader = self._leader
-        workload = leader.workload
-        if step.spec.gang:
-            number = workload.next_attempt_number(
-                [task for task, _ in plan.pairs]
-            )
-            attempts = leader.attempts.reserve_attempts(
-                step, plan.pairs, number, now
-            )
-        else:
-            attempts = [
-                attempt
-                for pair in plan.pairs
-                for attempt in leader.attempts.reserve_attempts(
-                    step, [pair], workload.next_attempt_number([pair[0]]), now
-                )
-            ]
-        if (
-            step.job_state.job.queue.advised is None
-            or self._advice_dispatcher is None
-        ):
-            self._start(step, attempts, now)
-            return
-        if not step.spec.gang:
-            ready = [a for a in attempts if self._has_ticket(step, a, now)]
-            self._start(step, ready, now)
-            attempts = [a for a in attempts if a not in ready]
-        used = {attempt.executor.info.id for attempt in attempts}
+        current: _Round,
+    ) -> bool:
+        """Starts the planned tasks, or asks for new tickets first.
+
+        Returns:
+            Whether anything was started or asked for.
+        """
         timing = step.job_state.job.queue.advised
-        named = executors_to_renew(step, sorted(used), timing, now)
-        if named and step.waiting_tasks():
+        now = current.now
+        if timing is None or self._advice_dispatcher is None:
+            self._start(step, self._reserve(step, plan.pairs, now), now)
+            return True
+        ticketed = [
+            pair
+            for pair in plan.pairs
+            if valid_ticket(step, pair[1].info.id, now) is not None
+        ]
+        if not step.spec.gang:
+            self._start(step, self._reserve(step, ticketed, now), now)
+            rest = [pair for pair in plan.pairs if pair not in ticketed]
+        else:
+            rest = list(plan.pairs)
+        used = sorted({executor.info.id for _, executor in rest})
+        named = executors_to_renew(step, used, timing, now)
+        if not named:
+            self._start(step, self._reserve(step, rest, now), now)
+            return bool(plan.pairs)
+        if len(step.waiting_tasks()) > len(rest):
             others = [
                 e
                 for e in allowed
@@ -186,15 +296,28 @@
                 and valid_ticket(step, e.info.id, now) is None
             ]
             named += extra_executors_to_renew(timing, named, others, now)
-        if named:
-            self._start_advice_calls(step, [named], attempts)
-        else:
-            self._start(step, attempts, now)
+        slot = self._acquire_slot(step, len(named), current)
+        if slot is None:
+            return bool(ticketed) and not step.spec.gang
+        attempts = self._reserve(step, rest, now)
+        self._start_advice_calls(step, [(slot, named)], attempts)
+        return True
 
-    def _has_ticket(
-        self, step: StepState, attempt: Attempt, now: float
-    ) -> bool:
-        return valid_ticket(step, attempt.executor.info.id, now) is not None
+    def _reserve(
+        self, step: StepState, pairs: list[tuple[Task, Executor]], now: float
+    ) -> list[Attempt]:
+        workload = self._leader.workload
+        manager = self._leader.attempts
+        if step.spec.gang:
+            number = workload.next_attempt_number([task for task, _ in pairs])
+            return manager.reserve_attempts(step, pairs, number, now)
+        return [
+            attempt
+            for pair in pairs
+            for attempt in manager.reserve_attempts(
+                step, [pair], workload.next_attempt_number([pair[0]]), now
+            )
+        ]
 
     def _start(
         self, step: StepState, attempts: list[Attempt], now: float
@@ -219,7 +342,7 @@
     def _start_advice_calls(
         self,
         step: StepState,
-        calls: list[list[str]],
+        calls: list[tuple[AdviceSlot, list[str]]],
         attempts: list[Attempt],
     ) -> None:
         step.advice_pending = True
@@ -227,10 +350,10 @@
         self._leader.background.spawn(self._collect_advice(step, calls))
 
     async def _collect_advice(
-        self, step: StepState, calls: list[list[str]]
+        self, step: StepState, calls: list[tuple[AdviceSlot, list[str]]]
     ) -> None:
         await asyncio.gather(
-            *(self._request_advice(step, ids) for ids in calls)
+            *(self._request_advice(step, slot, ids) for slot, ids in calls)
         )
         now = self._leader.clock.now()
         step.advice_pending = False
@@ -239,17 +362,26 @@
         self._leader.workload.requeue(step)
         self._leader.wake()
 
-    async def _request_advice(self, step: StepState, ids: list[str]) -> None:
+    async def _request_advice(
+        self, step: StepState, slot: AdviceSlot, ids: list[str]
+    ) -> None:
         queue = step.job_state.job.queue
+        asked_at = self._leader.clock.now()
         got = await self._advice_dispatcher.request_advice(
+            slot,
             step.name,
             ids,
-            priority=queue.priority,
             duration_s=advice_call_s(queue.advised, len(ids)),
         )
         now = self._leader.clock.now()
         match got:
             case Success(tickets):
+                is_new = [i for i in ids if i not in step.advice_by_executor]
+                self._history.record(
+                    queue.name,
+                    asked=len(is_new),
+                    good=sum(i in tickets for i in is_new),
+                )
                 record_advice(
                     step,
                     ids,
@@ -262,6 +394,7 @@
                         "step": step.name,
                         "asked": len(ids),
                         "good": len(tickets),
+                        "took_s": round(now - asked_at, 3),
                     },
                 )
             case Failure(_):
@@ -284,6 +417,18 @@
         self._start(step, usable, now)
 
 
+def _begin_round(executors: Iterable[Executor], now: float) -> _Round:
+    accepting = accepting_executors(executors, now)
+    return _Round(
+        now,
+        accepting,
+        {
+            service: max(e.free_millicores for e in found)
+            for service, found in accepting.items()
+        },
+    )
+
+
 def _reservation_for_gang(
     step: StepState, tasks: list[Task], allowed: list[Executor]
 ) -> dict[str, int]:
--- a/libs/cell/dragonflybank/cell/tests/test_advice_dispatch.py
+++ b/libs/cell/dragonflybank/cell/tests/test_advice_dispatch.py
@@ -3,8 +3,8 @@
 import asyncio
 
 import testtools
-from returns.result import Success
-from testtools.matchers import Equals, LessThan
+from returns.result import Failure, Success
+from testtools.matchers import Equals, IsInstance, LessThan
 
 from dragonflybank.cell.advice_dispatch import AdviceDispatcher
 from dragonflybank.cell.ports import AdviceService
@@ -23,37 +23,110 @@
         return Success({})
 
 
-class TestBacklog(testtools.TestCase):
-    """Guards against urgent steps that wait behind a backlog of long calls."""
+class _Cell:
+    """A dispatcher with 35 peers, and steps that ask it in every round."""
 
-    def test_some_hosts_stay_reserved_for_urgent_calls(self):
-        clock, service, waits = VirtualClock(), _Service(), []
+    ROUND_S = 0.01
+
+    def __init__(self):
+        self.clock, service = VirtualClock(), _Service()
 
         async def call_peer(address, step, executors, timeout_s):
             return await service.advise(step, executors, timeout_s=timeout_s)
 
-        async def main():
-            lines = AdviceDispatcher(service, call_peer, now=clock.now)
-            lines.set_peers([f"peer-{n}" for n in range(35)])
+        self.dispatcher = AdviceDispatcher(
+            service, call_peer, now=self.clock.now
+        )
+        self.dispatcher.set_peers([f"peer-{n}" for n in range(35)])
+
+    async def ask(self, step: str, priority: int, duration_s: float) -> float:
+        """Makes a call as soon as there is a slot; returns the whole time."""
+        began_at = self.clock.now()
+        while True:
+            slot = self.dispatcher.acquire_slot(
+                priority=priority, duration_s=duration_s, now=self.clock.now()
+            )
+            if slot is not None:
+                break
+            await asyncio.sleep(self.ROUND_S)
+        await self.dispatcher.request_advice(
+            slot, step, ["one"], duration_s=duration_s
+        )
+        return self.clock.now() - began_at
 
-            async def request_advice(step, priority, duration_s):
-                began_at = clock.now()
-                await lines.request_advice(
-                    step, ["one"], priority=priority, duration_s=duration_s
-                )
-                if not priority:
-                    waits.append(clock.now() - began_at)
 
-            calls = [request_advice(f"long-{n}", 1, LONG_S) for n in range(100)]
-            backlog = asyncio.gather(*calls)
+class TestBacklog(testtools.TestCase):
+    """Guards against urgent steps that wait behind a backlog of long calls."""
+
+    def test_some_hosts_stay_reserved_for_urgent_calls(self):
+        async def main():
+            cell = _Cell()
+            backlog = asyncio.gather(
+                *(cell.ask(f"long-{n}", 1, LONG_S) for n in range(100))
+            )
+            urgent = []
             for number in range(200):
                 await asyncio.sleep(0.01)
-                asyncio.create_task(
-                    request_advice(f"short-{number}", 0, SHORT_S)
+                urgent.append(
+                    asyncio.create_task(cell.ask(f"short-{number}", 0, SHORT_S))
                 )
             await backlog
-            await asyncio.sleep(1.0)
+            return [await call for call in urgent]
 
-        run_in_virtual_time(main())
+        waits = run_in_virtual_time(main())
         self.assertThat(len(waits), Equals(200))
         self.assertThat(max(waits), LessThan(0.1))
+
+
+class TestShares(testtools.TestCase):
+    """Guards against steps of one priority that use up all calls."""
+
+    def test_lower_priority_gets_slots_beside_a_backlog_of_a_higher_one(self):
+        async def main():
+            cell = _Cell()
+            backlog = asyncio.gather(
+                *(cell.ask(f"long-{n}", 1, LONG_S) for n in range(300))
+            )
+            await asyncio.sleep(3.0)
+            waits = [await cell.ask(f"long-low-{n}", 2, LONG_S) for n in (1, 2)]
+            backlog.cancel()
+            return waits
+
+        # One call may be in progress on each host, then the limit applies.
+        for wait_s in run_in_virtual_time(main()):
+            self.assertThat(wait_s, LessThan(2 * LONG_S + 0.1))
+
+    def test_one_priority_may_use_all_slots_if_no_other_asks(self):
+        async def main():
+            cell = _Cell()
+            calls = [
+                asyncio.create_task(cell.ask(f"long-{n}", 1, LONG_S))
+                for n in range(27)
+            ]
+            return [await call for call in calls]
+
+        waits = run_in_virtual_time(main())
+        self.assertThat(max(waits), LessThan(LONG_S + 0.001))
+
+
+class TestFailures(testtools.TestCase):
+    """Guards against a step that never gets an answer."""
+
+    def test_an_exception_is_a_failed_call_and_frees_the_slot(self):
+        class Raising(AdviceService):
+            async def advise(self, step, executors, *, timeout_s):
+                raise RecursionError
+
+        async def main():
+            dispatcher = AdviceDispatcher(Raising(), None, now=lambda: 5.0)
+            slot = dispatcher.acquire_slot(
+                priority=1, duration_s=LONG_S, now=5.0
+            )
+            got = await dispatcher.request_advice(
+                slot, "step", ["one"], duration_s=LONG_S
+            )
+            return got, slot.is_idle
+
+        got, is_idle = run_in_virtual_time(main())
+        self.assertThat(got, IsInstance(Failure))
+        self.assertThat(is_idle, Equals(True))
--- a/libs/cell/dragonflybank/cell/tests/test_placement.py
+++ b/libs/cell/dragonflybank/cell/tests/test_placement.py
@@ -11,7 +11,11 @@
     reserve,
 )
 from dragonflybank.cell.jobs import Step
-from dragonflybank.cell.placement import candidate_executors, plan_placement
+from dragonflybank.cell.placement import (
+    accepting_executors,
+    candidate_executors,
+    plan_placement,
+)
 from dragonflybank.cell.state import AttemptPhase
 from dragonflybank.cell.tests.builders import add_job, get_step, make_executor
 from dragonflybank.cell.workload import Workload
@@ -108,9 +112,8 @@
         leaving = make_executor("leaving", labels=("b", "r1"), draining=True)
         unclaimed = make_executor("unclaimed", labels=("b", "r1"))
         unclaimed.claimed = False
-        found = candidate_executors(
-            step, [other, good, leaving, unclaimed], NOW
-        )
+        accepting = accepting_executors([other, good, leaving, unclaimed], NOW)
+        found = candidate_executors(step, accepting["directory"])
         self.assertThat([e.info.id for e in found], Equals(["good"]))
 
 
--- a/libs/cell/dragonflybank/cell/tests/test_rules.py
+++ b/libs/cell/dragonflybank/cell/tests/test_rules.py
@@ -6,6 +6,7 @@
 import testtools
 from testtools.matchers import Equals, HasLength
 
+from dragonflybank.cell.advice_spending import pending_demand
 from dragonflybank.cell.capacity import reserve
 from dragonflybank.cell.health import FAILED_JOBS_LIMIT, HealthTracker
 from dragonflybank.cell.jobs import JobPhase, Step
@@ -222,7 +223,9 @@
         for gang, idle in itertools.product((True, False), repeat=2):
             spec = Step(900, millicores=64000, gang=gang)
             step = get_step(add_job(Workload(), 1, spec, queue="verify"))
-            calls = first_advice_calls(step, 900, many, has_idle_slots=idle)
+            calls = first_advice_calls(
+                step, 900, many, has_idle_slots=idle, good_share=0.3
+            )
             self.assertThat(max(map(len, calls)) <= 100, Equals(True))
 
     def test_a_first_call_names_as_many_executors_as_the_step_needs(self):
@@ -231,21 +234,63 @@
         step = get_step(add_job(Workload(), 1, spec, queue="verify"))
         # Three tasks fit on each executor, so four are needed, and the
         # expected share of good ones is 0.3.
-        calls = first_advice_calls(step, 12, many, has_idle_slots=True)
+        calls = first_advice_calls(
+            step, 12, many, has_idle_slots=True, good_share=0.3
+        )
         self.assertThat([len(call) for call in calls], Equals([14]))
+        # With a share of 0.7, six are named.
+        calls = first_advice_calls(
+            step, 12, many, has_idle_slots=True, good_share=0.7
+        )
+        self.assertThat([len(call) for call in calls], Equals([6]))
+
+    def test_a_first_call_names_more_if_others_take_the_same_executors(self):
+        many = [make_executor(f"e{n}", cores=32) for n in range(300)]
+        workload, spec = Workload(), Step(12, millicores=9000)
+        steps = [
+            get_step(add_job(workload, n, spec, queue="verify"))
+            for n in range(1, 4)
+        ]
+        for other in steps[1:]:
+            other.advice_pending = True
+        demand = pending_demand(workload.ready, "directory", 1)
+        self.assertThat(demand, Equals(2 * 12 * 9000))
+        # Twelve executors are needed for the 36 tasks of the three steps.
+        calls = first_advice_calls(
+            steps[0],
+            12,
+            many,
+            has_idle_slots=True,
+            good_share=0.5,
+            other_millicores=demand,
+        )
+        self.assertThat([len(call) for call in calls], Equals([24]))
 
     def test_a_gang_gets_several_calls_while_hosts_are_idle(self):
         many = [make_executor(f"e{n}", cores=32) for n in range(300)]
-        spec = Step(12, millicores=9000, gang=True)
+        spec = Step(150, millicores=9000, gang=True)
         step = get_step(add_job(Workload(), 1, spec, queue="verify"))
         # The fixed 0.3 s of a call equal 75 executors of 4 ms each.
         for idle, sizes in ((True, [50, 50, 50]), (False, [75])):
-            calls = first_advice_calls(step, 12, many, has_idle_slots=idle)
+            calls = first_advice_calls(
+                step, 150, many, has_idle_slots=idle, good_share=0.3
+            )
             self.assertThat([len(call) for call in calls], Equals(sizes))
             self.assertThat(
                 len(set(itertools.chain(*calls))), Equals(sum(sizes))
             )
 
+    def test_a_small_gang_names_what_it_needs_and_some_spare(self):
+        many = [make_executor(f"e{n}", cores=32) for n in range(300)]
+        spec = Step(12, millicores=9000, gang=True)
+        step = get_step(add_job(Workload(), 1, spec, queue="verify"))
+        # Four executors are needed, and half as many are added.
+        for idle, sizes in ((True, [7, 7, 7]), (False, [21])):
+            calls = first_advice_calls(
+                step, 12, many, has_idle_slots=idle, good_share=0.3
+            )
+            self.assertThat([len(call) for call in calls], Equals(sizes))
+
     def test_a_renewal_adds_executors_that_become_free_soonest(self):
         workload, timing = Workload(), QUEUES["verify"].advised
         others = [make_executor(f"e{n}") for n in range(3)]
--- a/libs/cell/dragonflybank/cell/tests/test_scheduling.py
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -7,6 +7,7 @@
 from returns.result import Success
 from testtools.matchers import Equals
 
+from dragonflybank.cell.advice_dispatch import AdviceSlot
 from dragonflybank.cell.background import BackgroundTasks
 from dragonflybank.cell.capacity import release, reserve
 from dragonflybank.cell.election import Leadership
@@ -32,7 +33,10 @@
     def __init__(self):
         self.named = []
 
-    async def request_advice(self, step, executors, *, priority, duration_s):
+    def acquire_slot(self, *, priority, duration_s, now):
+        return AdviceSlot("", 0.0)
+
+    async def request_advice(self, slot, step, executors, *, duration_s):
         self.named.append(sorted(executors))
         await asyncio.sleep(CALL_S)
         return Success({name: f"ticket/{name}" for name in executors})
--- a/libs/cell/dragonflybank/cell/tickets.py
+++ b/libs/cell/dragonflybank/cell/tickets.py
@@ -9,7 +9,6 @@
     "TICKET_MARGIN_S",
     "AdviceSplit",
     "advice_call_s",
-    "count_executors_to_name",
     "executors_to_renew",
     "extra_executors_to_renew",
     "first_advice_calls",
@@ -18,13 +17,16 @@
     "valid_ticket",
 ]
 
-import itertools
 import math
 from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 
-from dragonflybank.cell.capacity import count_fitting_tasks
+from dragonflybank.cell.advice_spending import (
+    MIN_EXECUTORS_PER_CALL,
+    count_executors_to_name,
+    max_executors_to_name,
+)
 from dragonflybank.cell.jobs import AdviceTiming
 from dragonflybank.cell.state import Executor, ExecutorAdvice, StepState
 
@@ -32,11 +34,8 @@
 # them as a multiple of what one call names.
 GANG_CALLS = 3
 GANG_NAMED_FACTOR = 2
-# Expected share of good executors among those without advice.
-EXPECTED_GOOD_SHARE = 0.3
-# The advice service accepts at most this many executors in a call.
-MAX_EXECUTORS_PER_CALL = 100
-MIN_EXECUTORS_PER_CALL = 4
+# A gang needs all of its members at once, so it asks for spare capacity.
+GANG_SPARE_FACTOR = 1.5
 # A ticket must still be valid when the start command arrives, even in another
 # region.
 TICKET_MARGIN_S = 0.25
@@ -78,56 +77,48 @@
     unknown: Sequence[Executor],
     *,
     has_idle_slots: bool,
+    good_share: float,
+    other_millicores: int = 0,
 ) -> list[list[str]]:
     """Returns the executors to name in the first calls for a step.
 
-    A call takes a fixed time and additional time for each executor. It names at
-    most as many executors as double the fixed time. A gang is placed as a whole
-    and needs many good executors, so it gets several concurrent calls if no
-    other step waits for a call.
+    A call names as many executors as the step should need, and at most as many
+    as double the fixed time of the call. A gang is placed as a whole and needs
+    many good executors, so it gets several concurrent calls if no other step
+    waits for a call.
 
     Args:
         step: The step, whose queue requires advice.
         waiting: Number of its waiting tasks.
         unknown: Executors without advice.
-        has_idle_slots: Whether hosts are idle and no call waits.
+        has_idle_slots: Whether hosts are idle and no step waits for a call.
+        good_share: Expected share of good executors.
+        other_millicores: CPU cores that other steps will take from the same
+            executors during the call, in thousandths of a core.
 
     Returns:
         Executor identifiers for each call; the calls are made concurrently.
     """
-    most = _max_named(step.job_state.job.queue.advised)
-    count = most
-    if not step.spec.gang:
-        needed = count_executors_to_name(step, waiting, unknown)
-        count = min(most, max(MIN_EXECUTORS_PER_CALL, needed))
-    elif has_idle_slots:
-        count = GANG_NAMED_FACTOR * most
+    most = max_executors_to_name(step.job_state.job.queue.advised)
     by_capacity = sorted(unknown, key=lambda e: -e.free_millicores)
+    needed = count_executors_to_name(
+        step,
+        waiting,
+        by_capacity,
+        good_share=good_share,
+        other_millicores=other_millicores,
+    )
+    if step.spec.gang:
+        needed = math.ceil(GANG_SPARE_FACTOR * needed)
+        if has_idle_slots:
+            most *= GANG_NAMED_FACTOR
+    count = min(most, max(MIN_EXECUTORS_PER_CALL, needed))
     named = [executor.info.id for executor in by_capacity[:count]]
-    calls = GANG_CALLS if len(named) > most else 1
-    size = math.ceil(len(named) / calls)
+    is_split = step.spec.gang and has_idle_slots and len(named) > GANG_CALLS
+    size = math.ceil(len(named) / (GANG_CALLS if is_split else 1))
     return [named[n : n + size] for n in range(0, len(named), size)]
 
 
-def count_executors_to_name(
-    step: StepState, waiting: int, executors: Sequence[Executor]
-) -> int:
-    """Returns how many executors to name so that all waiting tasks should fit.
-
-    Args:
-        step: The step.
-        waiting: Number of its waiting tasks.
-        executors: Executors without advice.
-    """
-    counts = sorted(
-        (count_fitting_tasks(e, step.spec) for e in executors), reverse=True
-    )
-    max_fit = step.spec.max_per_executor or step.spec.count
-    totals = itertools.accumulate(min(fit, max_fit) for fit in counts)
-    enough = sum(total < waiting for total in totals) + 1
-    return math.ceil(enough / EXPECTED_GOOD_SHARE)
-
-
 def extra_executors_to_renew(
     timing: AdviceTiming,
     named: Sequence[str],
@@ -146,7 +137,7 @@
         others: Other executors that may run the step.
         now: Current time.
     """
-    free_places = _max_named(timing) - len(named)
+    free_places = max_executors_to_name(timing) - len(named)
     soon = sorted(
         others, key=lambda e: (_time_to_next_end_s(e, now), e.info.id)
     )
@@ -196,14 +187,6 @@
     return [e for e in used if not valid_ticket(step, e, ready_at)]
 
 
-def _max_named(timing: AdviceTiming) -> int:
-    """Returns how many executors double the fixed time of a call."""
-    if timing.each_s <= 0:
-        return MAX_EXECUTORS_PER_CALL
-    most = int(timing.base_s / timing.each_s)
-    return min(MAX_EXECUTORS_PER_CALL, max(MIN_EXECUTORS_PER_CALL, most))
-
-
 def _time_to_next_end_s(executor: Executor, now: float) -> float:
     """Returns the expected time in seconds until an attempt ends."""
     return min(
