Add contexts of the peer server as requests of other hosts come in

Load: 97 hosts, each of which keeps a sync request open at the leader. The server had 96 contexts and refused all but 80 such requests, so that the syncs, advice calls and notices of 16 hosts and more were refused with FULL; these hosts took the leader for silent and asked the store about every job.

Change: 32 contexts at the start, 32 more whenever fewer than 16 are idle, up to 2048. Test: 200 concurrent requests at one host; 0 of 200 were answered before.

--- a/libs/cell/dragonflybank/cell/peering.py
+++ b/libs/cell/dragonflybank/cell/peering.py
@@ -13,8 +13,9 @@
 from dragonflybank.cluster.messages import decode_reply, encode
 
 # Concurrent requests: waiting sync requests of all other hosts and calls for
-# advice.
-SERVER_CONTEXTS = 96
+# advice. Only the leader has more than a few.
+SERVER_CONTEXTS = 32
+MAX_SERVER_CONTEXTS = 2048
 # A running machine refuses a connection within one round trip, which is 24 ms
 # between regions; a slow machine may take longer.
 CONNECT_TIMEOUT_S = 0.3
@@ -90,7 +91,12 @@
         self.address = f"{ip}:{port}"
         self._name = name
         self._ip = ip
-        self._server = PeerServer(ip, port, contexts=SERVER_CONTEXTS)
+        self._server = PeerServer(
+            ip,
+            port,
+            contexts=SERVER_CONTEXTS,
+            max_contexts=MAX_SERVER_CONTEXTS,
+        )
         self._links: dict[str, PeerLink] = {}
 
     def serve(
--- a/libs/cell/dragonflybank/cell/tests/test_peering.py
+++ b/libs/cell/dragonflybank/cell/tests/test_peering.py
@@ -4,6 +4,7 @@
 import socket
 
 import testtools
+from returns.result import Success
 from testtools.matchers import Equals
 
 from dragonflybank.cell.messages import READ_KIND, ReadReply, ReadRequest
@@ -59,3 +60,50 @@
                 return has_exited
 
         self.assertThat(asyncio.run(main()), Equals(False))
+
+
+class TestConcurrentRequests(testtools.TestCase):
+    """Guards against requests that are refused in a cell of many hosts.
+
+    Each host keeps a request open at the leader while it waits for changes.
+    """
+
+    HOSTS = 200
+    CLIENTS = 4
+
+    def test_each_of_many_hosts_may_wait_at_the_leader(self):
+        waiting, everyone_waits = [], asyncio.Event()
+
+        async def wait_for_changes(sender: str, req: ReadRequest):
+            waiting.append(sender)
+            if len(waiting) == self.HOSTS:
+                everyone_waits.set()
+            await everyone_waits.wait()
+            return Success(ReadReply(b"", 1))
+
+        async def main():
+            leader = NngPeers("leader", "127.0.0.1", 0)
+            leader.serve({READ_KIND: (ReadRequest, wait_for_changes)})
+            clients = [
+                NngPeers(f"client-{n}", "127.0.0.1", 0)
+                for n in range(self.CLIENTS)
+            ]
+            calls = [
+                client.call(
+                    leader.address,
+                    READ_KIND,
+                    ReadRequest("key"),
+                    ReadReply,
+                    timeout_s=20.0,
+                )
+                for client in clients
+                for _ in range(self.HOSTS // self.CLIENTS)
+            ]
+            answers = await asyncio.gather(*calls)
+            for peers in (*clients, leader):
+                await peers.close()
+            return answers
+
+        answers = asyncio.run(main())
+        answered = sum(isinstance(got, Success) for got in answers)
+        self.assertThat(answered, Equals(self.HOSTS))
--- a/libs/cluster/dragonflybank/cluster/server.py
+++ b/libs/cluster/dragonflybank/cluster/server.py
@@ -41,6 +41,9 @@
 # bytes. Headers of TCP and IP are not counted.
 FRAME_BYTES = 12
 SERVER_CONTEXTS = 256
+# Contexts are added while fewer than this number are idle.
+MIN_IDLE_CONTEXTS = 16
+CONTEXTS_ADDED = 32
 # nng reports a reply as sent before it is written to the kernel completely.
 REPLY_FLUSH_S = 0.1
 # Contexts reserved for short control requests. Otherwise slow lookups could
@@ -84,7 +87,9 @@
     Args:
         address: IP address to listen on.
         port: TCP port; 0 lets the kernel choose.
-        contexts: Largest number of concurrent requests.
+        contexts: Number of concurrent requests at the start.
+        max_contexts: Largest number of concurrent requests; ``contexts`` if
+            None.
         on_bytes: Called with the sender's name and the bytes of each
             exchange.
     """
@@ -95,18 +100,21 @@
         port: int,
         *,
         contexts: int = SERVER_CONTEXTS,
+        max_contexts: int | None = None,
         on_bytes: CountBytes = ignore_bytes,
     ):
         self.port = port
         self._address = address
         self._contexts = contexts
+        self._max_contexts = max(contexts, max_contexts or 0)
         self._on_bytes = on_bytes
-        self._non_control_limit = max(1, contexts - CONTROL_CONTEXTS)
+        self._non_control_limit = max(1, self._max_contexts - CONTROL_CONTEXTS)
         self._non_control_in_progress = 0
         self._requests_in_progress = 0
         self._idle = asyncio.Event()
         self._idle.set()
         self._sock: pynng.Rep0 | None = None
+        self._handlers: Mapping[str, Handler] = {}
         self._tasks: list[asyncio.Task] = []
 
     def serve(self, handlers: Mapping[str, Handler]) -> None:
@@ -118,6 +126,7 @@
         self._sock = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
         listener = self._sock.listen(f"tcp://{self._address}:{self.port}")
         self.port = socket.ntohs(listener.local_address.port)
+        self._handlers = handlers
         self._tasks = [
             asyncio.create_task(self._serve_context(self._sock, handlers))
             for _ in range(self._contexts)
@@ -154,6 +163,7 @@
     def _track_request(self) -> Iterator[None]:
         self._requests_in_progress += 1
         self._idle.clear()
+        self._add_contexts()
         try:
             yield
         finally:
@@ -161,6 +171,21 @@
             if not self._requests_in_progress:
                 self._idle.set()
 
+    def _add_contexts(self) -> None:
+        """Adds contexts if few are idle.
+
+        Peers hold requests open while they wait for changes, so the number of
+        concurrent requests grows with the number of hosts.
+        """
+        idle = len(self._tasks) - self._requests_in_progress
+        count = min(CONTEXTS_ADDED, self._max_contexts - len(self._tasks))
+        if idle >= MIN_IDLE_CONTEXTS or count <= 0:
+            return
+        self._tasks += [
+            asyncio.create_task(self._serve_context(self._sock, self._handlers))
+            for _ in range(count)
+        ]
+
     async def _handle_raw(self, raw: bytes, handlers) -> bytes:
         decoded = decode_request(raw)
         if isinstance(decoded, Failure):
