--- a/libs/bench/dragonflybank/bench/matrix/steps.py
+++ b/libs/bench/dragonflybank/bench/matrix/steps.py
@@ -185,6 +185,10 @@
 
 
 async def _run(cell_run: CellRun) -> None:
+    # On a slow machine the first tasks would end before the last one starts.
+    workers = [server.work for server in cell_run.deployment.workers.values()]
+    for work in workers:
+        work.hold_ends()
     jobs_task = asyncio.create_task(_run_jobs(cell_run))
 
     async def is_running() -> bool:
@@ -199,6 +203,8 @@
         n for n in cell_run.deployment.workers if _running_tasks(cell_run, n)
     )
     await cell_run.inject(cell_run.deployment.workers[worker].owner, worker)
+    for work in workers:
+        work.release_ends()
     await jobs_task
 
 
--- a/libs/standins/dragonflybank/standins/simulated_worker.py
+++ b/libs/standins/dragonflybank/standins/simulated_worker.py
@@ -107,6 +107,8 @@
         self._log = log
         self._paused = False
         self._is_sick = False
+        self._is_holding_ends = False
+        self._held_ends: list[tuple[SimulatedTask, PlannedEnd]] = []
         self._usage = LaggedUsage(usage_lag_s)
 
     def notify_waiters(self) -> None:
@@ -114,6 +116,21 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def hold_ends(self) -> None:
+        """Keeps tasks running beyond their run time until `release_ends`.
+
+        They can still be stopped, and their leases can lapse.
+        """
+        self._is_holding_ends = True
+
+    def release_ends(self) -> None:
+        """Ends the tasks whose run time is over, and no longer holds any.
+
+        On a paused worker they end when it is resumed.
+        """
+        self._is_holding_ends = False
+        self._process_held_ends()
+
     def set_sick(self, is_sick: bool) -> None:
         """Sets whether tasks and lookups that start from now on fail early."""
         self._is_sick = is_sick
@@ -143,7 +160,7 @@
         task.run = SimulatedRun(
             planned.after_s,
             progress_rate(spec, grant),
-            lambda: self._end(task, planned),
+            lambda: self._end_as_planned(task, planned),
             paused=self._paused,
         )
         self.tasks[task_id] = task
@@ -190,6 +207,7 @@
         for task in self.running_tasks():
             task.run.resume()
         self.executor.resume()
+        self._process_held_ends()
 
     def fail_all(self) -> None:
         """Fails all tasks and lookups, as the VM is lost."""
@@ -226,6 +244,20 @@
             lease_s, self._end, task, lapsed
         )
 
+    def _process_held_ends(self) -> None:
+        if self._is_holding_ends or self._paused:
+            return
+        held, self._held_ends = self._held_ends, []
+        for task, planned in held:
+            if task.state is TaskState.RUNNING:
+                self._end(task, planned)
+
+    def _end_as_planned(self, task: SimulatedTask, planned: PlannedEnd) -> None:
+        if self._is_holding_ends:
+            self._held_ends.append((task, planned))
+        else:
+            self._end(task, planned)
+
     def _end(self, task: SimulatedTask, planned: PlannedEnd) -> None:
         now = time.time()
         task.run.pause()
--- a/libs/standins/dragonflybank/standins/tests/test_simulated_worker.py
+++ b/libs/standins/dragonflybank/standins/tests/test_simulated_worker.py
@@ -96,6 +96,31 @@
         actions = [(4, SimulatedWorker.pause), (9, SimulatedWorker.resume)]
         self.assert_end({"run_s": 10}, 15, "done", "", actions=actions)
 
+    def test_held_task_ends_when_it_is_released(self):
+        actions = [
+            (4, SimulatedWorker.hold_ends),
+            (25, SimulatedWorker.release_ends),
+        ]
+        self.assert_end({"run_s": 10}, 25, "done", "", actions=actions)
+
+    def test_held_task_of_a_paused_worker_ends_when_it_is_resumed(self):
+        actions = [
+            (4, SimulatedWorker.hold_ends),
+            (20, SimulatedWorker.pause),
+            (25, SimulatedWorker.release_ends),
+            (30, SimulatedWorker.resume),
+        ]
+        self.assert_end({"run_s": 10}, 30, "done", "", actions=actions)
+
+    def test_held_task_can_lapse(self):
+        actions = [(4, SimulatedWorker.hold_ends)]
+        self.assert_end(
+            {"run_s": 10},
+            *(15, "lapsed", "lease_expired"),
+            actions=actions,
+            lease_s=15,
+        )
+
     def test_renewed_lease_expires_later_even_during_a_pause(self):
         actions = [
             (10, lambda work: work.renew(15)),
