Refuse jobs that the backlog makes useless, at once and as not run

Load: more work than the cell can do. Every job was accepted; lookups of the peak waited behind each other long after it.

Change: the leader estimates from the waiting work that can still be useful, the usable cores and the calls for advice when a new job of each priority could start, and hosts learn it with the states of jobs. A job that the cell knows, or that the store holds, is never refused; with outdated figures nothing is.

--- a/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
+++ b/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
@@ -68,8 +68,9 @@
     cluster_work_messages.WorkRows: "columns rows",
     cell_messages.SyncRequest: ("address epoch number version needs_config"),
     cell_messages.SyncReply: (
-        "epoch number is_whole states pending config over_term"
+        "epoch number is_whole states pending config over_term start_delays"
     ),
+    cell_messages.StartDelay: "service priority seconds",
     cell_messages.AdviceRequest: "step executors timeout_s",
     cell_messages.AdviceReply: "tickets",
     cell_messages.KeyWrittenRequest: "epoch key value revision",
@@ -351,6 +352,7 @@
     "dragonflybank_waiting_steps",
     "dragonflybank_executors",
     "dragonflybank_free_cores",
+    "dragonflybank_start_delay_seconds",
     "dragonflybank_config_version",
     "dragonflybank_board_age_seconds",
     "dragonflybank_answers_total",
--- a/libs/cell/dragonflybank/cell/advice_dispatch.py
+++ b/libs/cell/dragonflybank/cell/advice_dispatch.py
@@ -114,6 +114,11 @@
         # priority.
         self._refused_at: dict[int, float] = {}
 
+    @property
+    def slots(self) -> int:
+        """Number of hosts that make calls."""
+        return len(self._slots)
+
     @property
     def idle_slots(self) -> int:
         """Number of hosts without a call in progress."""
--- a/libs/cell/dragonflybank/cell/frontend.py
+++ b/libs/cell/dragonflybank/cell/frontend.py
@@ -22,6 +22,10 @@
     encode_record,
 )
 from dragonflybank.cell.keys import cancel_key, ended_key, job_key
+from dragonflybank.cell.load_admission import (
+    excess_delay_s,
+    overload_retry_after_s,
+)
 from dragonflybank.cell.phase_cache import JobPhaseCache
 from dragonflybank.cell.ports import Item, Txn, TxnReply
 from dragonflybank.cell.relay import RelayedStore
@@ -99,13 +103,17 @@
             timeout_s: Time that the caller waits for the reply, in seconds.
 
         Returns:
-            Success once the job is stored; ``STORE_UNAVAILABLE`` if it is
-            certain that it never will be; ``WRITE_UNSETTLED`` if it may be.
+            Success once the job is stored; ``STORE_UNAVAILABLE`` or
+            ``OVERLOADED`` if it is certain that it never will be;
+            ``WRITE_UNSETTLED`` if it may be.
         """
         began_at = self._clock.now()
         deadline = began_at + max_store_wait_s(job, timeout_s)
         try:
             async with asyncio.timeout(timeout_s - REPLY_MARGIN_S):
+                excess_s = await self._excess_delay_s(job, began_at)
+                if excess_s:
+                    return self._refuse_overload(job, excess_s)
                 return await self._store_job(job, began_at, deadline)
         except TimeoutError:
             return failure(
@@ -114,6 +122,23 @@
                 retry_after_s=RETRY_AFTER_S,
             )
 
+    async def _excess_delay_s(self, job: Job, now: float) -> float:
+        """Returns by how much a new job would be too late, in seconds.
+
+        A job that may have been stored by an earlier request of its caller is
+        not refused, so it counts as in time.
+        """
+        delays = self._phase_cache.current_start_delays(now)
+        excess_s = excess_delay_s(job, delays)
+        if not excess_s:
+            return 0.0
+        phase = await self.job_phase(job.id)
+        is_new = (
+            isinstance(phase, Failure)
+            and phase.failure().code is Code.UNKNOWN_JOB
+        )
+        return excess_s if is_new else 0.0
+
     async def _store_job(
         self, job: Job, began_at: float, deadline: float
     ) -> Result[None, Problem]:
@@ -295,6 +320,25 @@
                 )
             await self._clock.sleep(RETRY_DELAY_S)
 
+    def _refuse_overload(self, job: Job, excess_s: float) -> Result:
+        retry_s = overload_retry_after_s(job.id, excess_s)
+        _log.warning(
+            "refused",
+            extra={
+                "job": job.id,
+                "queue": job.queue.name,
+                "code": Code.OVERLOADED.name,
+                "detail": "the job would end after its hard deadline",
+                "excess_s": round(excess_s, 3),
+                "retry_after_s": round(retry_s, 3),
+            },
+        )
+        return failure(
+            Code.OVERLOADED,
+            "the job would end too late to be useful",
+            retry_after_s=retry_s,
+        )
+
     def _refuse(self, job: Job, waited_s: float) -> Result:
         detail = "the store does not answer"
         _log.warning(
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -317,6 +317,7 @@
                 self._phase_cache.pending = (
                     leader.workload.count_pending_by_queue()
                 )
+                self._phase_cache.start_delays = leader.start_delays(now)
                 self._phase_cache.synced_at = now
             self._last_sync_at = {
                 address: last_sync_at
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -23,6 +23,8 @@
 from dragonflybank.cell.health import HealthTracker
 from dragonflybank.cell.jobs import JobPhase
 from dragonflybank.cell.limits import CellLimits
+from dragonflybank.cell.load_admission import estimate_start_delays
+from dragonflybank.cell.messages import StartDelay
 from dragonflybank.cell.metrics import CellMetrics
 from dragonflybank.cell.ports import Platform
 from dragonflybank.cell.scheduling import Scheduler
@@ -192,6 +194,20 @@
         self.committer.mark_changed(state)
         self.workload.drop_if_idle(state)
 
+    def start_delays(self, now: float) -> tuple[StartDelay, ...]:
+        """Returns the delays of new jobs under overload."""
+        delays = estimate_start_delays(
+            self.workload.ready,
+            self.fleet.executors.values(),
+            advice_slots=self.scheduler.advice_slots,
+            now=now,
+            unix_time=self.unix_time(),
+        )
+        self.metrics.start_delay_seconds.set(
+            max((delay.seconds for delay in delays), default=0.0)
+        )
+        return delays
+
     def update_gauges(self) -> None:
         """Updates the gauges of the metrics."""
         metrics = self.metrics
--- a/libs/cell/dragonflybank/cell/messages.py
+++ b/libs/cell/dragonflybank/cell/messages.py
@@ -12,6 +12,7 @@
     "KeyWrittenRequest",
     "ReadReply",
     "ReadRequest",
+    "StartDelay",
     "SyncReply",
     "SyncRequest",
     "WriteReply",
@@ -48,6 +49,21 @@
     needs_config: bool = True
 
 
+@attrs.frozen
+class StartDelay:
+    """The wait of a new job of one service and priority.
+
+    Attributes:
+        service: Name of the service.
+        priority: Priority of the queue.
+        seconds: Estimated time until its tasks start.
+    """
+
+    service: str
+    priority: int
+    seconds: float
+
+
 @attrs.frozen
 class SyncReply:
     """Answer to `SyncRequest`.
@@ -61,6 +77,7 @@
         pending: Number of jobs without a started task, by queue.
         config: The operators' configuration, compressed by `pack_config`, if
             the asking host needs a newer one.
+        start_delays: Delays of new jobs that the leader expects.
         over_term: Last term in which the answering host led, if that term has
             ended; otherwise 0.
     """
@@ -72,6 +89,7 @@
     pending: dict[str, int] = attrs.field(factory=dict)
     config: bytes = b""
     over_term: int = 0
+    start_delays: tuple[StartDelay, ...] = ()
 
 
 @attrs.frozen
--- a/libs/cell/dragonflybank/cell/metrics.py
+++ b/libs/cell/dragonflybank/cell/metrics.py
@@ -63,6 +63,10 @@
             "executors", "Executors that the leader knows", "state"
         )
         self.free_cores = self._gauge("free_cores", "Free processors")
+        self.start_delay_seconds = self._gauge(
+            "start_delay_seconds",
+            "Expected wait of a new job under overload, 0 without overload",
+        )
         self.config_version = self._gauge(
             "config_version", "Version of the configuration in force"
         )
--- a/libs/cell/dragonflybank/cell/phase_cache.py
+++ b/libs/cell/dragonflybank/cell/phase_cache.py
@@ -11,7 +11,7 @@
 import itertools
 
 from dragonflybank.cell.jobs import JobPhase
-from dragonflybank.cell.messages import SyncReply
+from dragonflybank.cell.messages import StartDelay, SyncReply
 
 # A host that missed more changes than this gets a full copy.
 CHANGES_KEPT = 4000
@@ -28,6 +28,7 @@
         epoch: Epoch of the leader that the phases come from.
         change_number: Number of the last change.
         pending: Number of jobs without a started task, by queue.
+        start_delays: Delays of new jobs under overload.
         synced_at: Time of the last synchronisation with the leader.
     """
 
@@ -35,6 +36,7 @@
         self.epoch = 0
         self.change_number = 0
         self.pending: dict[str, int] = {}
+        self.start_delays: tuple[StartDelay, ...] = ()
         self.synced_at = float("-inf")
         self._states: dict[str, JobPhase] = {}
         self._changes: collections.deque[tuple[int, str]] = collections.deque(
@@ -46,6 +48,10 @@
         """Returns whether the last synchronisation is recent."""
         return now - self.synced_at <= MAX_AGE_S
 
+    def current_start_delays(self, now: float) -> tuple[StartDelay, ...]:
+        """Returns the delays of new jobs; none if they are not current."""
+        return self.start_delays if self.is_fresh(now) else ()
+
     def job_phase(self, job_id: str, now: float) -> JobPhase | None:
         """Returns a current phase, or None if the store must be read."""
         phase = self._states.get(job_id)
@@ -132,6 +138,7 @@
             is_whole,
             states,
             dict(self.pending),
+            start_delays=self.start_delays,
         )
 
     def apply_changes(self, reply: SyncReply, now: float) -> None:
@@ -144,4 +151,5 @@
         self.change_number = reply.number
         self._changes.clear()
         self.pending = reply.pending
+        self.start_delays = reply.start_delays
         self.synced_at = now
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -106,6 +106,12 @@
         self._advice_dispatcher = advice_dispatcher
         self._history = AdviceHistory()
 
+    @property
+    def advice_slots(self) -> int:
+        """Number of hosts that make calls for advice."""
+        dispatcher = self._advice_dispatcher
+        return dispatcher.slots if dispatcher is not None else 0
+
     @property
     def idle_advice_slots(self) -> int:
         """Number of hosts without a call for advice in progress."""
--- a/libs/cell/dragonflybank/cell/step_order.py
+++ b/libs/cell/dragonflybank/cell/step_order.py
@@ -14,6 +14,7 @@
     "job_objective_s",
     "objective_deadline",
     "remaining_path_s",
+    "remains_useful",
     "step_rank",
 ]
 
@@ -37,9 +38,8 @@
     due = objective_deadline(step)
     ends_at = now + remaining_path_s(step.job_state.job.steps, step.number)
     is_late = ends_at > due
-    is_hopeless = ends_at > hard_deadline(step)
     return (
-        is_hopeless,
+        not remains_useful(step, now),
         queue.priority,
         is_late,
         -due if is_late else due,
@@ -47,6 +47,17 @@
     )
 
 
+def remains_useful(step: StepState, now: float) -> bool:
+    """Returns whether the step's job can still end by its hard deadline.
+
+    Args:
+        step: A ready step.
+        now: Current time, seconds since 1970.
+    """
+    path_s = remaining_path_s(step.job_state.job.steps, step.number)
+    return now + path_s <= hard_deadline(step)
+
+
 def objective_deadline(step: StepState) -> float:
     """Returns the time by which the step's occurrence should be done."""
     job = step.job_state.job
