Send a change of the configuration to hosts that have not read it after 1 s

A host whose watch of the store stalls unnoticed would get it only once the watch fails, after 1.7 s of the 2.5 s that a change may take. Test: hosts that cannot read a change get it from the leader.

--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -62,6 +62,9 @@
 # The watch of the configuration also shows whether the store answers; a shorter
 # wait detects an outage earlier.
 CONFIG_WAIT_S = 1.0
+# Hosts that have not read a change of the configuration from the store within
+# this time get it from the leader. The bound for a change is 2.5 s.
+CONFIG_READ_TIME_S = 1.0
 # Collects phase changes into one reply; small against a queue's objective.
 SYNC_BATCH_DELAY_S = 0.04
 # In a large cell more changes are collected into one reply, so that the leader
@@ -130,6 +133,7 @@
         self.leader: Leader | None = None
         self.metrics = CellMetrics()
         self._config_raw = b""
+        self._config_adopted_at = float("-inf")
         self._host_clock = clock
         self._unix_time = unix_time
         self._phase_cache = JobPhaseCache()
@@ -228,6 +232,7 @@
                 if self.config is None or cfg.version > self.config.version:
                     self.config = cfg
                     self._config_raw = raw
+                    self._config_adopted_at = self._host_clock.now()
                     self.metrics.config_version.set(cfg.version)
                     _log.info(
                         "configuration in force",
@@ -389,11 +394,20 @@
         )
         if not self._is_leading(self._host_clock.now()):
             return Success(SyncReply(0, over_term=self._last_ended_term))
-        is_newer = self.config is not None and self.config.version > req.version
-        if is_newer and req.needs_config:
+        if self._should_send_config(req, self._host_clock.now()):
             reply = attrs.evolve(reply, config=pack_config(self._config_raw))
         return Success(reply)
 
+    def _should_send_config(self, req: SyncRequest, now: float) -> bool:
+        if self.config is None or self.config.version <= req.version:
+            return False
+        # A host that has just started reads the store first.
+        is_behind = (
+            req.version > 0
+            and now - self._config_adopted_at > CONFIG_READ_TIME_S
+        )
+        return req.needs_config or is_behind
+
     def _relay_address(self) -> str:
         """Returns the leader's address if another host leads, else ''."""
         record = self._candidate.record
--- a/libs/cell/dragonflybank/cell/tests/test_config_transfer.py
+++ b/libs/cell/dragonflybank/cell/tests/test_config_transfer.py
@@ -64,6 +64,20 @@
         self.assertThat(versions, Equals([2] * 8))
         self.assertThat(sum(sizes), Equals(0))
 
+    def test_hosts_that_miss_a_change_get_it_from_the_leader(self):
+        async def main():
+            cell = SimulatedCell(1, hosts=8)
+            await cell.start()
+            leader = await cell.wait_for_leader()
+            await asyncio.sleep(3.0)
+            raw = cell.store.get("config")
+            newer = raw.replace(b'"version":1', b'"version":2')
+            cell.hosts[leader].adopt_config(newer)
+            await asyncio.sleep(2.2)
+            return [host.config.version for host in cell.hosts.values()]
+
+        self.assertThat(run_in_virtual_time(main()), Equals([2] * 8))
+
     def test_a_host_that_the_store_turns_away_gets_it_from_the_leader(self):
         versions, sizes = self._change_config(is_cut=True)
         self.assertThat(versions, Equals([2] * 8))
