Reserve executors for each waiting gang alone, also while it asks for advice

Gangs reserved overlapping executors against lower priorities only; small gangs took what drained for large ones, and a gang lost its reservation during each of its calls.

Change: executors are reserved for one gang at a time, in the order of steps, and later gangs leave them. The reservation stays during calls for further advice. Steps look at the executors that they know to be good instead of at all.

The test of split_by_advice, which is gone, is replaced by one of the scheduler: executors known to be bad are neither used nor asked about again.

--- a/libs/cell/dragonflybank/cell/placement.py
+++ b/libs/cell/dragonflybank/cell/placement.py
@@ -40,12 +40,17 @@
 
 def accepting_executors(
     executors: Iterable[Executor], now: float
-) -> dict[str, list[Executor]]:
-    """Returns the executors that accept new work now, by service."""
-    accepting: dict[str, list[Executor]] = {}
+) -> dict[str, dict[str, Executor]]:
+    """Returns the executors that accept new work now.
+
+    Returns:
+        Executors by service and identifier.
+    """
+    accepting: dict[str, dict[str, Executor]] = {}
     for executor in executors:
         if accepts_new_work(executor, now):
-            accepting.setdefault(executor.info.service, []).append(executor)
+            found = accepting.setdefault(executor.info.service, {})
+            found[executor.info.id] = executor
     return accepting
 
 
@@ -82,6 +87,8 @@
         e.info.id: _count_placeable_tasks(step, e, reserved_millicores)
         for e in allowed
     }
+    if step.spec.gang and sum(placeable.values()) < len(tasks):
+        return PlacementPlan(reason=f"no capacity for all {len(tasks)} tasks")
     for group in groups:
         pairs = _assign_tasks(step, tasks, group, dict(placeable))
         if len(pairs) == len(tasks):
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -2,7 +2,8 @@
 
 Steps are considered in the order of `step_order.step_rank`. A gang that does
 not fit reserves the executors that it would need against steps of lower
-priority, so that small work does not starve it.
+priority, so that small work does not starve it, and against later gangs, so
+that small gangs do not starve a large one.
 
 Advice is limited to one call at a time for each host. Steps get the free slots
 for calls in their order, and capacity is reserved for a step only while its
@@ -12,8 +13,9 @@
 __all__ = ["Scheduler"]
 
 import asyncio
+import itertools
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import TYPE_CHECKING
 
 import attrs
@@ -50,7 +52,6 @@
     extra_executors_to_renew,
     first_advice_calls,
     record_advice,
-    split_by_advice,
     valid_ticket,
 )
 
@@ -72,23 +73,58 @@
 
     Attributes:
         now: Time of the round.
-        accepting: Executors that accept new work, by service.
+        accepting: Executors that accept new work, by service and identifier.
         free_millicores: Upper bound of the free CPU cores of any executor, by
             service, in thousandths of a core.
         gang_reservations: Priority and reserved capacity by executor of each
-            waiting gang.
+            waiting gang, in thousandths of a core. No executor is reserved for
+            two gangs.
         refused: Steps that got no slot for a call, as their priority and
             whether the call is a long one.
     """
 
     now: float
-    accepting: dict[str, list[Executor]]
+    accepting: dict[str, dict[str, Executor]]
     free_millicores: dict[str, int]
     gang_reservations: list[tuple[int, dict[str, int]]] = attrs.field(
         factory=list
     )
     refused: set[tuple[int, bool]] = attrs.field(factory=set)
 
+    def reserved_against(self, step: StepState) -> dict[str, int]:
+        """Returns the capacity that a step must leave, by executor.
+
+        It is reserved for gangs of a higher priority and, if the step is a gang
+        itself, for those that come before it.
+        """
+        priority = step.job_state.job.queue.priority
+        return {
+            executor: cores
+            for other, reserved in self.gang_reservations
+            if other < priority or (step.spec.gang and other == priority)
+            for executor, cores in reserved.items()
+        }
+
+    def reserve_for_gang(
+        self, step: StepState, tasks: list[Task], good: Iterable[Executor]
+    ) -> None:
+        """Reserves executors for a waiting gang.
+
+        Args:
+            step: The gang.
+            tasks: Its tasks.
+            good: Executors that may run it.
+        """
+        taken = set(
+            itertools.chain.from_iterable(
+                reserved for _, reserved in self.gang_reservations
+            )
+        )
+        left = [e for e in good if e.info.id not in taken]
+        reservation = _reservation_for_gang(step, tasks, left)
+        priority = step.job_state.job.queue.priority
+        self.gang_reservations.append((priority, reservation))
+
 
 class Scheduler:
     """Places waiting steps.
@@ -138,6 +174,8 @@
                 leader.workload.ready.pop(step, None)
             elif self._is_placeable(step, tasks, now):
                 self._place_step(step, tasks, current)
+            elif step.spec.gang and step.advice_pending:
+                self._keep_reservation(step, tasks, current)
 
     def _is_placeable(
         self, step: StepState, tasks: list[Task], now: float
@@ -159,38 +197,59 @@
         )
         if self._must_wait(step, is_advised, current):
             return
-        allowed = candidate_executors(
-            step, current.accepting.get(queue.service, ())
-        )
-        unknown: list[Executor] = []
-        if is_advised and step.advice_pending:
-            # Valid tickets are used while a call for advice is in progress.
-            allowed = [
-                e for e in allowed if valid_ticket(step, e.info.id, current.now)
-            ]
-        elif is_advised:
-            split = split_by_advice(step, allowed)
-            allowed, unknown = list(split.good), list(split.unknown)
-        reserved_millicores = {
-            executor: cores
-            for priority, reserved in current.gang_reservations
-            if priority < queue.priority
-            for executor, cores in reserved.items()
-        }
+        accepting = current.accepting.get(queue.service, {})
+        if is_advised:
+            allowed = self._good_executors(step, accepting, current.now)
+        else:
+            allowed = candidate_executors(step, accepting.values())
         plan = plan_placement(
-            step, tasks, allowed, reserved_millicores=reserved_millicores
+            step,
+            tasks,
+            allowed,
+            reserved_millicores=current.reserved_against(step),
         )
         if plan.pairs and self._execute_plan(step, plan, allowed, current):
             return
-        if (
-            not plan.pairs
-            and unknown
+        is_asking = (
+            is_advised
+            and not plan.pairs
+            and not step.advice_pending
             and self._needs_more(step, tasks, allowed)
-        ):
-            self._request_first_advice(step, tasks, unknown, current)
-        elif step.spec.gang:
-            reservation = _reservation_for_gang(step, tasks, allowed)
-            current.gang_reservations.append((queue.priority, reservation))
+            and self._request_first_advice(step, tasks, accepting, current)
+        )
+        if step.spec.gang and not is_asking:
+            current.reserve_for_gang(step, tasks, allowed)
+
+    def _good_executors(
+        self, step: StepState, accepting: Mapping[str, Executor], now: float
+    ) -> list[Executor]:
+        """Returns the executors that are known to be good for a step.
+
+        While a call for advice is in progress, only those with valid tickets.
+        """
+        good = [
+            accepting[name]
+            for name, advice in step.advice_by_executor.items()
+            if advice.ticket and name in accepting
+        ]
+        if step.advice_pending:
+            good = [e for e in good if valid_ticket(step, e.info.id, now)]
+        return candidate_executors(step, good)
+
+    def _keep_reservation(
+        self, step: StepState, tasks: list[Task], current: _Round
+    ) -> None:
+        """Reserves executors for a gang that asks about further ones."""
+        if step.awaiting_tickets or len(tasks) < step.unfinished_count:
+            return
+        service = step.job_state.job.queue.service
+        accepting = current.accepting.get(service, {})
+        good = [
+            accepting[name]
+            for name, advice in step.advice_by_executor.items()
+            if advice.ticket and name in accepting
+        ]
+        current.reserve_for_gang(step, tasks, candidate_executors(step, good))
 
     def _must_wait(
         self, step: StepState, is_advised: bool, current: _Round
@@ -227,10 +286,21 @@
         self,
         step: StepState,
         tasks: list[Task],
-        unknown: list[Executor],
+        accepting: Mapping[str, Executor],
         current: _Round,
-    ) -> None:
+    ) -> bool:
+        """Asks about executors without advice; returns whether it did."""
         queue = step.job_state.job.queue
+        unknown = candidate_executors(
+            step,
+            [
+                executor
+                for name, executor in accepting.items()
+                if name not in step.advice_by_executor
+            ],
+        )
+        if not unknown:
+            return False
         calls = first_advice_calls(
             step,
             len(tasks),
@@ -249,6 +319,7 @@
         ]
         if granted:
             self._start_advice_calls(step, granted, [])
+        return bool(granted)
 
     def _acquire_slot(
         self, step: StepState, names: int, current: _Round
@@ -429,7 +500,7 @@
         now,
         accepting,
         {
-            service: max(e.free_millicores for e in found)
+            service: max(e.free_millicores for e in found.values())
             for service, found in accepting.items()
         },
     )
--- a/libs/cell/dragonflybank/cell/tests/test_placement.py
+++ b/libs/cell/dragonflybank/cell/tests/test_placement.py
@@ -113,7 +113,7 @@
         unclaimed = make_executor("unclaimed", labels=("b", "r1"))
         unclaimed.claimed = False
         accepting = accepting_executors([other, good, leaving, unclaimed], NOW)
-        found = candidate_executors(step, accepting["directory"])
+        found = candidate_executors(step, accepting["directory"].values())
         self.assertThat([e.info.id for e in found], Equals(["good"]))
 
 
--- a/libs/cell/dragonflybank/cell/tests/test_rules.py
+++ b/libs/cell/dragonflybank/cell/tests/test_rules.py
@@ -25,7 +25,6 @@
     extra_executors_to_renew,
     first_advice_calls,
     record_advice,
-    split_by_advice,
     valid_ticket,
 )
 from dragonflybank.cell.workload import Workload
@@ -193,17 +192,12 @@
 
     def test_advice_outlives_its_expired_ticket(self):
         step = get_step(add_job(Workload(), 1, Step(1), queue="verify"))
-        good, bad, new = (
-            make_executor("good"),
-            make_executor("bad"),
-            make_executor("new"),
-        )
         record_advice(step, ["good", "bad"], {"good": "t"}, valid_until=NOW + 2)
         self.assertThat(valid_ticket(step, "good", NOW), Equals("t"))
         self.assertThat(valid_ticket(step, "good", NOW + 2), Equals(None))
-        needed = split_by_advice(step, [good, bad, new])
-        self.assertThat([e.info.id for e in needed.good], Equals(["good"]))
-        self.assertThat([e.info.id for e in needed.unknown], Equals(["new"]))
+        advice = step.advice_by_executor
+        self.assertThat(bool(advice["good"].ticket), Equals(True))
+        self.assertThat(bool(advice["bad"].ticket), Equals(False))
 
     def test_renewal_includes_tickets_that_expire_during_the_call(self):
         step = get_step(add_job(Workload(), 1, Step(2), queue="verify"))
--- a/libs/cell/dragonflybank/cell/tests/test_scheduling.py
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -1,6 +1,7 @@
 """Simulations of steps that wait for capacity and need advice."""
 
 import asyncio
+import itertools
 
 import attrs
 import testtools
@@ -16,6 +17,7 @@
 from dragonflybank.cell.scheduling import Scheduler
 from dragonflybank.cell.state import AttemptPhase
 from dragonflybank.cell.tests.builders import add_job, get_step, make_executor
+from dragonflybank.cell.tickets import record_advice
 from dragonflybank.cell.workload import Workload
 from dragonflybank.standins.cell.virtual_time import (
     VirtualClock,
@@ -26,12 +28,13 @@
 
 
 class _AdviceDispatcher:
-    """Slow advice that declares every executor good."""
+    """Slow advice that declares every executor good, or some of them."""
 
     is_mostly_idle = True
 
-    def __init__(self):
+    def __init__(self, good=None):
         self.named = []
+        self._good = good
 
     def acquire_slot(self, *, priority, duration_s, now):
         return AdviceSlot("", 0.0)
@@ -39,7 +42,8 @@
     async def request_advice(self, slot, step, executors, *, duration_s):
         self.named.append(sorted(executors))
         await asyncio.sleep(CALL_S)
-        return Success({name: f"ticket/{name}" for name in executors})
+        good = [n for n in executors if self._good is None or n in self._good]
+        return Success({name: f"ticket/{name}" for name in good})
 
 
 class _Leader:
@@ -140,3 +144,113 @@
 
         leader, _ = self._run_simulation(main)
         self.assertThat(len(leader.attempts.started), Equals(5))
+
+    def test_executors_known_to_be_bad_are_neither_used_nor_asked_about(self):
+        executors = [make_executor(f"e{n}", cores=4) for n in range(20)]
+        leader, dispatcher = _Leader(executors), _AdviceDispatcher({"e0", "e9"})
+        scheduler = Scheduler(leader, dispatcher)
+        spec = Step(3, millicores=4000, estimate_s=4.0)
+        add_job(leader.workload, 1, spec, queue="verify")
+
+        async def main():
+            for _ in range(4):
+                scheduler.place_waiting_steps(leader.clock.now(), 1000.0)
+                await asyncio.sleep(CALL_S + 0.1)
+
+        run_in_virtual_time(main())
+        started = {executor for _, executor in leader.attempts.started}
+        self.assertThat(started, Equals({"e0", "e9"}))
+        named = list(itertools.chain(*dispatcher.named))
+        self.assertThat(len(named), Equals(len(set(named))))
+
+
+class TestWaitingGangs(testtools.TestCase):
+    """Guards against gangs that take the capacity that others wait for.
+
+    Eight executors of 4 cores are good for all; some are occupied.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.executors = [make_executor(f"e{n}", cores=4) for n in range(8)]
+        self.leader = _Leader(self.executors)
+        self.scheduler = Scheduler(self.leader, _AdviceDispatcher())
+        self._jobs = itertools.count(1)
+
+    def _add(self, count: int, *, queue: str = "verify", gang: bool = True):
+        """Adds a step that knows all executors as good."""
+        spec = Step(count, millicores=4000, estimate_s=4.0, gang=gang)
+        number = next(self._jobs)
+        at = 1000.0 + number / 1000
+        state = add_job(self.leader.workload, number, spec, queue=queue, at=at)
+        step = get_step(state)
+        names = [e.info.id for e in self.executors]
+        tickets = {name: f"ticket/{name}" for name in names}
+        record_advice(step, names, tickets, valid_until=float("inf"))
+        return step
+
+    def _occupy(self, *numbers: int) -> None:
+        step = self._add(len(numbers), queue="lookup", gang=False)
+        for task, number in zip(step.tasks, numbers, strict=True):
+            reserve(
+                self.executors[number],
+                task,
+                1,
+                phase=AttemptPhase.RUNNING,
+                now=1000.0,
+            )
+
+    def _place(self) -> None:
+        async def main():
+            self.scheduler.place_waiting_steps(1000.0, 1000.1)
+
+        run_in_virtual_time(main())
+
+    def _started(self, step) -> int:
+        return sum(bool(task.attempts) for task in step.tasks)
+
+    def test_a_later_gang_leaves_what_an_earlier_one_waits_for(self):
+        self._occupy(0, 1, 2, 3, 4)
+        large, small = self._add(7), self._add(2)
+        self._place()
+        self.assertThat(self._started(large), Equals(0))
+        self.assertThat(self._started(small), Equals(0))
+
+    def test_a_later_gang_uses_what_is_not_reserved(self):
+        self._occupy(0, 1, 2, 3)
+        large, small = self._add(5), self._add(2)
+        # Five executors are reserved, of which four are free.
+        self._place()
+        self.assertThat(self._started(large), Equals(0))
+        self.assertThat(self._started(small), Equals(0))
+        release(self.executors[0].attempts.copy().popitem()[1])
+        release(self.executors[1].attempts.copy().popitem()[1])
+        self._place()
+        self.assertThat(self._started(large), Equals(5))
+
+    def test_gangs_do_not_reserve_the_same_executors(self):
+        self._occupy(*range(8))
+        self._add(5)
+        self._add(3)
+        sweep = self._add(8, queue="sweep", gang=False)
+        for executor in self.executors[:2]:
+            release(executor.attempts.copy().popitem()[1])
+        # All eight are reserved, so the sweep gets neither of the free ones.
+        self._place()
+        self.assertThat(self._started(sweep), Equals(0))
+
+    def test_a_gang_keeps_its_reservation_during_a_call(self):
+        self._occupy(0, 1, 2, 3, 4)
+        gang = self._add(7)
+        gang.advice_pending = True
+        sweep = self._add(3, queue="sweep", gang=False)
+        self._place()
+        # Seven of eight executors are reserved, the three free ones first.
+        self.assertThat(self._started(sweep), Equals(0))
+
+    def test_urgent_steps_use_reserved_executors(self):
+        self._occupy(0, 1, 2, 3, 4)
+        self._add(7)
+        urgent = self._add(3, queue="lookup", gang=False)
+        self._place()
+        self.assertThat(self._started(urgent), Equals(3))
--- a/libs/cell/dragonflybank/cell/tickets.py
+++ b/libs/cell/dragonflybank/cell/tickets.py
@@ -7,21 +7,17 @@
 
 __all__ = [
     "TICKET_MARGIN_S",
-    "AdviceSplit",
     "advice_call_s",
     "executors_to_renew",
     "extra_executors_to_renew",
     "first_advice_calls",
     "record_advice",
-    "split_by_advice",
     "valid_ticket",
 ]
 
 import math
 from collections.abc import Iterable, Mapping, Sequence
 
-import attrs
-
 from dragonflybank.cell.advice_spending import (
     MIN_EXECUTORS_PER_CALL,
     count_executors_to_name,
@@ -44,33 +40,6 @@
 CALL_OVERHEAD_S = 0.5
 
 
-@attrs.frozen
-class AdviceSplit:
-    """Executors split by the advice about them.
-
-    Attributes:
-        good: Executors that may run the step.
-        unknown: Executors without advice.
-    """
-
-    good: tuple[Executor, ...]
-    unknown: tuple[Executor, ...]
-
-
-def split_by_advice(
-    step: StepState, executors: Iterable[Executor]
-) -> AdviceSplit:
-    """Splits executors by the advice known for a step."""
-    good, unknown = [], []
-    for executor in executors:
-        advice = step.advice_by_executor.get(executor.info.id)
-        if advice is None:
-            unknown.append(executor)
-        elif advice.ticket:
-            good.append(executor)
-    return AdviceSplit(tuple(good), tuple(unknown))
-
-
 def first_advice_calls(
     step: StepState,
     waiting: int,
