Resign at once when the store answers other hosts but not the leader

The leader kept its key until the lease expired.

Change: a read of the key that fails twice, or is unanswered for 0.45 s, makes the leader read the key through three other hosts. If they get it with its own epoch, it resigns and says so to its followers. In an outage for all hosts it stays, since it keeps the leases of running work.

Ruled out: resigning on what followers report of the store with their syncs; they notice an outage without answers only after 1.7 s.

--- a/libs/cell/dragonflybank/cell/election.py
+++ b/libs/cell/dragonflybank/cell/election.py
@@ -44,6 +44,12 @@
 # A leader starts no new attempts if the last confirmation is older than this.
 CONFIRMATION_MAX_AGE_S = 1.0
 CONFIRMATION_INTERVAL_S = 0.4
+# A read of the key without an answer for this long makes the leader ask other
+# hosts whether the store answers them. A slow store answers within 0.35 s.
+SILENCE_LIMIT_S = 0.45
+# Time for a second read of the key on another connection after a failed one,
+# which may have been reset. The store answers within 25 ms.
+OWN_RETRY_S = 0.15
 # Longest wait of a watch; a dead connection is detected after it.
 WATCH_MAX_WAIT_S = 1.0
 RETRY_DELAY_S = 0.2
@@ -131,6 +137,8 @@
         has_process_exited: Returns whether the process at a peer address has
             exited.
         lag: Timer lag of the host.
+        read_through_peers: Reads a key of the store through other hosts;
+            returns None if none of them got an answer.
     """
 
     def __init__(
@@ -145,6 +153,7 @@
         is_leader_responsive: Callable[[float], bool],
         has_process_exited: Callable[[str], Awaitable[bool]],
         lag: LoopLag,
+        read_through_peers: Callable[[str], Awaitable[Item | None]],
     ):
         self.record: LeaderRecord | None = None
         self.changed = asyncio.Event()
@@ -157,6 +166,7 @@
         self._is_leader_responsive = is_leader_responsive
         self._has_process_exited = has_process_exited
         self._lag = lag
+        self._read_through_peers = read_through_peers
         self._last_ended_term = 0
         self._lease = 0
 
@@ -377,7 +387,18 @@
 
     async def _confirm(self, leadership: Leadership) -> None:
         called_at = self._clock.now()
-        match await self._store.get(LEADER_KEY):
+        reading = asyncio.create_task(self._store.get(LEADER_KEY))
+        try:
+            await asyncio.wait({reading}, timeout=SILENCE_LIMIT_S)
+            if not reading.done() and await self._is_turned_away(
+                leadership, reading
+            ):
+                await self._give_up(leadership)
+                return
+            found = await reading
+        finally:
+            reading.cancel()
+        match found:
             case Success(Item(revision=revision)) if (
                 revision == leadership.epoch
             ):
@@ -385,4 +406,39 @@
             case Success(_):
                 leadership.lost.set()
             case Failure(_):
+                # The connection may have been reset, so another one is tried.
+                again = asyncio.create_task(self._store.get(LEADER_KEY))
+                try:
+                    await asyncio.wait({again}, timeout=OWN_RETRY_S)
+                    if await self._is_turned_away(leadership, again):
+                        await self._give_up(leadership)
+                finally:
+                    again.cancel()
                 await self._clock.sleep(RETRY_DELAY_S / 2)
+
+    async def _is_turned_away(
+        self, leadership: Leadership, reading: asyncio.Task
+    ) -> bool:
+        """Returns whether the store answers other hosts but not this one.
+
+        In an outage for all hosts the leader stays, since it keeps the leases
+        of running work alive.
+
+        Args:
+            leadership: The leadership.
+            reading: This host's own read of the leader's key.
+        """
+        if reading.done() and isinstance(reading.result(), Success):
+            return False
+        item = await self._read_through_peers(LEADER_KEY)
+        is_answered = reading.done() and isinstance(reading.result(), Success)
+        is_own = item is not None and item.revision == leadership.epoch
+        return is_own and not is_answered
+
+    async def _give_up(self, leadership: Leadership) -> None:
+        _log.warning(
+            "resigning because the store answers other hosts only",
+            extra={"epoch": leadership.epoch},
+        )
+        leadership.lost.set()
+        await self.resign()
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -32,6 +32,7 @@
     AdviceRequest,
     KeyWrittenReply,
     KeyWrittenRequest,
+    ReadReply,
     ReadRequest,
     SyncReply,
     SyncRequest,
@@ -76,6 +77,9 @@
 PEER_SILENCE_LIMIT_S = 2.5
 # Network time to a peer and back, added to the timeout of the peer's own call.
 PEER_ROUND_TRIP_S = 0.2
+# Reads of the store through other hosts, by a leader that it does not answer.
+PEERS_ASKED = 3
+PEER_READ_TIMEOUT_S = 0.4
 # Hosts with fewer cores delay their candidacy.
 MIN_PREFERRED_CORES = 1.0
 
@@ -169,6 +173,7 @@
             is_leader_responsive=self._is_leader_responsive,
             has_process_exited=peers.has_process_exited,
             lag=self._lag,
+            read_through_peers=self._read_through_peers,
         )
 
     async def on_start(self) -> None:
@@ -416,6 +421,25 @@
             return record.address
         return ""
 
+    async def _read_through_peers(self, key: str) -> Item | None:
+        """Reads a key through the hosts that asked this leader last."""
+        by_age = sorted(self._last_sync_at, key=self._last_sync_at.get)
+        calls = [
+            self._peers.call(
+                address,
+                READ_KIND,
+                ReadRequest(key),
+                ReadReply,
+                timeout_s=PEER_READ_TIMEOUT_S,
+            )
+            for address in by_age[-PEERS_ASKED:]
+        ]
+        for got in await asyncio.gather(*calls):
+            match got:
+                case Success(ReadReply(value=bytes(value), revision=revision)):
+                    return Item(key, value, revision)
+        return None
+
     async def _handle_read(self, sender: str, req: ReadRequest) -> Result:
         return await read_for_peer(self.platform.store, req)
 
--- a/libs/cell/dragonflybank/cell/tests/test_election.py
+++ b/libs/cell/dragonflybank/cell/tests/test_election.py
@@ -59,6 +59,35 @@
     return waited_s
 
 
+async def _leaders_after_store_fault(*, is_for_all: bool) -> tuple[str, list]:
+    """Returns the leader before a fault of the store, and who leads after it.
+
+    The store stops answering the leader, or all hosts, without a reply.
+
+    Returns:
+        The former leader; time since the fault and name of each other leader
+        within two seconds.
+    """
+    cell = SimulatedCell(1, hosts=5)
+    await cell.start()
+    await asyncio.sleep(3.0)
+    name = cell.leader()
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    if is_for_all:
+        cell.store.faults.is_down = True
+    else:
+        cell.store.faults.cut_hosts.add(name)
+    others = []
+    while loop.time() < began_at + 2.0:
+        await asyncio.sleep(0.01)
+        leading = {n for n, h in cell.hosts.items() if h.leader is not None}
+        others += [(loop.time() - began_at, n) for n in leading - {name}]
+        if is_for_all and name not in leading:
+            others.append((loop.time() - began_at, "nobody"))
+    return name, others
+
+
 async def _pending_counts_after_restart_of_all_hosts() -> list[int]:
     """Returns the counts of pending jobs that restarted hosts report.
 
@@ -123,3 +152,24 @@
         self.assertThat(
             waited_s, GreaterThan(LEADER_LEASE_S - LEASE_RENEWAL_INTERVAL_S)
         )
+
+
+class TestTurnedAway(testtools.TestCase):
+    """Guards against a leader that keeps its key but cannot use the store.
+
+    Its lease would have to expire first, which takes LEADER_LEASE_S.
+    """
+
+    def test_another_host_leads_before_the_lease_expires(self):
+        _, others = run_in_virtual_time(
+            _leaders_after_store_fault(is_for_all=False)
+        )
+        self.assertThat(len(others), GreaterThan(0))
+        # A read each 0.4 s, 0.45 s of silence, and half a second to elect.
+        self.assertThat(others[0][0], LessThan(LEADER_LEASE_S - 0.1))
+
+    def test_the_leader_stays_in_an_outage_for_all_hosts(self):
+        _, others = run_in_virtual_time(
+            _leaders_after_store_fault(is_for_all=True)
+        )
+        self.assertThat(others, Equals([]))
