--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -198,10 +198,15 @@
         if self._must_wait(step, is_advised, current):
             return
         accepting = current.accepting.get(queue.service, {})
-        if is_advised:
-            allowed = self._good_executors(step, accepting, current.now)
-        else:
+        if not is_advised:
             allowed = candidate_executors(step, accepting.values())
+        else:
+            allowed = _good_executors(step, accepting)
+        if is_advised and step.advice_pending:
+            # Valid tickets are used while a call for advice is in progress.
+            allowed = [
+                e for e in allowed if valid_ticket(step, e.info.id, current.now)
+            ]
         plan = plan_placement(
             step,
             tasks,
@@ -220,22 +225,6 @@
         if step.spec.gang and not is_asking:
             current.reserve_for_gang(step, tasks, allowed)
 
-    def _good_executors(
-        self, step: StepState, accepting: Mapping[str, Executor], now: float
-    ) -> list[Executor]:
-        """Returns the executors that are known to be good for a step.
-
-        While a call for advice is in progress, only those with valid tickets.
-        """
-        good = [
-            accepting[name]
-            for name, advice in step.advice_by_executor.items()
-            if advice.ticket and name in accepting
-        ]
-        if step.advice_pending:
-            good = [e for e in good if valid_ticket(step, e.info.id, now)]
-        return candidate_executors(step, good)
-
     def _keep_reservation(
         self, step: StepState, tasks: list[Task], current: _Round
     ) -> None:
@@ -243,13 +232,8 @@
         if step.awaiting_tickets or len(tasks) < step.unfinished_count:
             return
         service = step.job_state.job.queue.service
-        accepting = current.accepting.get(service, {})
-        good = [
-            accepting[name]
-            for name, advice in step.advice_by_executor.items()
-            if advice.ticket and name in accepting
-        ]
-        current.reserve_for_gang(step, tasks, candidate_executors(step, good))
+        good = _good_executors(step, current.accepting.get(service, {}))
+        current.reserve_for_gang(step, tasks, good)
 
     def _must_wait(
         self, step: StepState, is_advised: bool, current: _Round
@@ -506,6 +490,18 @@
     )
 
 
+def _good_executors(
+    step: StepState, accepting: Mapping[str, Executor]
+) -> list[Executor]:
+    """Returns those executors that advice has found good for a step."""
+    good = [
+        accepting[name]
+        for name, advice in step.advice_by_executor.items()
+        if advice.ticket and name in accepting
+    ]
+    return candidate_executors(step, good)
+
+
 def _reservation_for_gang(
     step: StepState, tasks: list[Task], allowed: list[Executor]
 ) -> dict[str, int]:
