Do not report a lookup that ran and failed as refused

Not due to the load: the first attempt ran and failed on a sick worker, no second worker was left, and the refusal of the second attempt was the answer. The load only made a second worker rare.

Change: if an attempt ran and failed and the last one was refused, the answer is TASK_FAILED. Test: one worker that fails everything; "refused" before, "failed" now.

--- a/libs/host/dragonflybank/host/lookups.py
+++ b/libs/host/dragonflybank/host/lookups.py
@@ -162,12 +162,21 @@
             last = reply
             if not self._may_retry(reply.failure(), req, wc, history):
                 break
-        if history.may_have_run and proves_not_run(last.failure().code):
+        if not proves_not_run(last.failure().code):
+            return last
+        # The last attempt did not run, but an earlier one may have.
+        if history.may_have_run:
             return failure(
                 Code.ANSWER_LOST,
                 "an attempt may have run",
                 retry_after_s=last.failure().retry_after_s,
             )
+        if history.failures:
+            return failure(
+                Code.TASK_FAILED,
+                "an attempt failed, and no other worker could run it",
+                retry_after_s=last.failure().retry_after_s,
+            )
         return last
 
     async def _attempt(
--- a/libs/host/dragonflybank/host/tests/test_lookups.py
+++ b/libs/host/dragonflybank/host/tests/test_lookups.py
@@ -40,6 +40,20 @@
         answer = asyncio.run(run())
         self.assertThat(answer["outcome"], Equals("unknown"))
 
+    def test_lookup_that_ran_and_failed_is_not_reported_as_refused(self):
+        async def run():
+            async with running_deployment("a", workers=1) as deployment:
+                await deployment.workers["w0"].set_faults(fails_everything=True)
+                host = deployment.hosts["a"]
+                answer = await deployment.lookup(host, n=1)
+                return answer, check_all(deployment.log.all())
+
+        # No worker is left for a second attempt.
+        answer, violations = asyncio.run(run())
+        self.assertThat(answer["outcome"], Equals("failed"))
+        self.assertThat(answer["code"], Equals(Code.TASK_FAILED))
+        self.assertThat(violations, Equals([]))
+
     def test_lookups_succeed_despite_an_executor_that_always_fails(self):
         async def run():
             async with running_deployment("a", workers=2) as deployment:
