--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -1,6 +1,6 @@
 """A host of the cell: answers callers and takes part in leader election."""
 
-__all__ = ["CellHost", "HostSettings", "sync_batch_delay_s"]
+__all__ = ["CellHost", "HostSettings"]
 
 import asyncio
 import logging
@@ -32,7 +32,6 @@
     AdviceRequest,
     KeyWrittenReply,
     KeyWrittenRequest,
-    ReadReply,
     ReadRequest,
     SyncReply,
     SyncRequest,
@@ -40,12 +39,13 @@
 )
 from dragonflybank.cell.metrics import CellMetrics
 from dragonflybank.cell.peering import Peers
-from dragonflybank.cell.phase_cache import JobPhaseCache
+from dragonflybank.cell.phase_cache import JobPhaseCache, sync_batch_delay_s
 from dragonflybank.cell.ports import Item, Platform
 from dragonflybank.cell.prefix_watcher import PrefixWatcher
 from dragonflybank.cell.relay import (
     RelayedStore,
     read_for_peer,
+    read_through_host,
     write_for_peer,
 )
 from dragonflybank.cell.takeover import add_stored_jobs
@@ -66,11 +66,6 @@
 # Hosts that have not read a change of the configuration from the store within
 # this time get it from the leader. The bound for a change is 2.5 s.
 CONFIG_READ_TIME_S = 1.0
-# Collects phase changes into one reply; small against a queue's objective.
-SYNC_BATCH_DELAY_S = 0.04
-# In a large cell more changes are collected into one reply, so that the leader
-# sends at most this many replies per second. One takes it some 0.3 ms.
-MAX_SYNC_REPLIES_PER_S = 600
 SYNC_RETRY_DELAY_S = 0.2
 # A host that has not sent a sync request for this long is not used for calls
 # to the advice service.
@@ -424,21 +419,15 @@
     async def _read_through_peers(self, key: str) -> Item | None:
         """Reads a key through the hosts that asked this leader last."""
         by_age = sorted(self._last_sync_at, key=self._last_sync_at.get)
-        calls = [
-            self._peers.call(
-                address,
-                READ_KIND,
-                ReadRequest(key),
-                ReadReply,
-                timeout_s=PEER_READ_TIMEOUT_S,
+        found = await asyncio.gather(
+            *(
+                read_through_host(
+                    self._peers, address, key, timeout_s=PEER_READ_TIMEOUT_S
+                )
+                for address in by_age[-PEERS_ASKED:]
             )
-            for address in by_age[-PEERS_ASKED:]
-        ]
-        for got in await asyncio.gather(*calls):
-            match got:
-                case Success(ReadReply(value=bytes(value), revision=revision)):
-                    return Item(key, value, revision)
-        return None
+        )
+        return next((i for got in found if (i := got.value_or(None))), None)
 
     async def _handle_read(self, sender: str, req: ReadRequest) -> Result:
         return await read_for_peer(self.platform.store, req)
@@ -512,16 +501,3 @@
             timeout_s=timeout_s + PEER_ROUND_TRIP_S,
         )
         return got.map(lambda reply: reply.tickets)
-
-
-def sync_batch_delay_s(hosts: int) -> float:
-    """Returns for how long changes are collected into one sync reply.
-
-    Args:
-        hosts: Number of hosts that send sync requests to the leader.
-
-    Example:
-        >>> [sync_batch_delay_s(hosts) for hosts in (5, 24, 96)]
-        [0.04, 0.04, 0.16]
-    """
-    return max(SYNC_BATCH_DELAY_S, hosts / MAX_SYNC_REPLIES_PER_S)
--- a/libs/cell/dragonflybank/cell/isolation.py
+++ b/libs/cell/dragonflybank/cell/isolation.py
@@ -7,7 +7,6 @@
 
 __all__ = ["IsolatedExecutorClient", "run_supervised"]
 
-import asyncio
 import logging
 from collections.abc import Awaitable, Callable
 
@@ -119,8 +118,6 @@
         try:
             await run_loop()
             return
-        except asyncio.CancelledError:
-            raise
         except Exception:
             _log.exception(
                 "loop ended by an exception, starting it again",
--- a/libs/cell/dragonflybank/cell/load_admission.py
+++ b/libs/cell/dragonflybank/cell/load_admission.py
@@ -18,9 +18,9 @@
 from collections.abc import Iterable, Sequence
 
 from dragonflybank.cell.advice_dispatch import is_long_call, max_long_calls
-from dragonflybank.cell.capacity import accepts_new_work
 from dragonflybank.cell.jobs import Job, critical_path_s
 from dragonflybank.cell.messages import StartDelay
+from dragonflybank.cell.placement import accepting_executors
 from dragonflybank.cell.state import Executor, StepState
 from dragonflybank.cell.step_order import (
     HARD_DEADLINE_FACTOR,
@@ -57,10 +57,7 @@
         now: Current time of the leader's monotonic clock, in seconds.
         unix_time: Current time, seconds since 1970.
     """
-    millicores: collections.Counter[str] = collections.Counter()
-    for executor in executors:
-        if accepts_new_work(executor, now):
-            millicores[executor.info.service] += executor.info.millicores
+    accepting = accepting_executors(executors, now)
     work: dict[tuple[str, int], float] = collections.defaultdict(float)
     calls_s: dict[tuple[str, int], float] = collections.defaultdict(float)
     for step in steps:
@@ -78,7 +75,9 @@
     long_slots = max_long_calls(max(1, advice_slots))
     delays = []
     for service, keys in itertools.groupby(sorted(work), key=lambda k: k[0]):
-        usable = USABLE_CORES_SHARE * millicores[service]
+        usable = USABLE_CORES_SHARE * sum(
+            e.info.millicores for e in accepting.get(service, {}).values()
+        )
         if not usable:
             # Executors may be back within seconds; nothing is known.
             continue
--- a/libs/cell/dragonflybank/cell/phase_cache.py
+++ b/libs/cell/dragonflybank/cell/phase_cache.py
@@ -4,7 +4,7 @@
 the leader for the changes after the last one that they have.
 """
 
-__all__ = ["JobPhaseCache"]
+__all__ = ["JobPhaseCache", "sync_batch_delay_s"]
 
 import asyncio
 import collections
@@ -13,6 +13,11 @@
 from dragonflybank.cell.jobs import JobPhase
 from dragonflybank.cell.messages import StartDelay, SyncReply
 
+# Collects phase changes into one reply; small against a queue's objective.
+SYNC_BATCH_DELAY_S = 0.04
+# In a large cell more changes are collected into one reply, so that the leader
+# sends at most this many replies per second. One takes it some 0.3 ms.
+MAX_SYNC_REPLIES_PER_S = 600
 # A host that missed more changes than this gets a full copy.
 CHANGES_KEPT = 4000
 # Phases older than this are read from the store instead.
@@ -153,3 +158,16 @@
         self.pending = reply.pending
         self.start_delays = reply.start_delays
         self.synced_at = now
+
+
+def sync_batch_delay_s(hosts: int) -> float:
+    """Returns for how long changes are collected into one sync reply.
+
+    Args:
+        hosts: Number of hosts that send sync requests to the leader.
+
+    Example:
+        >>> [sync_batch_delay_s(hosts) for hosts in (5, 24, 96)]
+        [0.04, 0.04, 0.16]
+    """
+    return max(SYNC_BATCH_DELAY_S, hosts / MAX_SYNC_REPLIES_PER_S)
--- a/libs/cell/dragonflybank/cell/relay.py
+++ b/libs/cell/dragonflybank/cell/relay.py
@@ -5,7 +5,12 @@
 long as it leads.
 """
 
-__all__ = ["RelayedStore", "read_for_peer", "write_for_peer"]
+__all__ = [
+    "RelayedStore",
+    "read_for_peer",
+    "read_through_host",
+    "write_for_peer",
+]
 
 from collections.abc import Callable
 
@@ -61,20 +66,10 @@
         address = self._address_if_relayed()
         if not address:
             return await self._store.get(key)
-        got = await self._peers.call(
-            address,
-            READ_KIND,
-            ReadRequest(key),
-            ReadReply,
-            timeout_s=RELAY_TIMEOUT_S,
-        )
-        return got.lash(_to_store_problem).map(
-            lambda reply: (
-                None
-                if reply.value is None
-                else Item(key, reply.value, reply.revision)
-            )
+        got = await read_through_host(
+            self._peers, address, key, timeout_s=RELAY_TIMEOUT_S
         )
+        return got.lash(_to_store_problem)
 
     async def probe(self, key: str) -> Result[None, Problem]:
         """See `Store.probe`."""
@@ -102,6 +97,29 @@
         return "" if self._is_store_answering() else self._get_relay_address()
 
 
+async def read_through_host(
+    peers: Peers, address: str, key: str, *, timeout_s: float
+) -> Result[Item | None, Problem]:
+    """Reads a key of the store through another host; None if it has no value.
+
+    Args:
+        peers: The other hosts.
+        address: Address of the host.
+        key: The key.
+        timeout_s: Time to wait for its answer, in seconds.
+    """
+    got = await peers.call(
+        address, READ_KIND, ReadRequest(key), ReadReply, timeout_s=timeout_s
+    )
+    return got.map(
+        lambda reply: (
+            None
+            if reply.value is None
+            else Item(key, reply.value, reply.revision)
+        )
+    )
+
+
 async def read_for_peer(
     store: Store, req: ReadRequest
 ) -> Result[ReadReply, Problem]:
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -13,12 +13,10 @@
 __all__ = ["Scheduler"]
 
 import asyncio
-import itertools
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
-import attrs
 from returns.result import Failure, Success
 
 from dragonflybank.cell.advice_dispatch import (
@@ -31,9 +29,9 @@
     pending_demand,
 )
 from dragonflybank.cell.capacity import accepts_new_work
+from dragonflybank.cell.decision_round import DecisionRound, begin_round
 from dragonflybank.cell.placement import (
     PlacementPlan,
-    accepting_executors,
     candidate_executors,
     plan_placement,
 )
@@ -67,65 +65,6 @@
 GANG_CAPACITY_FACTOR = 2
 
 
-@attrs.define
-class _Round:
-    """State of one round.
-
-    Attributes:
-        now: Time of the round.
-        accepting: Executors that accept new work, by service and identifier.
-        free_millicores: Upper bound of the free CPU cores of any executor, by
-            service, in thousandths of a core.
-        gang_reservations: Priority and reserved capacity by executor of each
-            waiting gang, in thousandths of a core. No executor is reserved for
-            two gangs.
-        refused: Steps that got no slot for a call, as their priority and
-            whether the call is a long one.
-    """
-
-    now: float
-    accepting: dict[str, dict[str, Executor]]
-    free_millicores: dict[str, int]
-    gang_reservations: list[tuple[int, dict[str, int]]] = attrs.field(
-        factory=list
-    )
-    refused: set[tuple[int, bool]] = attrs.field(factory=set)
-
-    def reserved_against(self, step: StepState) -> dict[str, int]:
-        """Returns the capacity that a step must leave, by executor.
-
-        It is reserved for gangs of a higher priority and, if the step is a gang
-        itself, for those that come before it.
-        """
-        priority = step.job_state.job.queue.priority
-        return {
-            executor: cores
-            for other, reserved in self.gang_reservations
-            if other < priority or (step.spec.gang and other == priority)
-            for executor, cores in reserved.items()
-        }
-
-    def reserve_for_gang(
-        self, step: StepState, tasks: list[Task], good: Iterable[Executor]
-    ) -> None:
-        """Reserves executors for a waiting gang.
-
-        Args:
-            step: The gang.
-            tasks: Its tasks.
-            good: Executors that may run it.
-        """
-        taken = set(
-            itertools.chain.from_iterable(
-                reserved for _, reserved in self.gang_reservations
-            )
-        )
-        left = [e for e in good if e.info.id not in taken]
-        reservation = _reservation_for_gang(step, tasks, left)
-        priority = step.job_state.job.queue.priority
-        self.gang_reservations.append((priority, reservation))
-
-
 class Scheduler:
     """Places waiting steps.
 
@@ -164,7 +103,7 @@
         leader = self._leader
         if not leader.leadership.may_start_attempts(now):
             return
-        current = _begin_round(leader.fleet.executors.values(), now)
+        current = begin_round(leader.fleet.executors.values(), now)
         ready = sorted(
             leader.workload.ready, key=lambda s: step_rank(s, unix_time)
         )
@@ -189,7 +128,7 @@
         return not step.spec.gang or is_whole
 
     def _place_step(
-        self, step: StepState, tasks: list[Task], current: _Round
+        self, step: StepState, tasks: list[Task], current: DecisionRound
     ) -> None:
         queue = step.job_state.job.queue
         is_advised = (
@@ -226,7 +165,7 @@
             current.reserve_for_gang(step, tasks, allowed)
 
     def _keep_reservation(
-        self, step: StepState, tasks: list[Task], current: _Round
+        self, step: StepState, tasks: list[Task], current: DecisionRound
     ) -> None:
         """Reserves executors for a gang that asks about further ones."""
         if step.awaiting_tickets or len(tasks) < step.unfinished_count:
@@ -236,7 +175,7 @@
         current.reserve_for_gang(step, tasks, good)
 
     def _must_wait(
-        self, step: StepState, is_advised: bool, current: _Round
+        self, step: StepState, is_advised: bool, current: DecisionRound
     ) -> bool:
         """Returns whether the step can neither be placed nor ask for advice.
 
@@ -271,7 +210,7 @@
         step: StepState,
         tasks: list[Task],
         accepting: Mapping[str, Executor],
-        current: _Round,
+        current: DecisionRound,
     ) -> bool:
         """Asks about executors without advice; returns whether it did."""
         queue = step.job_state.job.queue
@@ -306,7 +245,7 @@
         return bool(granted)
 
     def _acquire_slot(
-        self, step: StepState, names: int, current: _Round
+        self, step: StepState, names: int, current: DecisionRound
     ) -> AdviceSlot | None:
         queue = step.job_state.job.queue
         duration_s = advice_call_s(queue.advised, names)
@@ -322,7 +261,7 @@
         step: StepState,
         plan: PlacementPlan,
         allowed: list[Executor],
-        current: _Round,
+        current: DecisionRound,
     ) -> bool:
         """Starts the planned tasks, or asks for new tickets first.
 
@@ -478,18 +417,6 @@
         self._start(step, usable, now)
 
 
-def _begin_round(executors: Iterable[Executor], now: float) -> _Round:
-    accepting = accepting_executors(executors, now)
-    return _Round(
-        now,
-        accepting,
-        {
-            service: max(e.free_millicores for e in found.values())
-            for service, found in accepting.items()
-        },
-    )
-
-
 def _good_executors(
     step: StepState, accepting: Mapping[str, Executor]
 ) -> list[Executor]:
@@ -500,23 +427,3 @@
         if advice.ticket and name in accepting
     ]
     return candidate_executors(step, good)
-
-
-def _reservation_for_gang(
-    step: StepState, tasks: list[Task], allowed: list[Executor]
-) -> dict[str, int]:
-    """Returns the capacity to reserve for a waiting gang.
-
-    Returns:
-        CPU cores in thousandths of a core, by executor.
-    """
-    size = max(1, step.spec.millicores)
-    reserved: dict[str, int] = {}
-    missing = len(tasks)
-    for executor in sorted(allowed, key=lambda e: -e.free_millicores):
-        if missing <= 0:
-            break
-        reserved[executor.info.id] = executor.info.millicores
-        missing -= executor.info.millicores // size
-    # A reservation does not help a gang that would not fit on idle executors.
-    return reserved if missing <= 0 else {}
--- a/libs/cell/dragonflybank/cell/step_order.py
+++ b/libs/cell/dragonflybank/cell/step_order.py
@@ -39,7 +39,7 @@
     ends_at = now + remaining_path_s(step.job_state.job.steps, step.number)
     is_late = ends_at > due
     return (
-        not remains_useful(step, now),
+        is_late and not remains_useful(step, now),
         queue.priority,
         is_late,
         -due if is_late else due,
--- a/libs/standins/dragonflybank/standins/cell/load_replay.py
+++ b/libs/standins/dragonflybank/standins/cell/load_replay.py
@@ -36,6 +36,7 @@
     Queue,
     Step,
 )
+from dragonflybank.cell.leader import IDLE_ROUND_INTERVAL_S, ROUND_DELAY_S
 from dragonflybank.cell.metrics import CellMetrics
 from dragonflybank.cell.ports import AdviceService, ExecutorInfo
 from dragonflybank.cell.scheduling import Scheduler
@@ -53,8 +54,6 @@
 )
 
 SERVICE_NAME = "directory"
-ROUND_DELAY_S = 0.01
-IDLE_ROUND_INTERVAL_S = 0.25
 # From a decision until the task runs: the placement is stored, and the command
 # sent.
 START_DELAY_S = 0.05
@@ -84,7 +83,6 @@
         advice: Timing of its advice.
         good_share: Share of the executors that may run a step.
         gang_share: Share of its steps that are gangs.
-        checkpoints: Whether its tasks save checkpoints.
     """
 
     name: str
@@ -277,11 +275,9 @@
         attempts = list(attempts)
         for attempt in attempts:
             attempt.phase = AttemptPhase.STARTING
-        if step.spec.gang and attempts:
-            self.background.spawn(self._run_gang(step, attempts))
-            return
-        for attempt in attempts:
-            self.background.spawn(self._run_task(step, attempt))
+        groups = [attempts] if step.spec.gang else [[a] for a in attempts]
+        for group in filter(None, groups):
+            self.background.spawn(self._run_together(step, group))
 
     def stop(self, attempt: Attempt, reason: str) -> None:
         """See `AttemptManager.stop`; only reserved attempts are stopped."""
@@ -355,14 +351,9 @@
         slowness = SLOWNESS[int(attempt.executor.info.id[1:]) % len(SLOWNESS)]
         return slowness * self._run_times_s[step][attempt.task.id.index]
 
-    async def _run_task(self, step: StepState, attempt: Attempt) -> None:
-        await asyncio.sleep(START_DELAY_S)
-        attempt.phase = AttemptPhase.RUNNING
-        attempt.began_at = self.clock.now()
-        await asyncio.sleep(self._run_time_s(step, attempt) + END_DELAY_S)
-        self._end(step, [attempt])
-
-    async def _run_gang(self, step: StepState, attempts: list[Attempt]) -> None:
+    async def _run_together(
+        self, step: StepState, attempts: list[Attempt]
+    ) -> None:
         await asyncio.sleep(START_DELAY_S)
         for attempt in attempts:
             attempt.phase = AttemptPhase.RUNNING
