--- a/libs/host/dragonflybank/host/http_frontend.py
+++ b/libs/host/dragonflybank/host/http_frontend.py
@@ -28,6 +28,9 @@
 )
 
 MAX_BODY_BYTES = 900_000
+# Larger times in requests are refused as mistakes.
+MAX_TIMEOUT_MS = 1e9
+MAX_EXPECTED_S = 1e9
 # Longest time for which one request may wait for the end of a job.
 MAX_JOB_WAIT_S = 30.0
 _NO_CONFIGURATION = Problem(
@@ -204,7 +207,7 @@
                 accepted=accepted,
             )
     timeout_ms = body.get("timeout_ms", 0)
-    if type(timeout_ms) not in (int, float) or not 0 <= timeout_ms < 1e9:
+    if not _is_number(timeout_ms) or not 0 <= timeout_ms < MAX_TIMEOUT_MS:
         return failure(
             Code.BAD_REQUEST,
             f"found {timeout_ms!r}",
@@ -237,7 +240,7 @@
     if not isinstance(body.get("payload", ""), str):
         return failure(Code.BAD_REQUEST, field="payload", accepted="text")
     expected_s = body.get("expected_s", wc.expected_s)
-    if type(expected_s) not in (int, float) or not 0 <= expected_s < 1e9:
+    if not _is_number(expected_s) or not 0 <= expected_s < MAX_EXPECTED_S:
         return failure(
             Code.BAD_REQUEST,
             f"found {expected_s!r}",
@@ -258,15 +261,17 @@
     )
 
 
+def _is_number(value: object) -> bool:
+    """Returns whether a JSON value is a number; true and false are not."""
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
 def _decode_size(declared, default: Resources) -> Result[Resources, Problem]:
     if declared is None:
         return Success(default)
     names = {field.name for field in attrs.fields(Resources)}
     valid = isinstance(declared, dict) and all(
-        name in names
-        and isinstance(amount, int | float)
-        and not isinstance(amount, bool)
-        and amount >= 0
+        name in names and _is_number(amount) and amount >= 0
         for name, amount in declared.items()
     )
     if not valid:
