Reach the step "choose" whatever the order in which hosts start

Cause: the step waits for the first request of the home to another owner. A home that started first owns all workers until it hands some over, and two of them hold all seven tasks, so it asks nobody. Ruled out: load as the cause.

Change: the step begins once the home owns one worker at most, as the takeover step waits until the home owns one.

--- a/libs/bench/dragonflybank/bench/matrix/steps.py
+++ b/libs/bench/dragonflybank/bench/matrix/steps.py
@@ -151,6 +151,15 @@
 
 
 async def _choose(cell_run: CellRun) -> None:
+    home_host = cell_run.deployment.home_host()
+
+    async def owns_one_worker_at_most() -> bool:
+        workers = cell_run.deployment.workers.values()
+        return sum(w.owner == home_host for w in workers) <= 1
+
+    # A home that started first owns all workers until it hands some over. It
+    # would run all tasks on its own workers and ask no other host.
+    await wait_until(owns_one_worker_at_most, timeout_s=STEP_TIMEOUT_S)
     cell_run.inject_at(
         CallPattern("peer", "reserve"),
         HookTiming.BEFORE,
