--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -310,11 +310,19 @@
     folder: pathlib.Path, case: Callable[[pathlib.Path], Awaitable[int]]
 ) -> None:
     """Runs a case and exits with its result; 2 if it could not run."""
+
+    async def play() -> int:
+        # A case that is ended from outside ends its processes first.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await case(folder)
+
     # The servers of the stand-ins report connections that are cut at the end.
     logging.disable(logging.CRITICAL)
     try:
-        result = asyncio.run(case(folder))
-    except Exception as exc:
+        result = asyncio.run(play())
+    except (Exception, asyncio.CancelledError) as exc:
         print(f"the case could not run: {exc!r}")
         result = 2
     sys.exit(result)
