--- a/review/lab.py
+++ b/review/lab.py
@@ -20,7 +20,6 @@
 from collections.abc import Awaitable, Callable
 
 import aiohttp
-
 from standins.executors import Executor, Fleet, Run
 from standins.store import Store
 
