Show by service what waits, what is free and what gangs reserve

Cause: the load line sums up the whole cell. Change: the load line has the same figures for each service, and the cores that gangs reserved in the last round.

--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -49,6 +49,14 @@
             for executor, cores in reserved.items()
         }
 
+    def reserved(self) -> dict[str, int]:
+        """Returns the capacity that is reserved for any gang, by executor."""
+        return {
+            executor: cores
+            for _, reserved in self.gang_reservations
+            for executor, cores in reserved.items()
+        }
+
     def reserve_for_gang(
         self, step: StepState, tasks: list[Task], good: Iterable[Executor]
     ) -> None:
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -11,8 +11,9 @@
 
 import asyncio
 import collections
+import itertools
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from dragonflybank.cell.advice_dispatch import AdviceDispatcher
 from dragonflybank.cell.attempts import AttemptManager
@@ -246,11 +247,38 @@
                 "attempts": phases,
                 "free_cores": sum(e.free_millicores for e in executors) // 1000,
                 "cores": sum(e.info.millicores for e in executors) // 1000,
+                "services": self._load_by_service(executors),
                 "silent": sum(e.silent_since is not None for e in executors),
                 "idle_advice_slots": self.scheduler.idle_advice_slots,
             },
         )
 
+    def _load_by_service(
+        self, executors: Iterable[Executor]
+    ) -> dict[str, dict[str, int]]:
+        """Returns what waits for each service, and its cores, for the log."""
+        loads: dict[str, dict[str, int]] = {}
+        reserved = self.scheduler.reserved_millicores
+        amounts = itertools.chain(
+            (
+                (step.job_state.job.queue.service, "waiting_steps", 1)
+                for step in self.workload.ready
+            ),
+            (
+                (e.info.service, field, millicores // 1000)
+                for e in executors
+                for field, millicores in (
+                    ("free_cores", e.free_millicores),
+                    ("cores", e.info.millicores),
+                    ("reserved_cores", reserved.get(e.info.id, 0)),
+                )
+            ),
+        )
+        for service, field, amount in amounts:
+            load = loads.setdefault(service, {})
+            load[field] = load.get(field, 0) + amount
+        return loads
+
     def _on_ended(self, state: JobState) -> None:
         self.record_phase(state.job.id, state.phase)
 
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -80,6 +80,12 @@
         self._leader = leader
         self._advice_dispatcher = advice_dispatcher
         self._history = AdviceHistory()
+        self._last_round: DecisionRound | None = None
+
+    @property
+    def reserved_millicores(self) -> dict[str, int]:
+        """Capacity reserved for gangs in the last round, by executor."""
+        return self._last_round.reserved() if self._last_round else {}
 
     @property
     def advice_slots(self) -> int:
@@ -104,6 +110,7 @@
         if not leader.leadership.may_start_attempts(now):
             return
         current = begin_round(leader.fleet.executors.values(), now)
+        self._last_round = current
         ready = sorted(
             leader.workload.ready, key=lambda s: step_rank(s, unix_time)
         )
--- a/libs/cli/dragonflybank/cli/tests/test_fault_logs.py
+++ b/libs/cli/dragonflybank/cli/tests/test_fault_logs.py
@@ -89,3 +89,11 @@
             lines = list(read_events(file.read().decode().splitlines()))
         self.assertThat(len(lines), Equals(6))
         self.assertThat(lines[3].fields["omitted"], Equals(2))
+
+    def test_load_lines_show_what_each_service_waits_for(self):
+        events = events_of_fault("calm", 1)
+        load = [e.fields["services"] for e in events if e.name == "load"]
+        cores = {services["directory"]["cores"] for services in load}
+        self.assertThat(max(cores), Equals(6 * 32))
+        waiting = [s["directory"].get("waiting_steps", 0) for s in load]
+        self.assertThat(max(waiting), GreaterThan(0))
