Let accepted jobs follow their queue to another service

Cause: Job.queue is the definition from the acceptance, and the leader took service, priority, objective and advice from it. The configuration in force was known to the frontends of the hosts only. Change: JobState.queue is replaced when the leader's host adopts a configuration and when a job is loaded; all decisions of the leader use it. A definition carries the version of its configuration, so that a host that learns of a change late does not take a job back. A changed definition is stored with the job's progress, for a leader that takes over after the queue was dropped. Running tasks stay; reserved attempts that wait for a ticket are released if the queue moved during the call. The limit of attempts stays that of the acceptance: a lowered limit must not fail an accepted job. Ruled out: deciding by the newest configuration alone, which would send a job that was accepted under version 2 to the old service while the leader still has 1; one record of all queues in the store, which would be a second thing to keep in step.

--- a/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
+++ b/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
@@ -87,12 +87,12 @@
     cell_jobs.AdviceTiming: "base_s each_s valid_s",
     cell_jobs.Queue: (
         "name host prefix service priority objective_s slack "
-        "max_attempts advised"
+        "max_attempts advised version"
     ),
     cell_jobs.Job: (
         "id queue spec steps accepted_at start_at interval_s repeat"
     ),
-    cell_jobs.Progress: "phase done failed saved placed ended_at",
+    cell_jobs.Progress: "phase done failed saved placed ended_at queue",
     cell_election.LeaderRecord: "name address term",
     jobs_entries.Ending: "state problem",
     jobs_entries.Entry: (
--- a/libs/cell/dragonflybank/cell/advice_spending.py
+++ b/libs/cell/dragonflybank/cell/advice_spending.py
@@ -125,6 +125,6 @@
         if step.advice_pending
         and not step.awaiting_tickets
         and not step.spec.filling
-        and step.job_state.job.queue.service == service
-        and step.job_state.job.queue.priority <= priority
+        and step.job_state.queue.service == service
+        and step.job_state.queue.priority <= priority
     )
--- a/libs/cell/dragonflybank/cell/attempts.py
+++ b/libs/cell/dragonflybank/cell/attempts.py
@@ -94,7 +94,7 @@
             executor = self._leader.fleet.executors.get(executor_id)
             if executor is None:
                 info = ExecutorInfo(
-                    executor_id, task.step.job_state.job.queue.service, "", ""
+                    executor_id, task.step.job_state.queue.service, "", ""
                 )
                 executor = Executor(info, is_listed=False)
                 self._leader.fleet.executors[executor_id] = executor
@@ -318,7 +318,7 @@
             if attempt.phase is not AttemptPhase.STARTING:
                 continue
             ticket = valid_ticket(step, attempt.executor.info.id, now)
-            if ticket is None and step.job_state.job.queue.advised is not None:
+            if ticket is None and step.job_state.queue.advised is not None:
                 self._release_and_requeue(attempt)
                 self.stop_gang(attempt)
             else:
--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -41,7 +41,7 @@
         It is reserved for gangs of a higher priority and, if the step is a gang
         itself, for those that come before it.
         """
-        priority = step.job_state.job.queue.priority
+        priority = step.job_state.queue.priority
         return {
             executor: cores
             for other, reserved in self.gang_reservations
@@ -74,7 +74,7 @@
         )
         left = [e for e in good if e.info.id not in taken]
         reservation = _reservation_for_gang(step, tasks, left)
-        priority = step.job_state.job.queue.priority
+        priority = step.job_state.queue.priority
         self.gang_reservations.append((priority, reservation))
 
 
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -238,6 +238,8 @@
                         "configuration in force",
                         extra={"version": cfg.version},
                     )
+                    if self.leader is not None:
+                        self.leader.adopt_config(cfg)
             case Failure(failed):
                 _log.error(
                     "configuration cannot be decoded",
@@ -289,6 +291,8 @@
             record_phase=self._phase_cache.record_phase,
             metrics=self.metrics,
         )
+        if self.config is not None:
+            self.leader.adopt_config(self.config)
         self.metrics.elections.inc()
         releasing = asyncio.create_task(
             self._release_waiters_on_loss(leadership)
--- a/libs/cell/dragonflybank/cell/jobs.py
+++ b/libs/cell/dragonflybank/cell/jobs.py
@@ -147,6 +147,7 @@
         max_attempts: Number of failed attempts after which a task fails.
         advised: Timing of the advice that its steps need, or None if they
             need none.
+        version: Version of the configuration that defines it.
     """
 
     name: str
@@ -158,6 +159,7 @@
     slack: float
     max_attempts: int
     advised: AdviceTiming | None = None
+    version: int = 0
 
 
 @attrs.frozen
@@ -200,7 +202,9 @@
 
     Attributes:
         id: Identifier, chosen by the caller.
-        queue: Queue that accepted the job.
+        queue: Queue that accepted the job, as it was defined then. The
+            attempts of its tasks stay limited by it; what else depends on the
+            queue follows `JobState.queue`.
         spec: Text that is passed to each task.
         steps: Its steps.
         accepted_at: Time of acceptance, seconds since 1970.
@@ -244,6 +248,8 @@
             run, or an empty string if it runs nowhere, by task
             ``occurrence.step.index``.
         ended_at: Time at which the job ended, seconds since 1970; 0 before.
+        queue: Definition of its queue that replaced `Job.queue`, or None. A
+            leader that takes over needs it if the queue no longer exists.
     """
 
     phase: JobPhase = JobPhase.QUEUED
@@ -252,6 +258,7 @@
     saved: dict[str, str] = attrs.field(factory=dict)
     placed: dict[str, tuple[int, str]] = attrs.field(factory=dict)
     ended_at: float = 0.0
+    queue: Queue | None = None
 
 
 def find_queue(cfg: CellConfig, host: str, path: str) -> Queue | None:
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -22,7 +22,7 @@
 from dragonflybank.cell.fleet import Fleet
 from dragonflybank.cell.group_commit import Committer
 from dragonflybank.cell.health import HealthTracker
-from dragonflybank.cell.jobs import JobPhase
+from dragonflybank.cell.jobs import CellConfig, JobPhase
 from dragonflybank.cell.limits import CellLimits
 from dragonflybank.cell.load_admission import estimate_start_delays
 from dragonflybank.cell.messages import StartDelay
@@ -158,6 +158,35 @@
         self.has_failed = True
         self.leadership.lost.set()
 
+    def adopt_config(self, cfg: CellConfig) -> None:
+        """Lets accepted jobs follow their queues to a configuration.
+
+        What runs goes on where it is; later starts use the new definition.
+        """
+        for state in self.workload.adopt_config(cfg):
+            self._on_queue_redefined(state)
+        self.wake()
+
+    def update_queue(self, state: JobState) -> None:
+        """Lets a loaded job follow its queue to the configuration in force."""
+        if self.workload.update_queue(state):
+            self._on_queue_redefined(state)
+
+    def _on_queue_redefined(self, state: JobState) -> None:
+        queue = state.queue
+        _log.info(
+            "queue redefined",
+            extra={
+                "job": state.job.id,
+                "queue": queue.name,
+                "service": queue.service,
+                "priority": queue.priority,
+                "version": queue.version,
+                "accepted_version": state.job.queue.version,
+            },
+        )
+        self.committer.mark_changed(state)
+
     def cancel(self, job_id: str) -> None:
         """Cancels a job and stops its attempts."""
         state = self.workload.jobs.get(job_id)
@@ -179,12 +208,12 @@
         self.workload.end_job(state, phase, self.unix_time())
         age_s = self.unix_time() - state.job.accepted_at
         self.metrics.jobs_ended.labels(phase.value).inc()
-        self.metrics.job_seconds.labels(state.job.queue.priority).observe(age_s)
+        self.metrics.job_seconds.labels(state.queue.priority).observe(age_s)
         _log.info(
             "job ended",
             extra={
                 "job": state.job.id,
-                "queue": state.job.queue.name,
+                "queue": state.queue.name,
                 "phase": phase.value,
                 "reason": reason,
                 "age_s": round(age_s, 3),
@@ -230,9 +259,7 @@
             return
         waiting: dict[int, list[int]] = {}
         for step in self.workload.ready:
-            counts = waiting.setdefault(
-                step.job_state.job.queue.priority, [0, 0]
-            )
+            counts = waiting.setdefault(step.job_state.queue.priority, [0, 0])
             counts[0] += 1
             counts[1] += len(step.waiting_tasks())
         phases = collections.Counter(
@@ -261,7 +288,7 @@
         reserved = self.scheduler.reserved_millicores
         amounts = itertools.chain(
             (
-                (step.job_state.job.queue.service, "waiting_steps", 1)
+                (step.job_state.queue.service, "waiting_steps", 1)
                 for step in self.workload.ready
             ),
             (
--- a/libs/cell/dragonflybank/cell/load_admission.py
+++ b/libs/cell/dragonflybank/cell/load_admission.py
@@ -63,7 +63,7 @@
     for step in steps:
         if not remains_useful(step, unix_time):
             continue
-        queue = step.job_state.job.queue
+        queue = step.job_state.queue
         key = queue.service, queue.priority
         tasks = len(step.waiting_tasks())
         if not step.spec.filling:
@@ -114,7 +114,7 @@
         default=0.0,
     )
     ends_after_s = wait_s + critical_path_s(job.steps)
-    hard_deadline_s = HARD_DEADLINE_FACTOR * job_objective_s(job)
+    hard_deadline_s = HARD_DEADLINE_FACTOR * job_objective_s(queue, job.steps)
     return max(0.0, ends_after_s - hard_deadline_s) if wait_s else 0.0
 
 
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -30,6 +30,7 @@
 )
 from dragonflybank.cell.capacity import accepts_new_work
 from dragonflybank.cell.decision_round import DecisionRound, begin_round
+from dragonflybank.cell.jobs import Queue
 from dragonflybank.cell.placement import (
     PlacementPlan,
     candidate_executors,
@@ -137,7 +138,7 @@
     def _place_step(
         self, step: StepState, tasks: list[Task], current: DecisionRound
     ) -> None:
-        queue = step.job_state.job.queue
+        queue = step.job_state.queue
         is_advised = (
             queue.advised is not None and self._advice_dispatcher is not None
         )
@@ -177,7 +178,7 @@
         """Reserves executors for a gang that asks about further ones."""
         if step.awaiting_tickets or len(tasks) < step.unfinished_count:
             return
-        service = step.job_state.job.queue.service
+        service = step.job_state.queue.service
         good = _good_executors(step, current.accepting.get(service, {}))
         current.reserve_for_gang(step, tasks, good)
 
@@ -189,7 +190,7 @@
         Most steps of a full cell wait, and are passed over without a look at
         all executors.
         """
-        queue, spec = step.job_state.job.queue, step.spec
+        queue, spec = step.job_state.queue, step.spec
         most_free = current.free_millicores.get(queue.service, 0)
         is_full = not spec.filling and spec.millicores > most_free
         if not is_advised:
@@ -220,7 +221,7 @@
         current: DecisionRound,
     ) -> bool:
         """Asks about executors without advice; returns whether it did."""
-        queue = step.job_state.job.queue
+        queue = step.job_state.queue
         unknown = candidate_executors(
             step,
             [
@@ -254,7 +255,7 @@
     def _acquire_slot(
         self, step: StepState, names: int, current: DecisionRound
     ) -> AdviceSlot | None:
-        queue = step.job_state.job.queue
+        queue = step.job_state.queue
         duration_s = advice_call_s(queue.advised, names)
         slot = self._advice_dispatcher.acquire_slot(
             priority=queue.priority, duration_s=duration_s, now=current.now
@@ -275,7 +276,7 @@
         Returns:
             Whether anything was started or asked for.
         """
-        timing = step.job_state.job.queue.advised
+        timing = step.job_state.queue.advised
         now = current.now
         if timing is None or self._advice_dispatcher is None:
             self._start(step, self._reserve(step, plan.pairs, now), now)
@@ -331,7 +332,7 @@
     ) -> None:
         waited_s = now - (step.ready_at or now)
         waits = self._leader.metrics.placement_wait_seconds.labels(
-            step.job_state.job.queue.priority
+            step.job_state.queue.priority
         )
         for attempt in attempts:
             waits.observe(waited_s)
@@ -354,13 +355,20 @@
     ) -> None:
         step.advice_pending = True
         step.awaiting_tickets = attempts
-        self._leader.background.spawn(self._collect_advice(step, calls))
+        queue = step.job_state.queue
+        self._leader.background.spawn(self._collect_advice(step, queue, calls))
 
     async def _collect_advice(
-        self, step: StepState, calls: list[tuple[AdviceSlot, list[str]]]
+        self,
+        step: StepState,
+        queue: Queue,
+        calls: list[tuple[AdviceSlot, list[str]]],
     ) -> None:
         await asyncio.gather(
-            *(self._request_advice(step, slot, ids) for slot, ids in calls)
+            *(
+                self._request_advice(step, queue, slot, ids)
+                for slot, ids in calls
+            )
         )
         now = self._leader.clock.now()
         step.advice_pending = False
@@ -370,9 +378,8 @@
         self._leader.wake()
 
     async def _request_advice(
-        self, step: StepState, slot: AdviceSlot, ids: list[str]
+        self, step: StepState, queue: Queue, slot: AdviceSlot, ids: list[str]
     ) -> None:
-        queue = step.job_state.job.queue
         asked_at = self._leader.clock.now()
         got = await self._advice_dispatcher.request_advice(
             slot,
@@ -414,8 +421,13 @@
         for attempt in attempts:
             if attempt.phase is not AttemptPhase.RESERVED:
                 continue
-            has_ticket = valid_ticket(step, attempt.executor.info.id, now)
-            is_usable = has_ticket and accepts_new_work(attempt.executor, now)
+            executor = attempt.executor
+            is_usable = (
+                valid_ticket(step, executor.info.id, now)
+                and accepts_new_work(executor, now)
+                # The queue may have been moved during the call for tickets.
+                and executor.info.service == step.job_state.queue.service
+            )
             (usable if is_usable else rest).append(attempt)
         if rest and step.spec.gang or step.job_state.phase.is_final:
             usable, rest = [], [*usable, *rest]
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -14,7 +14,14 @@
 
 import attrs
 
-from dragonflybank.cell.jobs import Job, JobPhase, Progress, Step, TaskId
+from dragonflybank.cell.jobs import (
+    Job,
+    JobPhase,
+    Progress,
+    Queue,
+    Step,
+    TaskId,
+)
 from dragonflybank.cell.ports import ExecutorInfo
 
 
@@ -223,6 +230,8 @@
         cancelled: Whether its caller cancelled it.
         progress: Progress to be stored.
         progress_revision: Revision of the stored progress; 0 if none.
+        queue: Its queue as the configuration in force defines it, or the last
+            definition known if the queue no longer exists.
     """
 
     job: Job
@@ -231,6 +240,11 @@
     cancelled: bool = False
     progress: Progress = attrs.field(factory=Progress)
     progress_revision: int = 0
+    queue: Queue = attrs.field(
+        default=attrs.Factory(
+            lambda self: self.progress.queue or self.job.queue, takes_self=True
+        )
+    )
 
     def attempts(self) -> list[Attempt]:
         """Returns the attempts that may be running."""
--- a/libs/cell/dragonflybank/cell/step_order.py
+++ b/libs/cell/dragonflybank/cell/step_order.py
@@ -19,8 +19,9 @@
 ]
 
 import functools
+from collections.abc import Sequence
 
-from dragonflybank.cell.jobs import Job, Step, critical_path_s
+from dragonflybank.cell.jobs import Queue, Step, critical_path_s
 from dragonflybank.cell.state import StepState
 
 # A result that comes later than this multiple of the objective has no value.
@@ -34,7 +35,7 @@
         step: A ready step.
         now: Current time, seconds since 1970.
     """
-    queue = step.job_state.job.queue
+    queue = step.job_state.queue
     due = objective_deadline(step)
     ends_at = now + remaining_path_s(step.job_state.job.steps, step.number)
     is_late = ends_at > due
@@ -60,16 +61,18 @@
 
 def objective_deadline(step: StepState) -> float:
     """Returns the time by which the step's occurrence should be done."""
-    job = step.job_state.job
-    return job.due_at(step.occurrence) + job_objective_s(job)
+    state = step.job_state
+    return state.job.due_at(step.occurrence) + job_objective_s(
+        state.queue, state.job.steps
+    )
 
 
 def hard_deadline(step: StepState) -> float:
     """Returns the time after which the occurrence's result has no value."""
-    job = step.job_state.job
-    return job.due_at(step.occurrence) + HARD_DEADLINE_FACTOR * job_objective_s(
-        job
-    )
+    state = step.job_state
+    return state.job.due_at(
+        step.occurrence
+    ) + HARD_DEADLINE_FACTOR * job_objective_s(state.queue, state.job.steps)
 
 
 @functools.lru_cache(maxsize=4096)
@@ -86,6 +89,6 @@
     return steps[number].estimate_s + max(dependents_s, default=0.0)
 
 
-def job_objective_s(job: Job) -> float:
-    """Returns the latency objective of a job by its queue, in seconds."""
-    return job.queue.objective_s + job.queue.slack * critical_path_s(job.steps)
+def job_objective_s(queue: Queue, steps: Sequence[Step]) -> float:
+    """Returns the latency objective of a queue's job, in seconds."""
+    return queue.objective_s + queue.slack * critical_path_s(steps)
--- a/libs/cell/dragonflybank/cell/submission_wait.py
+++ b/libs/cell/dragonflybank/cell/submission_wait.py
@@ -35,7 +35,8 @@
     if job.is_recurring:
         return max_wait_s
     run_s = critical_path_s(job.steps)
-    max_useful_wait_s = HARD_DEADLINE_FACTOR * job_objective_s(job) - run_s
+    objective_s = job_objective_s(job.queue, job.steps)
+    max_useful_wait_s = HARD_DEADLINE_FACTOR * objective_s - run_s
     return max(0.0, min(max_wait_s, max_useful_wait_s))
 
 
--- a/libs/cell/dragonflybank/cell/takeover.py
+++ b/libs/cell/dragonflybank/cell/takeover.py
@@ -136,6 +136,7 @@
             leader.record_phase(job.id, ended[0])
     else:
         leader.record_phase(job.id, state.phase)
+        leader.update_queue(state)
         _log.info(
             "job added",
             extra={
--- a/libs/cell/dragonflybank/cell/tests/test_scheduling.py
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -12,11 +12,16 @@
 from dragonflybank.cell.background import BackgroundTasks
 from dragonflybank.cell.capacity import release, reserve
 from dragonflybank.cell.election import Leadership
-from dragonflybank.cell.jobs import Step
+from dragonflybank.cell.jobs import CellConfig, Step
 from dragonflybank.cell.metrics import CellMetrics
 from dragonflybank.cell.scheduling import Scheduler
 from dragonflybank.cell.state import AttemptPhase
-from dragonflybank.cell.tests.builders import add_job, get_step, make_executor
+from dragonflybank.cell.tests.builders import (
+    QUEUES,
+    add_job,
+    get_step,
+    make_executor,
+)
 from dragonflybank.cell.tickets import record_advice
 from dragonflybank.cell.workload import Workload
 from dragonflybank.standins.cell.virtual_time import (
@@ -164,6 +169,47 @@
         self.assertThat(len(named), Equals(len(set(named))))
 
 
+class TestMovesDuringCalls(testtools.TestCase):
+    """Guards against starts by advice for a service that a queue has left."""
+
+    def _move_during_call(self, **changes):
+        """Moves a queue during its last call; returns starts and failures."""
+        executors = [
+            *(make_executor(f"e{n}", cores=4) for n in range(2)),
+            make_executor("new", cores=4, service="archive"),
+        ]
+        leader, failures = _Leader(executors), []
+        leader.background = BackgroundTasks(lambda: failures.append(1))
+        scheduler = Scheduler(leader, _AdviceDispatcher())
+        spec = Step(1, millicores=4000, estimate_s=4.0)
+        step = get_step(add_job(leader.workload, 1, spec, queue="verify"))
+        moved = attrs.evolve(
+            QUEUES["verify"], service="archive", version=2, **changes
+        )
+
+        async def main():
+            # A ticket that has expired is renewed with capacity reserved.
+            record_advice(step, ["e0"], {"e0": "t"}, valid_until=0.0)
+            await asyncio.sleep(0.1)
+            scheduler.place_waiting_steps(leader.clock.now(), 1000.0)
+            leader.workload.adopt_config(CellConfig(2, {"": (moved,)}, {}))
+            await asyncio.sleep(CALL_S + 0.1)
+            for _ in range(3):
+                scheduler.place_waiting_steps(leader.clock.now(), 1000.0)
+                await asyncio.sleep(CALL_S + 0.1)
+
+        run_in_virtual_time(main())
+        return [name for _, name in leader.attempts.started], failures
+
+    def test_reserved_capacity_of_the_former_service_is_not_used(self):
+        started, failures = self._move_during_call()
+        self.assertThat((started, failures), Equals((["new"], [])))
+
+    def test_a_queue_may_lose_its_advice_during_a_call(self):
+        started, failures = self._move_during_call(advised=None)
+        self.assertThat((started, failures), Equals((["new"], [])))
+
+
 class TestWaitingGangs(testtools.TestCase):
     """Guards against gangs that take the capacity that others wait for.
 
--- a/libs/cell/dragonflybank/cell/tickets.py
+++ b/libs/cell/dragonflybank/cell/tickets.py
@@ -68,7 +68,7 @@
     Returns:
         Executor identifiers for each call; the calls are made concurrently.
     """
-    most = max_executors_to_name(step.job_state.job.queue.advised)
+    most = max_executors_to_name(step.job_state.queue.advised)
     by_capacity = sorted(unknown, key=lambda e: -e.free_millicores)
     needed = count_executors_to_name(
         step,
--- a/libs/cell/dragonflybank/cell/workload.py
+++ b/libs/cell/dragonflybank/cell/workload.py
@@ -8,7 +8,17 @@
 import itertools
 from collections.abc import Iterator
 
-from dragonflybank.cell.jobs import Job, JobPhase, Progress, TaskId
+from dragonflybank.cell.jobs import (
+    CellConfig,
+    Job,
+    JobPhase,
+    Progress,
+    TaskId,
+)
+from dragonflybank.cell.queue_definitions import (
+    QueueDefinitions,
+    is_redefined,
+)
 from dragonflybank.cell.state import Attempt, JobState, StepState, Task
 
 
@@ -28,6 +38,37 @@
         self.ended: dict[str, tuple[JobPhase, float]] = {}
         self.ready: dict[StepState, None] = {}
         self.recurring: dict[str, JobState] = {}
+        self._definitions = QueueDefinitions()
+
+    def adopt_config(self, cfg: CellConfig) -> list[JobState]:
+        """Redefines the queues of all jobs by a configuration.
+
+        Returns:
+            The jobs whose queues were redefined; their progress must be stored.
+        """
+        self._definitions = QueueDefinitions(cfg)
+        return [s for s in self.jobs.values() if self.update_queue(s)]
+
+    def update_queue(self, state: JobState) -> bool:
+        """Redefines the queue of a job by the configuration in force.
+
+        Advice holds for the executors and the policy of one definition, so it
+        is dropped with them.
+
+        Returns:
+            Whether the definition differs in more than its version.
+        """
+        old, new = state.queue, self._definitions.latest(state.queue)
+        if new is old or state.phase.is_final:
+            return False
+        state.queue = new
+        if not is_redefined(old, new):
+            return False
+        state.progress.queue = new
+        if (old.service, old.advised) != (new.service, new.advised):
+            for step in _all_steps(state):
+                step.advice_by_executor.clear()
+        return True
 
     def add(
         self,
@@ -213,9 +254,9 @@
         """Returns the number of jobs without a started task, by queue."""
         counts: dict[str, int] = {}
         for state in self.jobs.values():
-            counts.setdefault(state.job.queue.name, 0)
+            counts.setdefault(state.queue.name, 0)
             if state.phase is JobPhase.QUEUED:
-                counts[state.job.queue.name] += 1
+                counts[state.queue.name] += 1
         return counts
 
     def attempts(self) -> Iterator[Attempt]:
--- a/libs/standins/dragonflybank/standins/cell/checks.py
+++ b/libs/standins/dragonflybank/standins/cell/checks.py
@@ -12,6 +12,8 @@
 - BUDGET: a task doesn't start again after the largest number of failed
   attempts.
 - ORDER: a task starts only after the steps that its step depends on are done.
+- ROUTE: a task starts only on executors of a service to which its queue is or
+  was sent since `CONFIG_APPLY_S` before its job was submitted.
 - MIXED: callers see only one final phase of a job, and a job is
   completed only if its tasks are done.
 
@@ -26,7 +28,7 @@
 
 import attrs
 
-from dragonflybank.cell.jobs import Job, JobPhase, TaskId
+from dragonflybank.cell.jobs import Job, JobPhase, Queue, TaskId
 from dragonflybank.cell.ports import EndKind
 from dragonflybank.standins.cell.executors import AttemptRun, MemoryExecutor
 
@@ -34,6 +36,8 @@
 # acknowledged at all.
 ACK_MARGIN_S = 0.1
 CANCEL_DEADLINE_S = 3.0
+# Time within which hosts have to apply a change of the configuration.
+CONFIG_APPLY_S = 2.5
 
 
 @attrs.define
@@ -46,6 +50,9 @@
         refused: Jobs of which each submission was refused.
         cancelled: Times at which cancels were acknowledged.
         observed_phases: Phases that callers saw, with the times.
+        sent: Times of the first submissions.
+        services: Services to which each queue was sent, with the times of the
+            configurations.
     """
 
     jobs: dict[str, Job] = attrs.field(factory=dict)
@@ -55,6 +62,22 @@
     observed_phases: dict[str, list[tuple[float, JobPhase]]] = attrs.field(
         factory=dict
     )
+    sent: dict[str, float] = attrs.field(factory=dict)
+    services: dict[str, list[tuple[float, str]]] = attrs.field(factory=dict)
+
+    def record_service(self, queue: Queue, now: float) -> None:
+        """Records the service to which a configuration sends a queue."""
+        self.services.setdefault(queue.name, []).append((now, queue.service))
+
+    def allowed_services(self, job: Job) -> set[str]:
+        """Returns the services whose executors may run a job."""
+        services = self.services.get(job.queue.name, [])
+        applied = [
+            service
+            for at, service in services
+            if at <= self.sent[job.id] - CONFIG_APPLY_S
+        ]
+        return {*applied[-1:], *(s for _, s in services[len(applied) :])}
 
 
 def find_violations(
@@ -74,6 +97,9 @@
             _check_task(history, task, task_runs, lapses)
             for task, task_runs in runs.items()
         ),
+        *itertools.chain.from_iterable(
+            _check_route(history, executor) for executor in executors
+        ),
         *_check_dependencies(history, runs),
         *_check_phases(history, runs),
     ]
@@ -85,6 +111,15 @@
             yield f"LIMIT {executor.info.id} exceeds its capacity at {at:.2f}"
 
 
+def _check_route(
+    history: CallerHistory, executor: MemoryExecutor
+) -> Iterator[str]:
+    for run in executor.runs:
+        job = history.jobs.get(run.task.job)
+        if job and executor.info.service not in history.allowed_services(job):
+            yield f"ROUTE {run.task} was started on {executor.info.id}"
+
+
 def _check_task(
     history: CallerHistory,
     task: TaskId,
--- a/libs/standins/dragonflybank/standins/cell/fault_scenarios.py
+++ b/libs/standins/dragonflybank/standins/cell/fault_scenarios.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable, Callable
 
 from dragonflybank.standins.cell.simulated_cell import (
+    SERVICE_NAME,
     SimulatedCell,
     SubmissionLoad,
 )
@@ -19,6 +20,8 @@
 LOAD = SubmissionLoad()
 # Three heartbeat intervals.
 ENTRY_EXPIRY_S = 4.5
+OTHER_SERVICE = "archive"
+LONG_DRAIN_S = 120.0
 DEEPLY_NESTED = b'{"not_known": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
 
 
@@ -29,11 +32,15 @@
         name: Name of the scenario.
         seed: Seed of the cell.
     """
-    return run_in_virtual_time(_run(SCENARIOS[name], seed))
+    services = SERVICES_BY_SCENARIO.get(name, (SERVICE_NAME,))
+    return run_in_virtual_time(_run(SCENARIOS[name], seed, services))
 
 
-async def _run(scenario: Scenario, seed: int) -> list[str]:
-    cell = SimulatedCell(seed)
+async def _run(
+    scenario: Scenario, seed: int, services: tuple[str, ...]
+) -> list[str]:
+    # Each service alone has the capacity for the load.
+    cell = SimulatedCell(seed, executors=6 * len(services), services=services)
     await cell.start()
     injecting = asyncio.create_task(scenario(cell))
     found = await cell.run_load(LOAD)
@@ -292,6 +299,36 @@
     cell.write_executor_entry(first)
 
 
+async def queues_moved(cell: SimulatedCell) -> None:
+    """Queues are moved between two services, some together with new leaders.
+
+    The executors of the service that they leave accept no new work until the
+    queues come back.
+    """
+    names = ("lookup", "verify", "sweep")
+    by_service = {
+        service: [
+            e for e in cell.executors.values() if e.info.service == service
+        ]
+        for service in (SERVICE_NAME, OTHER_SERVICE)
+    }
+    left, entered = SERVICE_NAME, OTHER_SERVICE
+    for version, pause_s in enumerate((5.0, 4.0, 0.6, 4.0, 3.0), 2):
+        await asyncio.sleep(pause_s)
+        for executor in by_service[entered]:
+            cell.restart_drained_executor(executor)
+        for executor in by_service[left]:
+            cell.drain_executor(executor, remaining_s=LONG_DRAIN_S)
+        cell.configure(version, moved_queues=dict.fromkeys(names, entered))
+        if version % 2:
+            leader = cell.leader()
+            cell.kill_host(leader)
+            await asyncio.sleep(0.5)
+            if leader:
+                await cell.start_host(leader)
+        left, entered = entered, left
+
+
 SCENARIOS: dict[str, Scenario] = {
     fault.__name__: fault
     for fault in (
@@ -318,5 +355,8 @@
         leader_broken,
         entries_broken,
         entries_turn_odd,
+        queues_moved,
     )
 }
+# The other scenarios have one service.
+SERVICES_BY_SCENARIO = {"queues_moved": (SERVICE_NAME, OTHER_SERVICE)}
--- a/libs/standins/dragonflybank/standins/cell/simulated_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/simulated_cell.py
@@ -21,6 +21,7 @@
     Service,
     Step,
     TaskId,
+    find_queue,
 )
 from dragonflybank.cell.limits import CellLimits
 from dragonflybank.cell.peering import Peers
@@ -82,6 +83,8 @@
         hosts: Number of hosts.
         executors: Number of executors.
         advised: Whether queues other than ``lookup`` need advice.
+        services: Services, among which the executors are dealt out in turn;
+            all queues begin at the first.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         hosts: int = 3,
         executors: int = 6,
         advised: bool = True,
+        services: Sequence[str] = (SERVICE_NAME,),
     ):
         self.rng = random.Random(seed)
         self.store = MemoryStore(random.Random(seed + 1))
@@ -106,7 +110,8 @@
         self._run_times_s: dict[str, float] = {}
         self._failing_jobs: set[str] = set()
         self._clock = VirtualClock()
-        self._queues = _make_queues(advised)
+        self._services = tuple(services)
+        self._queues = _make_queues(advised, self._services[0])
         self.executors = {
             name: self._new_executor(name, number)
             for number, name in enumerate(
@@ -122,14 +127,37 @@
         for name in self._host_names:
             await self.start_host(name)
 
-    def configure(self, version: int) -> None:
-        """Writes a configuration to the store."""
+    def configure(
+        self,
+        version: int,
+        *,
+        moved_queues: Mapping[str, str] | None = None,
+        dropped_queues: Sequence[str] = (),
+    ) -> None:
+        """Writes a configuration to the store.
+
+        Args:
+            version: Its version, higher than that of the last one.
+            moved_queues: New services by name of the queue; the other queues
+                stay where they are.
+            dropped_queues: Queues that are left out of this configuration.
+        """
+        moved = moved_queues or {}
+        self._queues = {
+            name: attrs.evolve(
+                queue, service=moved.get(name, queue.service), version=version
+            )
+            for name, queue in self._queues.items()
+        }
+        queues = [q for n, q in self._queues.items() if n not in dropped_queues]
         cfg = CellConfig(
             version,
-            {"front": tuple(self._queues.values())},
-            {SERVICE_NAME: Service(SERVICE_NAME)},
+            {"front": tuple(queues)},
+            {name: Service(name) for name in self._services},
         )
         self.store.put("config", msgspec.json.encode(cfg))
+        for queue in queues:
+            self.history.record_service(queue, self._clock.now())
 
     def write_executor_entry(self, executor: MemoryExecutor) -> None:
         """Writes an executor's entry to the store."""
@@ -219,13 +247,15 @@
             Whether the job was accepted.
         """
         self.history.jobs[job.id] = job
+        self.history.sent[job.id] = self._clock.now()
         is_refused = True
         for _ in range(5):
             hosts = list(self.hosts.values())
             if hosts:
                 host = self.rng.choice(hosts)
+                defined = attrs.evolve(job, queue=_defined_queue(host, job))
                 call = asyncio.create_task(
-                    host.frontend.submit(job, timeout_s=CALL_TIMEOUT_S)
+                    host.frontend.submit(defined, timeout_s=CALL_TIMEOUT_S)
                 )
                 done, _ = await asyncio.wait({call}, timeout=CALL_TIMEOUT_S)
                 got = call.result() if done and not call.cancelled() else None
@@ -326,11 +356,31 @@
             )
             for n in range(1 if name == "lookup" else rng.randint(1, 2))
         )
-        self._run_times_s[job_id] = run_s * rng.lognormvariate(0, 0.4)
+        run_s *= rng.lognormvariate(0, 0.4)
         if rng.random() < load.failing_share:
             self._failing_jobs.add(job_id)
-        now = self._clock.now()
-        return Job(job_id, self._queues[name], "text of " + job_id, steps, now)
+        return self.make_job(name, *steps, run_s=run_s, job_id=job_id)
+
+    def make_job(
+        self, queue: str, *steps: Step, run_s: float, job_id: str = ""
+    ) -> Job:
+        """Returns a job that a caller can submit.
+
+        Args:
+            queue: Name of its queue.
+            steps: Its steps.
+            run_s: Run time of each task on a sound executor, in seconds.
+            job_id: Its identifier; drawn if empty.
+        """
+        job_id = job_id or f"{self.rng.getrandbits(64):016x}"
+        self._run_times_s[job_id] = run_s
+        return Job(
+            job_id,
+            self._queues[queue],
+            "text of " + job_id,
+            steps,
+            self._clock.now(),
+        )
 
     async def _run_caller(
         self, load: SubmissionLoad, finish_timeout_s: float
@@ -355,7 +405,7 @@
     def _new_executor(self, name: str, number: int) -> MemoryExecutor:
         info = ExecutorInfo(
             name,
-            SERVICE_NAME,
+            self._services[number % len(self._services)],
             f"10.0.0.{number}:80",
             f"zone-{number % 3}",
             millicores=32_000,
@@ -489,14 +539,22 @@
         self._cell._handlers_of_host.pop(self.address, None)
 
 
-def _make_queues(advised: bool) -> dict[str, Queue]:
+def _defined_queue(host: CellHost, job: Job) -> Queue:
+    """Returns the queue of a job as the configuration of a host defines it."""
+    found = host.config and find_queue(
+        host.config, job.queue.host, job.queue.prefix
+    )
+    return found or job.queue
+
+
+def _make_queues(advised: bool, service: str) -> dict[str, Queue]:
     advice = AdviceTiming(0.02, 0.0, 2.0) if advised else None
     return {
         name: Queue(
             name,
             "front",
             f"/{name}/",
-            SERVICE_NAME,
+            service,
             priority,
             objective_s,
             2.0,
