Reserve nothing for a gang without room beside long-running tasks

A long-running task held 2 of the 8 cores of one executor. Cause: a waiting gang reserves executors against lower priorities unless it would not fit on idle ones. The check and the reserved amount took the whole capacity of an executor; what a long-running task holds never becomes free. Change: the leader counts what long-running tasks hold on each executor; a gang reserves only executors on which it fits beside them, none if they are too few. Ruled out: giving up the reservation after some time, which starves gangs that only wait for work to end; moving the long-running task, which interrupts a service.

--- a/libs/cell/dragonflybank/cell/capacity.py
+++ b/libs/cell/dragonflybank/cell/capacity.py
@@ -85,5 +85,7 @@
 def _change_usage(executor: Executor, step: Step, sign: int) -> None:
     if not step.filling:
         executor.used_millicores += sign * step.millicores
+        if step.lasting:
+            executor.lasting_millicores += sign * step.millicores
     executor.used_memory_mb += sign * step.memory_mb
     executor.used_accelerators += sign * step.accelerators
--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -105,7 +105,9 @@
     for executor in sorted(allowed, key=lambda e: -e.free_millicores):
         if missing <= 0:
             break
-        reserved[executor.info.id] = executor.info.millicores
-        missing -= executor.info.millicores // size
-    # A reservation does not help a gang that would not fit on idle executors.
+        places = executor.attainable_millicores // size
+        if places > 0:
+            reserved[executor.info.id] = executor.attainable_millicores
+            missing -= places
+    # A reservation does not help a gang for which it can never be enough.
     return reserved if missing <= 0 else {}
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -267,6 +267,8 @@
         used_millicores: CPU cores in use, in thousandths of a core.
         used_memory_mb: Memory in use in MiB.
         used_accelerators: Accelerators in use.
+        lasting_millicores: The part of ``used_millicores`` that lasting tasks
+            hold, which have no end.
         orphan_attempts: Attempts of ended jobs that it lists as running.
         claimed: Whether it has accepted this leader's epoch.
         restart_seen_at: Time at which a new incarnation was detected.
@@ -292,6 +294,7 @@
     used_millicores: int = 0
     used_memory_mb: int = 0
     used_accelerators: int = 0
+    lasting_millicores: int = 0
     orphan_attempts: set[tuple[TaskId, int]] = attrs.field(factory=set)
     claimed: bool = False
     restart_seen_at: float = float("-inf")
@@ -313,6 +316,11 @@
         """CPU cores that are free, in thousandths of a core."""
         return self.info.millicores - self.used_millicores
 
+    @property
+    def attainable_millicores(self) -> int:
+        """CPU cores that are free once all tasks with an end have ended."""
+        return self.info.millicores - self.lasting_millicores
+
     @property
     def free_memory_mb(self) -> int:
         """Memory that is free, in MiB."""
--- a/libs/cell/dragonflybank/cell/tests/test_scheduling.py
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -223,9 +223,23 @@
         self.scheduler = Scheduler(self.leader, _AdviceDispatcher())
         self._jobs = itertools.count(1)
 
-    def _add(self, count: int, *, queue: str = "verify", gang: bool = True):
+    def _add(
+        self,
+        count: int,
+        *,
+        queue: str = "verify",
+        gang: bool = True,
+        millicores: int = 4000,
+        **kwargs,
+    ):
         """Adds a step that knows all executors as good."""
-        spec = Step(count, millicores=4000, estimate_s=4.0, gang=gang)
+        spec = Step(
+            count,
+            millicores=millicores,
+            estimate_s=4.0,
+            gang=gang,
+            **kwargs,
+        )
         number = next(self._jobs)
         at = 1000.0 + number / 1000
         state = add_job(self.leader.workload, number, spec, queue=queue, at=at)
@@ -235,8 +249,8 @@
         record_advice(step, names, tickets, valid_until=float("inf"))
         return step
 
-    def _occupy(self, *numbers: int) -> None:
-        step = self._add(len(numbers), queue="lookup", gang=False)
+    def _occupy(self, *numbers: int, **kwargs) -> None:
+        step = self._add(len(numbers), queue="lookup", gang=False, **kwargs)
         for task, number in zip(step.tasks, numbers, strict=True):
             reserve(
                 self.executors[number],
@@ -300,3 +314,30 @@
         urgent = self._add(3, queue="lookup", gang=False)
         self._place()
         self.assertThat(self._started(urgent), Equals(3))
+
+    def test_a_gang_without_room_beside_lasting_tasks_holds_nothing_back(self):
+        # The gang needs all eight executors, and one is never idle again.
+        self._occupy(0, lasting=True, millicores=1000)
+        gang = self._add(8)
+        sweep = self._add(7, queue="sweep", gang=False)
+        self._place()
+        self.assertThat(self._started(gang), Equals(0))
+        self.assertThat(self._started(sweep), Equals(7))
+
+    def test_a_gang_reserves_only_executors_that_it_can_use(self):
+        self._occupy(0, lasting=True, millicores=1000)
+        self._occupy(1, 2)
+        gang = self._add(6)
+        sweep = self._add(2, queue="sweep", gang=False, millicores=3000)
+        self._place()
+        self.assertThat(self._started(gang), Equals(0))
+        # Five free executors and an occupied one are reserved.
+        self.assertThat(self._started(sweep), Equals(1))
+
+    def test_a_gang_waits_again_once_a_lasting_task_has_ended(self):
+        self._occupy(0, lasting=True, millicores=1000)
+        gang = self._add(8)
+        self._place()
+        release(self.executors[0].attempts.copy().popitem()[1])
+        self._place()
+        self.assertThat(self._started(gang), Equals(8))
