Count memory, accelerators and per-executor limits in a gang's reservation

Cause: the check whether a gang fits at all divided cores by cores. A gang that lacks memory or accelerators, or is over its own limit of tasks for each executor, passed it and reserved executors in each round. Change: count_attainable_tasks counts what fits beside long-running tasks in all resources, with the limit for each executor; the reservation uses it. Ruled out: leaving it to the placement: plan_placement refuses such a gang, but its reservation is made after that.

--- a/libs/cell/dragonflybank/cell/capacity.py
+++ b/libs/cell/dragonflybank/cell/capacity.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "accepts_new_work",
+    "count_attainable_tasks",
     "count_fitting_tasks",
     "fits_when_empty",
     "release",
@@ -41,17 +42,27 @@
 
 def count_fitting_tasks(executor: Executor, step: Step) -> int:
     """Returns how many tasks of a step fit into the free resources."""
-    cores = 0 if step.filling else step.millicores
-    counts = [
-        free // need
-        for need, free in (
-            (cores, executor.free_millicores),
-            (step.memory_mb, executor.free_memory_mb),
-            (step.accelerators, executor.free_accelerators),
-        )
-        if need > 0
-    ]
-    return max(0, min(counts, default=step.count))
+    return _count_tasks(
+        step,
+        executor.free_millicores,
+        executor.free_memory_mb,
+        executor.free_accelerators,
+    )
+
+
+def count_attainable_tasks(executor: Executor, step: Step) -> int:
+    """Returns how many tasks of a step fit once all others have ended.
+
+    Lasting tasks do not end, so what they hold does not count.
+    """
+    info = executor.info
+    count = _count_tasks(
+        step,
+        executor.attainable_millicores,
+        info.memory_mb - executor.lasting_memory_mb,
+        info.accelerators - executor.lasting_accelerators,
+    )
+    return min(count, step.max_per_executor or count)
 
 
 def fits_when_empty(executor: Executor, step: Step) -> bool:
@@ -82,10 +93,30 @@
     )
 
 
+def _count_tasks(
+    step: Step, millicores: int, memory_mb: int, accelerators: int
+) -> int:
+    """Returns how many tasks of a step fit into an amount of resources."""
+    counts = [
+        free // need
+        for need, free in (
+            (0 if step.filling else step.millicores, millicores),
+            (step.memory_mb, memory_mb),
+            (step.accelerators, accelerators),
+        )
+        if need > 0
+    ]
+    return max(0, min(counts, default=step.count))
+
+
 def _change_usage(executor: Executor, step: Step, sign: int) -> None:
-    if not step.filling:
-        executor.used_millicores += sign * step.millicores
-        if step.lasting:
-            executor.lasting_millicores += sign * step.millicores
-    executor.used_memory_mb += sign * step.memory_mb
-    executor.used_accelerators += sign * step.accelerators
+    millicores = 0 if step.filling else sign * step.millicores
+    memory_mb = sign * step.memory_mb
+    accelerators = sign * step.accelerators
+    executor.used_millicores += millicores
+    executor.used_memory_mb += memory_mb
+    executor.used_accelerators += accelerators
+    if step.lasting:
+        executor.lasting_millicores += millicores
+        executor.lasting_memory_mb += memory_mb
+        executor.lasting_accelerators += accelerators
--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from dragonflybank.cell.capacity import count_attainable_tasks
 from dragonflybank.cell.placement import accepting_executors
 from dragonflybank.cell.state import Executor, StepState, Task
 
@@ -99,13 +100,12 @@
     Returns:
         CPU cores in thousandths of a core, by executor.
     """
-    size = max(1, step.spec.millicores)
     reserved: dict[str, int] = {}
     missing = len(tasks)
     for executor in sorted(allowed, key=lambda e: -e.free_millicores):
         if missing <= 0:
             break
-        places = executor.attainable_millicores // size
+        places = count_attainable_tasks(executor, step.spec)
         if places > 0:
             reserved[executor.info.id] = executor.attainable_millicores
             missing -= places
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -269,6 +269,8 @@
         used_accelerators: Accelerators in use.
         lasting_millicores: The part of ``used_millicores`` that lasting tasks
             hold, which have no end.
+        lasting_memory_mb: The same of ``used_memory_mb``.
+        lasting_accelerators: The same of ``used_accelerators``.
         orphan_attempts: Attempts of ended jobs that it lists as running.
         claimed: Whether it has accepted this leader's epoch.
         restart_seen_at: Time at which a new incarnation was detected.
@@ -295,6 +297,8 @@
     used_memory_mb: int = 0
     used_accelerators: int = 0
     lasting_millicores: int = 0
+    lasting_memory_mb: int = 0
+    lasting_accelerators: int = 0
     orphan_attempts: set[tuple[TaskId, int]] = attrs.field(factory=set)
     claimed: bool = False
     restart_seen_at: float = float("-inf")
--- a/libs/cell/dragonflybank/cell/tests/test_scheduling.py
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -341,3 +341,17 @@
         release(self.executors[0].attempts.copy().popitem()[1])
         self._place()
         self.assertThat(self._started(gang), Equals(8))
+
+    def _assert_nothing_held_back(self, **kwargs) -> None:
+        # By cores alone, each of the eight executors has room for four tasks.
+        gang = self._add(9, millicores=1000, **kwargs)
+        sweep = self._add(8, queue="sweep", gang=False)
+        self._place()
+        self.assertThat(self._started(gang), Equals(0))
+        self.assertThat(self._started(sweep), Equals(8))
+
+    def test_a_gang_without_memory_for_all_holds_nothing_back(self):
+        self._assert_nothing_held_back(memory_mb=10_000)
+
+    def test_a_gang_over_its_limit_for_each_executor_holds_nothing_back(self):
+        self._assert_nothing_held_back(max_per_executor=1)
