Let a gang ask on if long-running tasks hold its good executors

What callers would see: an accepted gang waits for good although other executors could run it. Cause: a waiting gang asks about no further executors while the good ones that it knows have twice the capacity that it needs. That sum took whole executors, also what long-running tasks on them never free. Change: the sum counts what fits beside long-running tasks. Evidence: test_a_gang_asks_on_if_lasting_tasks_hold_its_good_executors: six good executors, five with a long-running task of one core; on the former scheduler no call for advice was made, now the two executors without advice are named.

--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -28,7 +28,10 @@
     AdviceHistory,
     pending_demand,
 )
-from dragonflybank.cell.capacity import accepts_new_work
+from dragonflybank.cell.capacity import (
+    accepts_new_work,
+    count_attainable_tasks,
+)
 from dragonflybank.cell.decision_round import DecisionRound, begin_round
 from dragonflybank.cell.jobs import Queue
 from dragonflybank.cell.placement import (
@@ -209,8 +212,7 @@
         """
         if not step.spec.gang or self._advice_dispatcher.is_mostly_idle:
             return True
-        size = max(1, step.spec.millicores)
-        places = sum(executor.info.millicores // size for executor in good)
+        places = sum(count_attainable_tasks(e, step.spec) for e in good)
         return places < GANG_CAPACITY_FACTOR * len(tasks)
 
     def _request_first_advice(
--- a/libs/cell/dragonflybank/cell/tests/test_scheduling.py
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -263,6 +263,8 @@
     def _place(self) -> None:
         async def main():
             self.scheduler.place_waiting_steps(1000.0, 1000.1)
+            # Calls for advice that were started begin.
+            await asyncio.sleep(0)
 
         run_in_virtual_time(main())
 
@@ -355,3 +357,16 @@
 
     def test_a_gang_over_its_limit_for_each_executor_holds_nothing_back(self):
         self._assert_nothing_held_back(max_per_executor=1)
+
+    def test_a_gang_asks_on_if_lasting_tasks_hold_its_good_executors(self):
+        # Six executors are good for the gang, twice what it needs, but it has
+        # no room beside the long-running tasks of five.
+        dispatcher = _AdviceDispatcher()
+        dispatcher.is_mostly_idle = False
+        self.scheduler = Scheduler(self.leader, dispatcher)
+        self._occupy(0, 1, 2, 3, 4, lasting=True, millicores=1000)
+        gang = self._add(3)
+        for executor in self.executors[6:]:
+            del gang.advice_by_executor[executor.info.id]
+        self._place()
+        self.assertThat(dispatcher.named, Equals([["e6", "e7"]]))
