Place and ask for advice only where long-running tasks leave room

What callers would see: work that could run waits for calls for advice that are spent on executors on which it can not. Cause: the candidates of a step were the executors that would hold a task of it when idle. One with a long-running task that leaves too little was named in calls for advice, and could be found good, but never be used. Change: candidates are those with room beside long-running tasks; when such a task ends, its executor is one again. Evidence: test_candidates_have_room_beside_lasting_tasks: a task of 7 cores, two executors of 8, one with a long-running task of 2; on the former rule both were candidates.

--- a/libs/cell/dragonflybank/cell/capacity.py
+++ b/libs/cell/dragonflybank/cell/capacity.py
@@ -4,7 +4,7 @@
     "accepts_new_work",
     "count_attainable_tasks",
     "count_fitting_tasks",
-    "fits_when_empty",
+    "fits_beside_lasting",
     "release",
     "reserve",
 ]
@@ -55,24 +55,23 @@
 
     Lasting tasks do not end, so what they hold does not count.
     """
-    info = executor.info
     count = _count_tasks(
         step,
         executor.attainable_millicores,
-        info.memory_mb - executor.lasting_memory_mb,
-        info.accelerators - executor.lasting_accelerators,
+        executor.attainable_memory_mb,
+        executor.attainable_accelerators,
     )
     return min(count, step.max_per_executor or count)
 
 
-def fits_when_empty(executor: Executor, step: Step) -> bool:
-    """Returns whether a task of a step would fit into the idle executor."""
+def fits_beside_lasting(executor: Executor, step: Step) -> bool:
+    """Returns whether a task fits once all tasks with an end have ended."""
     info = executor.info
     cores = 0 if step.filling else step.millicores
     return (
-        cores <= info.millicores
-        and step.memory_mb <= info.memory_mb
-        and step.accelerators <= info.accelerators
+        cores <= executor.attainable_millicores
+        and step.memory_mb <= executor.attainable_memory_mb
+        and step.accelerators <= executor.attainable_accelerators
         and (not step.label or step.label in info.labels)
     )
 
--- a/libs/cell/dragonflybank/cell/placement.py
+++ b/libs/cell/dragonflybank/cell/placement.py
@@ -20,7 +20,7 @@
 from dragonflybank.cell.capacity import (
     accepts_new_work,
     count_fitting_tasks,
-    fits_when_empty,
+    fits_beside_lasting,
 )
 from dragonflybank.cell.state import Executor, StepState, Task
 
@@ -63,7 +63,7 @@
         step: The step.
         executors: Executors of its service that accept new work.
     """
-    return [e for e in executors if fits_when_empty(e, step.spec)]
+    return [e for e in executors if fits_beside_lasting(e, step.spec)]
 
 
 def plan_placement(
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -325,6 +325,16 @@
         """CPU cores that are free once all tasks with an end have ended."""
         return self.info.millicores - self.lasting_millicores
 
+    @property
+    def attainable_memory_mb(self) -> int:
+        """Memory that is free once all tasks with an end have ended, in MiB."""
+        return self.info.memory_mb - self.lasting_memory_mb
+
+    @property
+    def attainable_accelerators(self) -> int:
+        """Accelerators that are free once all tasks with an end have ended."""
+        return self.info.accelerators - self.lasting_accelerators
+
     @property
     def free_memory_mb(self) -> int:
         """Memory that is free, in MiB."""
--- a/libs/cell/dragonflybank/cell/tests/test_placement.py
+++ b/libs/cell/dragonflybank/cell/tests/test_placement.py
@@ -116,6 +116,24 @@
         found = candidate_executors(step, accepting["directory"].values())
         self.assertThat([e.info.id for e in found], Equals(["good"]))
 
+    def test_candidates_have_room_beside_lasting_tasks(self):
+        # Advice about others would be asked for in vain.
+        executors = [make_executor(name, cores=8) for name in ("full", "good")]
+        service = self._step(Step(1, millicores=2000, lasting=True))
+        attempt = reserve(
+            executors[0],
+            service.tasks[0],
+            1,
+            phase=AttemptPhase.RUNNING,
+            now=NOW,
+        )
+        step = self._step(Step(1, millicores=7000))
+        found = candidate_executors(step, executors)
+        self.assertThat([e.info.id for e in found], Equals(["good"]))
+        release(attempt)
+        found = candidate_executors(step, executors)
+        self.assertThat([e.info.id for e in found], Equals(["full", "good"]))
+
 
 class TestCapacity(testtools.TestCase):
     """Guards against resources that are counted twice or never freed."""
