Leave cores of long-running tasks out of the estimated delay of new jobs

What callers would see: jobs are accepted that end after their hard deadline, since the delay that decides about refusals is estimated too short. Cause: the estimate divided the backlog by all cores of a service, also those of long-running tasks, which never work on it. Change: it divides by the cores beside long-running tasks. Evidence: test_cores_of_long_running_tasks_are_not_usable: 320 core-seconds beside a long-running task of 30 of 50 cores are 20 s of work; the former estimate was 8 s.

--- a/libs/cell/dragonflybank/cell/load_admission.py
+++ b/libs/cell/dragonflybank/cell/load_admission.py
@@ -28,7 +28,8 @@
     remains_useful,
 )
 
-# Share of the CPU cores that placement keeps busy in a full cell.
+# Share of the CPU cores that placement keeps busy in a full cell, beside those
+# of long-running tasks.
 USABLE_CORES_SHARE = 0.8
 # Shorter delays are within the error of the estimate and are not reported.
 MIN_REPORTED_DELAY_S = 2.0
@@ -76,7 +77,7 @@
     delays = []
     for service, keys in itertools.groupby(sorted(work), key=lambda k: k[0]):
         usable = USABLE_CORES_SHARE * sum(
-            e.info.millicores for e in accepting.get(service, {}).values()
+            e.attainable_millicores for e in accepting.get(service, {}).values()
         )
         if not usable:
             # Executors may be back within seconds; nothing is known.
--- a/libs/cell/dragonflybank/cell/tests/test_load_admission.py
+++ b/libs/cell/dragonflybank/cell/tests/test_load_admission.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Success
 from testtools.matchers import Equals, GreaterThan, LessThan
 
+from dragonflybank.cell.capacity import reserve
 from dragonflybank.cell.frontend import CellFrontend
 from dragonflybank.cell.jobs import Job, JobPhase, Step
 from dragonflybank.cell.keys import job_key
@@ -19,7 +20,13 @@
 from dragonflybank.cell.messages import StartDelay
 from dragonflybank.cell.phase_cache import JobPhaseCache
 from dragonflybank.cell.relay import RelayedStore
-from dragonflybank.cell.tests.builders import QUEUES, add_job, make_executor
+from dragonflybank.cell.state import AttemptPhase
+from dragonflybank.cell.tests.builders import (
+    QUEUES,
+    add_job,
+    get_step,
+    make_executor,
+)
 from dragonflybank.cell.workload import Workload
 from dragonflybank.model.codes import Code
 from dragonflybank.standins.cell.simulated_cell import (
@@ -89,6 +96,30 @@
             )
             self.assertThat(len(found), Equals(count))
 
+    def test_cores_of_long_running_tasks_are_not_usable(self):
+        workload, executor = Workload(), make_executor("e", cores=50)
+        lasting = Step(1, millicores=30_000, lasting=True)
+        service = add_job(workload, 1, lasting, at=NOW)
+        reserve(
+            executor,
+            get_step(service).tasks[0],
+            1,
+            phase=AttemptPhase.RUNNING,
+            now=NOW,
+        )
+        workload.ready.clear()
+        spec = Step(8, millicores=4000, estimate_s=10.0)
+        add_job(workload, 2, spec, queue="sweep", at=NOW)
+        found = estimate_start_delays(
+            workload.ready,
+            [executor],
+            advice_slots=6,
+            now=NOW,
+            unix_time=NOW,
+        )
+        # 20 cores, of which 16 are usable, for 320 core-seconds.
+        self.assertThat([d.seconds for d in found], Equals([20.0]))
+
     def test_nothing_is_known_without_executors(self):
         workload = Workload()
         add_job(workload, 1, Step(100, millicores=4000, estimate_s=10.0))
