Count no work that cannot start into the delay of new jobs

What callers would see: new jobs are refused for overload (429) by an idle service, since a gang or a task that fits nowhere waits in it. Cause: the estimated delay counts all waiting work of the same or a higher priority that is not useless yet, also what cannot start beside long-running tasks or at all. Change: has_attainable_room tells whether a step can start once all tasks with an end have ended; steps for which it cannot are left out of the estimate. Evidence: test_work_that_cannot_start_is_not_ahead: on the former estimate a gang of nine tasks in a service for eight, and tasks of 9 cores for executors of 8, counted like one that fits. Ruled out: refusing such jobs themselves: room may come back with an executor, or when a long-running task is cancelled.

--- a/libs/cell/dragonflybank/cell/load_admission.py
+++ b/libs/cell/dragonflybank/cell/load_admission.py
@@ -20,7 +20,10 @@
 from dragonflybank.cell.advice_dispatch import is_long_call, max_long_calls
 from dragonflybank.cell.jobs import Job, critical_path_s
 from dragonflybank.cell.messages import StartDelay
-from dragonflybank.cell.placement import accepting_executors
+from dragonflybank.cell.placement import (
+    accepting_executors,
+    has_attainable_room,
+)
 from dragonflybank.cell.state import Executor, StepState
 from dragonflybank.cell.step_order import (
     HARD_DEADLINE_FACTOR,
@@ -48,8 +51,9 @@
 ) -> tuple[StartDelay, ...]:
     """Returns the delays of new jobs that are worth reporting.
 
-    A new job waits for the work of the same or a higher priority, unless that
-    work has become useless, and for its calls for advice.
+    A new job waits for the work of the same or a higher priority and for its
+    calls for advice. Work that has become useless, or that cannot start since
+    it does not fit beside long-running tasks, takes no capacity from it.
 
     Args:
         steps: Steps with waiting tasks.
@@ -67,6 +71,9 @@
         queue = step.job_state.queue
         key = queue.service, queue.priority
         tasks = len(step.waiting_tasks())
+        executors = accepting.get(queue.service, {}).values()
+        if not has_attainable_room(step, tasks, executors):
+            continue
         if not step.spec.filling:
             work[key] += tasks * step.spec.millicores * step.spec.estimate_s
         timing = queue.advised
--- a/libs/cell/dragonflybank/cell/placement.py
+++ b/libs/cell/dragonflybank/cell/placement.py
@@ -10,15 +10,18 @@
     "PlacementPlan",
     "accepting_executors",
     "candidate_executors",
+    "has_attainable_room",
     "plan_placement",
 ]
 
+import itertools
 from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
 from dragonflybank.cell.capacity import (
     accepts_new_work,
+    count_attainable_tasks,
     count_fitting_tasks,
     fits_beside_lasting,
 )
@@ -66,6 +69,28 @@
     return [e for e in executors if fits_beside_lasting(e, step.spec)]
 
 
+def has_attainable_room(
+    step: StepState, tasks: int, executors: Iterable[Executor]
+) -> bool:
+    """Returns whether a step can start once all tasks with an end have ended.
+
+    Args:
+        step: The step.
+        tasks: Number of its waiting tasks; a gang needs room for all of them.
+        executors: Executors of its service that accept new work.
+    """
+    needed = tasks if step.spec.gang else min(1, tasks)
+    found = itertools.accumulate(
+        (
+            count_attainable_tasks(e, step.spec)
+            for e in executors
+            if fits_beside_lasting(e, step.spec)
+        ),
+        initial=0,
+    )
+    return any(count >= needed for count in found)
+
+
 def plan_placement(
     step: StepState,
     tasks: list[Task],
--- a/libs/cell/dragonflybank/cell/tests/test_load_admission.py
+++ b/libs/cell/dragonflybank/cell/tests/test_load_admission.py
@@ -120,6 +120,27 @@
         # 20 cores, of which 16 are usable, for 320 core-seconds.
         self.assertThat([d.seconds for d in found], Equals([20.0]))
 
+    def test_work_that_cannot_start_is_not_ahead(self):
+        # Neither a gang too wide for the service nor a task too large for each
+        # executor takes capacity from a new job.
+        executors = [make_executor(f"e{n}", cores=8) for n in range(4)]
+        for spec, count in (
+            (Step(8, millicores=4000, estimate_s=20.0, gang=True), 1),
+            (Step(9, millicores=4000, estimate_s=20.0, gang=True), 0),
+            (Step(9, millicores=8000, estimate_s=20.0), 1),
+            (Step(9, millicores=9000, estimate_s=20.0), 0),
+        ):
+            workload = Workload()
+            add_job(workload, 1, spec, queue="sweep", at=NOW)
+            found = estimate_start_delays(
+                workload.ready,
+                executors,
+                advice_slots=6,
+                now=NOW,
+                unix_time=NOW,
+            )
+            self.assertThat((spec, len(found)), Equals((spec, count)))
+
     def test_nothing_is_known_without_executors(self):
         workload = Workload()
         add_job(workload, 1, Step(100, millicores=4000, estimate_s=10.0))
