Ask for no advice for a gang that has no room

What callers would see: work that could start waits for calls for advice that are spent on a gang that can not. Cause: a waiting gang asked about all executors without advice that one task of it fits on, also if all of them together have no room for its tasks. Change: it asks only if it has room on the candidates beside long-running tasks. Evidence: test_no_advice_is_asked_for_a_gang_without_room: a gang that needs eight executors, one of which holds a long-running task, named the seven others in three calls; now it asks once the long-running task has ended.

--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -37,6 +37,7 @@
 from dragonflybank.cell.placement import (
     PlacementPlan,
     candidate_executors,
+    has_attainable_room,
     plan_placement,
 )
 from dragonflybank.cell.state import (
@@ -232,7 +233,9 @@
                 if name not in step.advice_by_executor
             ],
         )
-        if not unknown:
+        if not unknown or not has_attainable_room(
+            step, len(tasks), accepting.values()
+        ):
             return False
         calls = first_advice_calls(
             step,
--- a/libs/cell/dragonflybank/cell/tests/test_scheduling.py
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -370,3 +370,17 @@
             del gang.advice_by_executor[executor.info.id]
         self._place()
         self.assertThat(dispatcher.named, Equals([["e6", "e7"]]))
+
+    def test_no_advice_is_asked_for_a_gang_without_room(self):
+        # Its calls would take the places of calls for work that can start.
+        dispatcher = _AdviceDispatcher()
+        self.scheduler = Scheduler(self.leader, dispatcher)
+        self._occupy(0, lasting=True, millicores=1000)
+        gang = self._add(8)
+        gang.advice_by_executor.clear()
+        self._place()
+        self.assertThat(dispatcher.named, Equals([]))
+        release(self.executors[0].attempts.copy().popitem()[1])
+        self._place()
+        named = sorted(itertools.chain(*dispatcher.named))
+        self.assertThat(named, Equals([f"e{n}" for n in range(8)]))
