Let short work use the executors that a gang waits long for

Cause: a gang that waits holds its executors against lower priorities for as long as it takes until they are free. Change: reservations have their own module. The wait of a gang is estimated from what runs on its executors; while less than half of the service is in use, steps that will have ended by then, at twice their estimate and a second, may use them. Giving the reservation up after some time: a stream of long tasks would then keep the gang from starting at all. Open: work longer than the gang's wait is still held back beside idle executors, at most until the running tasks have ended.

--- a/libs/cell/dragonflybank/cell/capacity.py
+++ b/libs/cell/dragonflybank/cell/capacity.py
@@ -7,6 +7,7 @@
     "fits_beside_lasting",
     "release",
     "reserve",
+    "time_to_room_s",
 ]
 
 from dragonflybank.cell.jobs import Step
@@ -64,6 +65,44 @@
     return min(count, step.max_per_executor or count)
 
 
+def time_to_room_s(
+    executor: Executor, step: Step, count: int, now: float
+) -> float:
+    """Returns the expected time until some tasks of a step fit, in seconds.
+
+    Args:
+        executor: The executor.
+        step: The step.
+        count: Number of tasks that have to fit at the same time.
+        now: Current time.
+
+    Returns:
+        0 if they fit now, infinity if they never will.
+    """
+    free = [
+        executor.free_millicores,
+        executor.free_memory_mb,
+        executor.free_accelerators,
+    ]
+    ends = sorted(
+        (
+            (0.0 if attempt.is_ending else attempt.remaining_s(now), attempt)
+            for attempt in executor.attempts.values()
+        ),
+        key=lambda end: end[0],
+    )
+    waited_s = 0.0
+    for remaining_s, attempt in ends:
+        if _count_tasks(step, *free) >= count:
+            return waited_s
+        waited_s = remaining_s
+        spec = attempt.task.step.spec
+        free[0] += 0 if spec.filling else spec.millicores
+        free[1] += spec.memory_mb
+        free[2] += spec.accelerators
+    return waited_s if _count_tasks(step, *free) >= count else float("inf")
+
+
 def fits_beside_lasting(executor: Executor, step: Step) -> bool:
     """Returns whether a task fits once all tasks with an end have ended."""
     info = executor.info
--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -2,12 +2,14 @@
 
 __all__ = ["DecisionRound", "begin_round"]
 
-import itertools
 from collections.abc import Iterable
 
 import attrs
 
-from dragonflybank.cell.capacity import count_attainable_tasks
+from dragonflybank.cell.gang_reservation import (
+    GangReservation,
+    reserve_executors,
+)
 from dragonflybank.cell.placement import accepting_executors
 from dragonflybank.cell.state import Executor, StepState, Task
 
@@ -21,9 +23,8 @@
         accepting: Executors that accept new work, by service and identifier.
         free_millicores: Upper bound of the free CPU cores of any executor, by
             service, in thousandths of a core.
-        gang_reservations: Priority and reserved capacity by executor of each
-            waiting gang, in thousandths of a core. No executor is reserved for
-            two gangs.
+        gang_reservations: What is reserved for each waiting gang. No executor
+            is reserved for two gangs.
         refused: Steps that got no slot for a call, as their priority and
             whether the call is a long one.
     """
@@ -31,31 +32,39 @@
     now: float
     accepting: dict[str, dict[str, Executor]]
     free_millicores: dict[str, int]
-    gang_reservations: list[tuple[int, dict[str, int]]] = attrs.field(
-        factory=list
-    )
+    gang_reservations: list[GangReservation] = attrs.field(factory=list)
     refused: set[tuple[int, bool]] = attrs.field(factory=set)
 
     def reserved_against(self, step: StepState) -> dict[str, int]:
         """Returns the capacity that a step must leave, by executor.
 
         It is reserved for gangs of a higher priority and, if the step is a gang
-        itself, for those that come before it.
+        itself, for those that come before it. In a mostly idle service, a step
+        may use it that will have ended when the gang starts.
         """
-        priority = step.job_state.queue.priority
         return {
             executor: cores
-            for other, reserved in self.gang_reservations
-            if other < priority or (step.spec.gang and other == priority)
-            for executor, cores in reserved.items()
+            for reservation in self.gang_reservations
+            if reservation.precedes(step)
+            and not (
+                reservation.allows_backfill(step)
+                and self._is_mostly_idle(step.job_state.queue.service)
+            )
+            for executor, cores in reservation.millicores.items()
         }
 
+    def _is_mostly_idle(self, service: str) -> bool:
+        """Returns whether less than half of a service's cores are in use."""
+        executors = self.accepting.get(service, {}).values()
+        used = sum(e.used_millicores for e in executors)
+        return 2 * used < sum(e.info.millicores for e in executors)
+
     def reserved(self) -> dict[str, int]:
         """Returns the capacity that is reserved for any gang, by executor."""
         return {
             executor: cores
-            for _, reserved in self.gang_reservations
-            for executor, cores in reserved.items()
+            for reservation in self.gang_reservations
+            for executor, cores in reservation.millicores.items()
         }
 
     def reserve_for_gang(
@@ -68,15 +77,11 @@
             tasks: Its tasks.
             good: Executors that may run it.
         """
-        taken = set(
-            itertools.chain.from_iterable(
-                reserved for _, reserved in self.gang_reservations
-            )
-        )
+        taken = self.reserved()
         left = [e for e in good if e.info.id not in taken]
-        reservation = _reservation_for_gang(step, tasks, left)
-        priority = step.job_state.queue.priority
-        self.gang_reservations.append((priority, reservation))
+        reservation = reserve_executors(step, len(tasks), left, self.now)
+        if reservation is not None:
+            self.gang_reservations.append(reservation)
 
 
 def begin_round(executors: Iterable[Executor], now: float) -> DecisionRound:
@@ -90,24 +95,3 @@
             for service, found in accepting.items()
         },
     )
-
-
-def _reservation_for_gang(
-    step: StepState, tasks: list[Task], allowed: list[Executor]
-) -> dict[str, int]:
-    """Returns the capacity to reserve for a waiting gang.
-
-    Returns:
-        CPU cores in thousandths of a core, by executor.
-    """
-    reserved: dict[str, int] = {}
-    missing = len(tasks)
-    for executor in sorted(allowed, key=lambda e: -e.free_millicores):
-        if missing <= 0:
-            break
-        places = count_attainable_tasks(executor, step.spec)
-        if places > 0:
-            reserved[executor.info.id] = executor.attainable_millicores
-            missing -= places
-    # A reservation does not help a gang for which it can never be enough.
-    return reserved if missing <= 0 else {}
--- a/libs/cell/dragonflybank/cell/tests/test_scheduling.py
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -218,6 +218,9 @@
 
     def setUp(self):
         super().setUp()
+        self._set_up_cell()
+
+    def _set_up_cell(self) -> None:
         self.executors = [make_executor(f"e{n}", cores=4) for n in range(8)]
         self.leader = _Leader(self.executors)
         self.scheduler = Scheduler(self.leader, _AdviceDispatcher())
@@ -230,13 +233,14 @@
         queue: str = "verify",
         gang: bool = True,
         millicores: int = 4000,
+        estimate_s: float = 4.0,
         **kwargs,
     ):
         """Adds a step that knows all executors as good."""
         spec = Step(
             count,
             millicores=millicores,
-            estimate_s=4.0,
+            estimate_s=estimate_s,
             gang=gang,
             **kwargs,
         )
@@ -384,3 +388,33 @@
         self._place()
         named = sorted(itertools.chain(*dispatcher.named))
         self.assertThat(named, Equals([f"e{n}" for n in range(8)]))
+
+    def _is_let_in(self, *, busy_s: float, busy: int = 1, **kwargs) -> bool:
+        """Returns whether a sweep uses an executor that a gang waits for.
+
+        The gang needs all eight executors, of which some are busy.
+        """
+        self._occupy(*range(busy), estimate_s=busy_s)
+        gang = self._add(8)
+        sweep = self._add(1, queue="sweep", gang=False, **kwargs)
+        self._place()
+        self.assertThat(self._started(gang), Equals(0))
+        return self._started(sweep) == 1
+
+    def test_short_work_uses_executors_that_a_gang_waits_long_for(self):
+        self.assertThat(
+            self._is_let_in(busy_s=36.0, estimate_s=1.0), Equals(True)
+        )
+
+    def test_work_that_could_delay_a_gang_waits(self):
+        for changes in (
+            {"busy_s": 5.0, "estimate_s": 4.0},
+            {"busy_s": 36.0, "estimate_s": 30.0},
+            {"busy_s": 36.0, "estimate_s": 1.0, "lasting": True},
+            {"busy_s": 36.0, "estimate_s": 0.0},
+            {"busy_s": 36.0, "estimate_s": 1.0, "busy": 4},
+        ):
+            self._set_up_cell()
+            self.assertThat(
+                (changes, self._is_let_in(**changes)), Equals((changes, False))
+            )
