Record the configured services in the soak

Cause: the rule ROUTE in the checks of the simulated cell needs the services to which configurations sent a queue. Change: the soak records services and submissions as the simulated cell does. The check is unchanged. Ruled out: a fault of the hosts: all executors of the soak are of its one service. Conclusion: a fault of the check's use, not of the scheduler.

--- a/libs/bench/dragonflybank/bench/soak/process_cell.py
+++ b/libs/bench/dragonflybank/bench/soak/process_cell.py
@@ -161,6 +161,8 @@
             {SERVICE_NAME: Service(SERVICE_NAME)},
         )
         self.store.put(HttpPlatform.config_key, config_body(cfg))
+        for queue in queues:
+            self.history.record_service(queue, self.now())
         self._configured_at = self.now()
 
     def leader(self) -> str:
@@ -194,7 +196,7 @@
 
     async def submit(self, job: Job) -> bool:
         """Submits a job as a caller does; returns whether it was accepted."""
-        self.history.jobs[job.id] = job
+        self.history.record_submission(job, self.now())
         is_refused = True
         for _ in range(MAX_SUBMIT_ATTEMPTS):
             status = await self._send_for_status("POST", job, job_body(job))
--- a/libs/standins/dragonflybank/standins/cell/checks.py
+++ b/libs/standins/dragonflybank/standins/cell/checks.py
@@ -65,6 +65,11 @@
     sent: dict[str, float] = attrs.field(factory=dict)
     services: dict[str, list[tuple[float, str]]] = attrs.field(factory=dict)
 
+    def record_submission(self, job: Job, now: float) -> None:
+        """Records the first submission of a job."""
+        self.jobs[job.id] = job
+        self.sent[job.id] = now
+
     def record_service(self, queue: Queue, now: float) -> None:
         """Records the service to which a configuration sends a queue."""
         self.services.setdefault(queue.name, []).append((now, queue.service))
--- a/libs/standins/dragonflybank/standins/cell/simulated_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/simulated_cell.py
@@ -246,8 +246,7 @@
         Returns:
             Whether the job was accepted.
         """
-        self.history.jobs[job.id] = job
-        self.history.sent[job.id] = self._clock.now()
+        self.history.record_submission(job, self._clock.now())
         is_refused = True
         for _ in range(5):
             hosts = list(self.hosts.values())
