Move the platform and peers of the simulated cell into their own module

Change: memory_platform.py holds what a host of the simulated cell talks to; the classes are the same, _handlers_of_host is public since both modules use it.

--- a/libs/cell/dragonflybank/cell/tests/test_config_transfer.py
+++ b/libs/cell/dragonflybank/cell/tests/test_config_transfer.py
@@ -38,7 +38,7 @@
             await cell.start()
             leader = await cell.wait_for_leader()
             await asyncio.sleep(3.0)
-            handlers = dict(cell._handlers_of_host[leader])
+            handlers = dict(cell.handlers_of_host[leader])
             request_class, handle = handlers[SYNC_KIND]
 
             async def record_size(sender, req):
@@ -47,7 +47,7 @@
                 return got
 
             handlers[SYNC_KIND] = (request_class, record_size)
-            cell._handlers_of_host[leader] = handlers
+            cell.handlers_of_host[leader] = handlers
             if is_cut:
                 other = next(name for name in cell.hosts if name != leader)
                 cell.store.faults.cut_hosts.add(other)
--- a/libs/standins/dragonflybank/standins/cell/simulated_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/simulated_cell.py
@@ -5,11 +5,10 @@
 import asyncio
 import random
 from collections.abc import Mapping, Sequence
-from typing import Any
 
 import attrs
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from dragonflybank.cell.host import CellHost, HostSettings
 from dragonflybank.cell.jobs import (
@@ -24,18 +23,14 @@
     find_queue,
 )
 from dragonflybank.cell.limits import CellLimits
-from dragonflybank.cell.peering import Peers
-from dragonflybank.cell.ports import (
-    AdviceService,
-    EndKind,
-    ExecutorClient,
-    ExecutorInfo,
-    Platform,
-)
-from dragonflybank.model.codes import Code, Problem, failure
-from dragonflybank.model.decoding import decode_json
+from dragonflybank.cell.ports import EndKind, ExecutorInfo
+from dragonflybank.model.codes import Code
 from dragonflybank.standins.cell.checks import CallerHistory, find_violations
 from dragonflybank.standins.cell.executors import AttemptRun, MemoryExecutor
+from dragonflybank.standins.cell.memory_platform import (
+    MemoryPeers,
+    MemoryPlatform,
+)
 from dragonflybank.standins.cell.store import MemoryStore
 from dragonflybank.standins.cell.virtual_time import (
     VirtualClock,
@@ -75,6 +70,7 @@
         history: Requests of callers and the answers that they got.
         cut_peers: Hosts that neither reach other hosts nor are reached by them.
         powered_off: Hosts whose machines have lost power.
+        handlers_of_host: Handlers of calls from peers, by live host.
         refusing_hosts: Live hosts whose machines refuse connections, so that
             other hosts take their processes for ended.
 
@@ -103,7 +99,7 @@
         self.cut_peers: set[str] = set()
         self.powered_off: set[str] = set()
         self.refusing_hosts: set[str] = set()
-        self._handlers_of_host: dict[str, Mapping] = {}
+        self.handlers_of_host: dict[str, Mapping] = {}
         self._host_names = [f"host-{n}" for n in range(hosts)]
         self._processes_started = 0
         self._process_of_host: dict[str, str] = {}
@@ -200,8 +196,8 @@
             current_process.set(process)
             host = CellHost(
                 HostSettings(name, limits=CellLimits()),
-                _MemoryPlatform(self, name),
-                _MemoryPeers(self, name),
+                MemoryPlatform(self, name),
+                MemoryPeers(self, name),
                 clock=self._clock,
                 unix_time=self._clock.now,
             )
@@ -223,7 +219,7 @@
         host = self.hosts.pop(name, None)
         if host is None:
             return
-        self._handlers_of_host.pop(name, None)
+        self.handlers_of_host.pop(name, None)
         asyncio.get_running_loop().kill(self._process_of_host[name])
 
     def leader(self) -> str:
@@ -454,90 +450,6 @@
             )
 
 
-class _MemoryPlatform(Platform):
-    config_key = "config"
-    executors_prefix = "executors/"
-
-    def __init__(self, cell: SimulatedCell, name: str):
-        self._cell = cell
-        self._name = name
-        self.store = cell.store.client(name)
-        self.advice = _MemoryAdvice()
-
-    def decode_config(self, value: bytes) -> Result[CellConfig, Problem]:
-        return decode_json(value, CellConfig, code=Code.BAD_CONFIGURATION)
-
-    def decode_executor(
-        self, key: str, value: bytes
-    ) -> Result[ExecutorInfo, Problem]:
-        return decode_json(value, ExecutorInfo, code=Code.BAD_REQUEST)
-
-    def executor_client(self, info: ExecutorInfo) -> ExecutorClient:
-        executor = self._cell.executors[info.id]
-        return executor.client(self._name, address=info.address)
-
-    async def close(self) -> None:
-        """Does nothing, since there is no connection."""
-
-
-class _MemoryAdvice(AdviceService):
-    """Finds two of three executors suitable for a step on average."""
-
-    def __init__(self):
-        self._lock = asyncio.Lock()
-
-    async def advise(
-        self, step: str, executors: Sequence[str], *, timeout_s: float
-    ) -> Result[Mapping[str, str], Problem]:
-        async with self._lock:
-            await asyncio.sleep(0.02)
-        suitable = [e for e in executors if sum(map(ord, step + e)) % 3]
-        return Success({e: f"ticket/{step}/{e}" for e in suitable})
-
-
-class _MemoryPeers(Peers):
-    def __init__(self, cell: SimulatedCell, name: str):
-        self.address = name
-        self._cell = cell
-
-    def serve(self, handlers: Mapping) -> None:
-        self._cell._handlers_of_host[self.address] = handlers
-
-    async def call(
-        self,
-        address: str,
-        kind: str,
-        request: Any,
-        reply_class: type,
-        *,
-        timeout_s: float,
-    ) -> Result:
-        await asyncio.sleep(0.002)
-        cell = self._cell
-        handlers = cell._handlers_of_host.get(address)
-        if handlers is None or {address, self.address} & cell.cut_peers:
-            await asyncio.sleep(timeout_s)
-            return failure(Code.TIMED_OUT, f"no answer from {address}")
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await handlers[kind][1](self.address, request)
-        except TimeoutError:
-            return failure(Code.TIMED_OUT, f"no answer from {address}")
-
-    async def has_process_exited(self, address: str) -> bool:
-        cell = self._cell
-        await asyncio.sleep(0.002)
-        if {address, self.address} & (cell.cut_peers | cell.powered_off):
-            return False
-        return (
-            address in cell.refusing_hosts
-            or address not in cell._handlers_of_host
-        )
-
-    async def close(self) -> None:
-        self._cell._handlers_of_host.pop(self.address, None)
-
-
 def _defined_queue(host: CellHost, job: Job) -> Queue:
     """Returns the queue of a job as the configuration of a host defines it."""
     found = host.config and find_queue(
