--- a/libs/bench/dragonflybank/bench/matrix/tests/test_matrix.py
+++ b/libs/bench/dragonflybank/bench/matrix/tests/test_matrix.py
@@ -1,10 +1,12 @@
 """Runs the fault matrix, with one test for each cell.
 
-The first test that needs a result runs all cells concurrently.
+The first test that needs a result runs all cells concurrently. The logs of
+failing cells are kept in build/matrix.
 """
 
 import asyncio
 import functools
+import pathlib
 
 import testtools
 from testtools.matchers import Equals
@@ -12,10 +14,12 @@
 from dragonflybank.bench.matrix.runner import run_cells
 from dragonflybank.bench.matrix.table import CELLS, Cell
 
+LOGS = pathlib.Path("build/matrix")
+
 
 @functools.cache
 def results() -> dict[str, tuple[str, ...]]:
-    cell_results = asyncio.run(run_cells(CELLS))
+    cell_results = asyncio.run(run_cells(CELLS, logs=LOGS))
     return {result.cell.name: result.problems for result in cell_results}
 
 
