--- a/libs/cell/dragonflybank/cell/tests/test_queue_definitions.py
+++ b/libs/cell/dragonflybank/cell/tests/test_queue_definitions.py
@@ -150,11 +150,8 @@
 
         run_in_virtual_time(play())
 
-    async def _fill(self, cell, queue: str, run_s: float = 1000.0) -> list[Job]:
-        blockers = [
-            cell.make_job(queue, WIDE, run_s=run_s, job_id=f"{n:016x}")
-            for n in range(2)
-        ]
+    async def _fill(self, cell, queue: str) -> list[Job]:
+        blockers = [cell.make_job(queue, WIDE, run_s=1000.0) for _ in range(2)]
         for job in blockers:
             await cell.submit(job)
         await asyncio.sleep(1.0)
@@ -239,12 +236,7 @@
             cell.configure(2, moved_queues={"verify": NEW})
             await asyncio.sleep(1.0)
             await self._fill(cell, "lookup")
-            blockers = [
-                cell.make_job("verify", WIDE, run_s=1000.0) for _ in range(2)
-            ]
-            for job in blockers:
-                await cell.submit(job)
-            await asyncio.sleep(1.0)
+            blockers = await self._fill(cell, "verify")
             jobs = await self._submit(cell, "sweep", WIDE)
             cell.configure(3, moved_queues={"sweep": NEW})
             await asyncio.sleep(1.0)
