--- a/libs/cell/dragonflybank/cell/jobs.py
+++ b/libs/cell/dragonflybank/cell/jobs.py
@@ -27,6 +27,8 @@
 import attrs
 import msgspec
 
+from dragonflybank.cell.teams import Team
+
 
 class JobPhase(enum.StrEnum):
     """State of a job as callers see it."""
@@ -148,6 +150,7 @@
         advised: Timing of the advice that its steps need, or None if they
             need none.
         version: Version of the configuration that defines it.
+        is_public: Whether callers need no API key.
     """
 
     name: str
@@ -160,6 +163,7 @@
     max_attempts: int
     advised: AdviceTiming | None = None
     version: int = 0
+    is_public: bool = False
 
 
 @attrs.frozen
@@ -188,12 +192,15 @@
         queues: Queues by host name, sorted by descending length of prefix.
         services: Services by name.
         max_body_bytes: Maximum size of a request body.
+        teams: Teams by name. Without teams, callers need no API key, and
+            nothing is counted by team.
     """
 
     version: int
     queues: Mapping[str, Sequence[Queue]]
     services: Mapping[str, Service]
     max_body_bytes: int = 262_144
+    teams: Mapping[str, Team] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -212,6 +219,7 @@
             immediately.
         interval_s: Time between occurrences in seconds.
         repeat: Number of occurrences; 0 for a job that runs once.
+        team: Name of the team that submitted it, or an empty string.
     """
 
     id: str
@@ -222,6 +230,7 @@
     start_at: float = 0.0
     interval_s: float = 0.0
     repeat: int = 0
+    team: str = ""
 
     @property
     def is_recurring(self) -> bool:
