Require a key of a team for calls to queues that are not public

Cause: API keys were not read, so calls with an unknown or withdrawn key ran.

Keys are found by an index of their digests that is built once for each configuration; it replaces find_team. Job.team is set from the key and logged with the queue, so that `explain` shows it.

Ruled out: comparing all digests for each call (10,000 comparisons), and reading the body before the answer, as aiohttp does by itself.

--- a/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
+++ b/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
@@ -87,10 +87,10 @@
     cell_jobs.AdviceTiming: "base_s each_s valid_s",
     cell_jobs.Queue: (
         "name host prefix service priority objective_s slack "
-        "max_attempts advised version"
+        "max_attempts advised version is_public"
     ),
     cell_jobs.Job: (
-        "id queue spec steps accepted_at start_at interval_s repeat"
+        "id queue spec steps accepted_at start_at interval_s repeat team"
     ),
     cell_jobs.Progress: "phase done failed saved placed ended_at queue",
     cell_election.LeaderRecord: "name address term",
@@ -243,6 +243,7 @@
         ("BAD_COMMAND", 102),
         ("BAD_REQUEST", 103),
         ("BAD_CONFIGURATION", 104),
+        ("UNKNOWN_KEY", 105),
         ("OVER_QUOTA", 201),
         ("OVERLOADED", 202),
         ("CAN_NEVER_RUN", 203),
@@ -336,6 +337,8 @@
 )
 METRICS = (
     "dragonflybank_answers_total",
+    "dragonflybank_keys_refused_total",
+    "dragonflybank_keys_refused_created",
     "dragonflybank_starts_total",
     "dragonflybank_ends_total",
     "dragonflybank_jobs_ended_total",
--- a/libs/cell/dragonflybank/cell/frontend.py
+++ b/libs/cell/dragonflybank/cell/frontend.py
@@ -163,6 +163,7 @@
                         extra={
                             "job": job.id,
                             "queue": job.queue.name,
+                            "team": job.team,
                             "revision": reply.revision,
                             "is_new": reply.revision is not None,
                             "waited_s": round(self._clock.now() - began_at, 3),
@@ -327,6 +328,7 @@
             extra={
                 "job": job.id,
                 "queue": job.queue.name,
+                "team": job.team,
                 "code": Code.OVERLOADED.name,
                 "detail": "the job would end after its hard deadline",
                 "excess_s": round(excess_s, 3),
@@ -346,6 +348,7 @@
             extra={
                 "job": job.id,
                 "queue": job.queue.name,
+                "team": job.team,
                 "code": Code.STORE_UNAVAILABLE.name,
                 "detail": detail,
                 "waited_s": round(waited_s, 3),
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -243,7 +243,7 @@
             case Failure(failed):
                 _log.error(
                     "configuration cannot be decoded",
-                    extra={"detail": failed.detail},
+                    extra={"detail": failed.detail, "field": failed.field},
                 )
 
     def _adopt_packed_config(self, packed: bytes) -> None:
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -179,6 +179,7 @@
             extra={
                 "job": state.job.id,
                 "queue": queue.name,
+                "team": state.job.team,
                 "service": queue.service,
                 "priority": queue.priority,
                 "version": queue.version,
@@ -214,6 +215,7 @@
             extra={
                 "job": state.job.id,
                 "queue": state.queue.name,
+                "team": state.job.team,
                 "phase": phase.value,
                 "reason": reason,
                 "age_s": round(age_s, 3),
--- a/libs/cell/dragonflybank/cell/metrics.py
+++ b/libs/cell/dragonflybank/cell/metrics.py
@@ -21,6 +21,9 @@
         self.answers = self._counter(
             "answers", "Answers to callers", "call", "code"
         )
+        self.keys_refused = self._counter(
+            "keys_refused", "Calls that were refused for their API key"
+        )
         self.starts = self._counter(
             "starts", "Answers of executors to orders to start", "reply"
         )
--- a/libs/cell/dragonflybank/cell/takeover.py
+++ b/libs/cell/dragonflybank/cell/takeover.py
@@ -142,6 +142,7 @@
             extra={
                 "job": job.id,
                 "queue": job.queue.name,
+                "team": job.team,
                 "revision": item.revision,
                 "steps": len(job.steps),
                 "age_s": round(leader.unix_time() - job.accepted_at, 3),
--- a/libs/cell/dragonflybank/cell/teams.py
+++ b/libs/cell/dragonflybank/cell/teams.py
@@ -4,14 +4,16 @@
 of the configuration in memory reveals it.
 """
 
-__all__ = ["ResourceCap", "Team", "find_team", "key_digest"]
+__all__ = ["ResourceCap", "Team", "TeamDirectory", "key_digest"]
 
 import hashlib
 import hmac
-from collections.abc import Mapping
+from collections.abc import Iterable
 
 import attrs
 
+_NO_DIGEST = bytes(hashlib.sha256().digest_size)
+
 
 @attrs.frozen
 class ResourceCap:
@@ -46,38 +48,51 @@
     cap: ResourceCap = ResourceCap()
 
 
-def key_digest(key: str) -> bytes:
-    """Returns the digest under which an API key is kept.
+class TeamDirectory:
+    """Finds teams by their API keys; built once for each configuration.
+
+    Args:
+        teams: The teams. No key belongs to two of them.
 
     Example:
-        >>> key_digest("secret").hex()[:8]
-        '2bb80d53'
+        >>> teams = TeamDirectory([Team("forecast", (key_digest("secret"),))])
+        >>> teams.find("secret").name
+        'forecast'
+        >>> teams.find("other") is None
+        True
     """
-    return hashlib.sha256(key.encode()).digest()
 
+    def __init__(self, teams: Iterable[Team]):
+        self._by_digest = {
+            digest: (digest, team)
+            for team in teams
+            for digest in team.key_digests
+        }
 
-def find_team(teams: Mapping[str, Team], key: str) -> Team | None:
-    """Returns the team that an API key belongs to, None for an unknown key.
+    def find(self, key: str) -> Team | None:
+        """Returns the team that a key belongs to, None for an unknown key.
 
-    Every digest is compared, each in constant time, so that the time taken
-    tells nothing about the keys.
+        The digest that the index gives is compared in constant time, also for
+        an unknown key. The time of the index look-up depends on the digest
+        alone, from which no key can be derived.
+
+        Args:
+            key: Key that a caller sent.
+        """
+        digest = key_digest(key)
+        known, team = self._by_digest.get(digest, (_NO_DIGEST, None))
+        return team if hmac.compare_digest(known, digest) else None
+
+
+def key_digest(key: str) -> bytes:
+    """Returns the digest under which an API key is kept.
 
     Args:
-        teams: Teams by name.
-        key: Key that a caller sent.
+        key: The key; bytes of a header that are not UTF-8 are given as
+            surrogate escapes.
 
     Example:
-        >>> teams = {"forecast": Team("forecast", (key_digest("secret"),))}
-        >>> find_team(teams, "secret").name
-        'forecast'
-        >>> find_team(teams, "other") is None
-        True
+        >>> key_digest("secret").hex()[:8]
+        '2bb80d53'
     """
-    digest = key_digest(key)
-    found = [
-        team
-        for team in teams.values()
-        for known in team.key_digests
-        if hmac.compare_digest(known, digest)
-    ]
-    return found[0] if found else None
+    return hashlib.sha256(key.encode(errors="surrogateescape")).digest()
