Keep keys only as digests in hosts, and share sound configurations

Cause: a host kept the bytes of the configuration, with the API keys, to hand them to hosts that the store turns away. A host that restarted while the store had an unsound configuration stayed without one, since the leader sends its own only to hosts that the store turns away or that have an older version.

A host that could not decode the stored configuration asks the leader for the one in force. The decision to send it moved to config_transfer. The limit of an unpacked configuration grew to 12 MiB, since short keys grow to 11.2 times their size as digests.

Ruled out: re-encoding decoded tenants, which would drop fields that a later version reads.

--- a/libs/cell/dragonflybank/cell/config_transfer.py
+++ b/libs/cell/dragonflybank/cell/config_transfer.py
@@ -6,17 +6,22 @@
 executors would seem silent and the leadership would be lost.
 """
 
-__all__ = ["pack_config", "unpack_config"]
+__all__ = ["pack_config", "should_send_config", "unpack_config"]
 
 import functools
 import zlib
 
 from returns.result import Result, Success
 
+from dragonflybank.cell.messages import SyncRequest
 from dragonflybank.model.codes import Code, Problem, failure
 
-# The store accepts values of up to 1 MiB.
-MAX_CONFIG_BYTES = 4 * 2**20
+# The store accepts values of up to 1 MiB. Short API keys take up to 11.2 times
+# their space as digests.
+MAX_CONFIG_BYTES = 12 * 2**20
+# Hosts that have not read a change of the configuration from the store within
+# this time get it from the leader. The bound for a change is 2.5 s.
+CONFIG_READ_TIME_S = 1.0
 
 
 @functools.lru_cache(maxsize=1)
@@ -44,3 +49,18 @@
             accepted=f"at most {MAX_CONFIG_BYTES} bytes",
         )
     return Success(raw)
+
+
+def should_send_config(req: SyncRequest, version: int, *, age_s: float) -> bool:
+    """Returns whether the leader sends its configuration to a host.
+
+    Args:
+        req: Request of the host.
+        version: Version of the leader's configuration.
+        age_s: Time since the leader adopted it, in seconds.
+    """
+    if version <= req.version:
+        return False
+    # A host that has just started reads the store first.
+    is_behind = req.version > 0 and age_s > CONFIG_READ_TIME_S
+    return req.needs_config or is_behind
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -13,7 +13,11 @@
 
 from dragonflybank.cell.advice_dispatch import AdviceDispatcher
 from dragonflybank.cell.background import BackgroundTasks
-from dragonflybank.cell.config_transfer import pack_config, unpack_config
+from dragonflybank.cell.config_transfer import (
+    pack_config,
+    should_send_config,
+    unpack_config,
+)
 from dragonflybank.cell.election import Candidate, Leadership
 from dragonflybank.cell.frontend import CellFrontend
 from dragonflybank.cell.isolation import run_supervised
@@ -63,9 +67,6 @@
 # The watch of the configuration also shows whether the store answers; a shorter
 # wait detects an outage earlier.
 CONFIG_WAIT_S = 1.0
-# Hosts that have not read a change of the configuration from the store within
-# this time get it from the leader. The bound for a change is 2.5 s.
-CONFIG_READ_TIME_S = 1.0
 SYNC_RETRY_DELAY_S = 0.2
 # A host that has not sent a sync request for this long is not used for calls
 # to the advice service.
@@ -133,6 +134,7 @@
         self.metrics = CellMetrics()
         self._config_raw = b""
         self._config_adopted_at = float("-inf")
+        self._is_stored_config_unsound = False
         self._host_clock = clock
         self._unix_time = unix_time
         self._phase_cache = JobPhaseCache()
@@ -229,9 +231,10 @@
         """Puts a configuration in force unless a newer one is in force."""
         match self.platform.decode_config(raw):
             case Success(cfg):
+                self._is_stored_config_unsound = False
                 if self.config is None or cfg.version > self.config.version:
                     self.config = cfg
-                    self._config_raw = raw
+                    self._config_raw = self.platform.shareable_config(raw)
                     self._config_adopted_at = self._host_clock.now()
                     self.metrics.config_version.set(cfg.version)
                     _log.info(
@@ -241,6 +244,7 @@
                     if self.leader is not None:
                         self.leader.adopt_config(cfg)
             case Failure(failed):
+                self._is_stored_config_unsound = True
                 _log.error(
                     "configuration cannot be decoded",
                     extra={"detail": failed.detail, "field": failed.field},
@@ -378,7 +382,10 @@
             self._phase_cache.epoch,
             self._phase_cache.change_number,
             self.config.version if self.config else 0,
-            needs_config=not self._config_watcher.is_store_answering,
+            needs_config=(
+                self._is_stored_config_unsound
+                or not self._config_watcher.is_store_answering
+            ),
         )
         return await self._peers.call(
             address, SYNC_KIND, req, SyncReply, timeout_s=SYNC_TIMEOUT_S
@@ -398,20 +405,14 @@
         )
         if not self._is_leading(self._host_clock.now()):
             return Success(SyncReply(0, over_term=self._last_ended_term))
-        if self._should_send_config(req, self._host_clock.now()):
+        if self.config is not None and should_send_config(
+            req,
+            self.config.version,
+            age_s=self._host_clock.now() - self._config_adopted_at,
+        ):
             reply = attrs.evolve(reply, config=pack_config(self._config_raw))
         return Success(reply)
 
-    def _should_send_config(self, req: SyncRequest, now: float) -> bool:
-        if self.config is None or self.config.version <= req.version:
-            return False
-        # A host that has just started reads the store first.
-        is_behind = (
-            req.version > 0
-            and now - self._config_adopted_at > CONFIG_READ_TIME_S
-        )
-        return req.needs_config or is_behind
-
     def _relay_address(self) -> str:
         """Returns the leader's address if another host leads, else ''."""
         record = self._candidate.record
--- a/libs/cell/dragonflybank/cell/messages.py
+++ b/libs/cell/dragonflybank/cell/messages.py
@@ -39,7 +39,8 @@
         number: Number of the last change that the asking host has.
         version: Version of the asking host's configuration.
         needs_config: Whether the asking host needs a newer configuration from
-            the leader, since the store does not answer it.
+            the leader, since the store does not answer it or has one that
+            cannot be decoded.
     """
 
     address: str
--- a/libs/cell/dragonflybank/cell/ports.py
+++ b/libs/cell/dragonflybank/cell/ports.py
@@ -405,6 +405,13 @@
     def decode_config(self, value: bytes) -> Result[CellConfig, Problem]:
         """Decodes the operators' configuration."""
 
+    def shareable_config(self, value: bytes) -> bytes:
+        """Returns a configuration in the form that is kept and sent to hosts.
+
+        `decode_config` decodes it to the same value, but it has no secrets.
+        """
+        return value
+
     @abc.abstractmethod
     def decode_executor(
         self, key: str, value: bytes
