Keep the caps of teams

team_usage counts cores, memory and accelerators of each attempt by team where capacity.reserve and capacity.release change the usage of an executor, so that reserved, restored, adopted and stopping attempts and copies all count. Scheduling cuts a step to the tasks that fit under the cap; a gang starts whole or waits, reserves no executors and asks for no advice. Reserved attempts are checked again when their tickets arrive and before their commands are sent. The load line, two gauges and the line 'held back' name team and cap.

A gang that waits for its cap keeps lower work of its own team from the rest of the cap, since small work would starve it. A first task that is larger than what is left may start below half of the cap.

Ruled out: counting on the executors alone, since attempts of jobs whose executor is not listed would be missed; storing usage, since it follows from the placements.

Moved the stub leader of test_scheduling to the builders, without a change of its tests. The lists of encoded names have the new bound and two metrics. Without teams in the configuration no decision changes.

--- a/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
+++ b/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
@@ -174,7 +174,7 @@
     standins_records.FaultSet: "at server fault",
     adapter_settings.StoreSettings: "address writes_per_s reads_per_s",
     adapter_settings.PlatformBounds: (
-        "max_lease_ms stop_grace_ms early_ms status_s grace_s"
+        "max_lease_ms stop_grace_ms early_ms status_s grace_s quota_overage"
     ),
     adapter_settings.AdapterSettings: (
         "name zone ip callers_address ready_address metrics_address "
@@ -353,6 +353,8 @@
     "dragonflybank_executors",
     "dragonflybank_free_cores",
     "dragonflybank_start_delay_seconds",
+    "dragonflybank_team_used_cores",
+    "dragonflybank_team_waiting_steps",
     "dragonflybank_config_version",
     "dragonflybank_board_age_seconds",
     "dragonflybank_answers_total",
--- a/libs/cell/dragonflybank/cell/attempts.py
+++ b/libs/cell/dragonflybank/cell/attempts.py
@@ -26,6 +26,7 @@
     StepState,
     Task,
 )
+from dragonflybank.cell.step_holds import is_start_within_cap
 from dragonflybank.cell.tickets import valid_ticket
 
 if TYPE_CHECKING:
@@ -317,6 +318,11 @@
         for attempt in attempts:
             if attempt.phase is not AttemptPhase.STARTING:
                 continue
+            if not is_start_within_cap(step, attempts):
+                # The cap was lowered since the reservation.
+                self._release_and_requeue(attempt)
+                self.stop_gang(attempt)
+                continue
             ticket = valid_ticket(step, attempt.executor.info.id, now)
             if ticket is None and step.job_state.queue.advised is not None:
                 self._release_and_requeue(attempt)
--- a/libs/cell/dragonflybank/cell/capacity.py
+++ b/libs/cell/dragonflybank/cell/capacity.py
@@ -11,7 +11,13 @@
 ]
 
 from dragonflybank.cell.jobs import Step
-from dragonflybank.cell.state import Attempt, AttemptPhase, Executor, Task
+from dragonflybank.cell.state import (
+    Attempt,
+    AttemptPhase,
+    Executor,
+    StepState,
+    Task,
+)
 
 
 def reserve(
@@ -27,7 +33,7 @@
     executor.attempts[task.id, number] = attempt
     task.attempts.append(attempt)
     task.last_attempt = max(task.last_attempt, number)
-    _change_usage(executor, task.step.spec, 1)
+    _change_usage(executor, task.step, 1)
     return attempt
 
 
@@ -38,7 +44,7 @@
         return
     attempt.phase = AttemptPhase.OVER
     attempt.task.attempts.remove(attempt)
-    _change_usage(attempt.executor, attempt.task.step.spec, -1)
+    _change_usage(attempt.executor, attempt.task.step, -1)
 
 
 def count_fitting_tasks(executor: Executor, step: Step) -> int:
@@ -147,7 +153,8 @@
     return max(0, min(counts, default=step.count))
 
 
-def _change_usage(executor: Executor, step: Step, sign: int) -> None:
+def _change_usage(executor: Executor, state: StepState, sign: int) -> None:
+    step = state.spec
     millicores = 0 if step.filling else sign * step.millicores
     memory_mb = sign * step.memory_mb
     accelerators = sign * step.accelerators
@@ -158,3 +165,4 @@
         executor.lasting_millicores += millicores
         executor.lasting_memory_mb += memory_mb
         executor.lasting_accelerators += accelerators
+    state.job_state.team_usage.change(state.job_state.job.team, step, sign)
--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -13,6 +13,11 @@
 from dragonflybank.cell.placement import accepting_executors
 from dragonflybank.cell.state import Executor, StepState, Task
 
+# A job of a team may not wait for 3 s with nothing running while both its team
+# and its service are below half of their capacity. The rest of this time is for
+# advice and the start.
+OVERDUE_AFTER_S = 1.5
+
 
 @attrs.define
 class DecisionRound:
@@ -27,6 +32,8 @@
             is reserved for two gangs.
         refused: Steps that got no slot for a call, as their priority and
             whether the call is a long one.
+        cap_waits: Highest priority of the gangs that wait for room under the
+            cap of their team, by team.
     """
 
     now: float
@@ -34,14 +41,19 @@
     free_millicores: dict[str, int]
     gang_reservations: list[GangReservation] = attrs.field(factory=list)
     refused: set[tuple[int, bool]] = attrs.field(factory=set)
+    cap_waits: dict[str, int] = attrs.field(factory=dict)
+    _idle_services: dict[str, bool] = attrs.field(factory=dict)
 
     def reserved_against(self, step: StepState) -> dict[str, int]:
         """Returns the capacity that a step must leave, by executor.
 
         It is reserved for gangs of a higher priority and, if the step is a gang
         itself, for those that come before it. In a mostly idle service, a step
-        may use it that will have ended when the gang starts.
+        may use it that will have ended when the gang starts. A step of an
+        overdue job may use it in any case.
         """
+        if not self.gang_reservations or self.is_overdue(step):
+            return {}
         return {
             executor: cores
             for reservation in self.gang_reservations
@@ -53,6 +65,39 @@
             for executor, cores in reservation.millicores.items()
         }
 
+    def is_overdue(self, step: StepState) -> bool:
+        """Returns whether a step of a team waits too long beside idle capacity.
+
+        This is so if nothing of its job has run for a while and both its team
+        and its service are below half of their capacity.
+        """
+        state, team = step.job_state, step.job_state.job.team
+        if not team or not state.team_usage.is_active:
+            return False
+        ready_at = self.now if step.ready_at is None else step.ready_at
+        if self.now - ready_at < OVERDUE_AFTER_S:
+            return False
+        service = state.queue.service
+        if service not in self._idle_services:
+            self._idle_services[service] = self._is_mostly_idle(service)
+        return (
+            self._idle_services[service]
+            and state.team_usage.is_below_half(team)
+            and not state.attempts()
+        )
+
+    def waits_for_gang_of_team(self, step: StepState) -> bool:
+        """Returns whether a gang of the same team needs the rest of its cap.
+
+        Small work of a team that takes each freed part of the cap would starve
+        the gang.
+        """
+        priority = self.cap_waits.get(step.job_state.job.team)
+        own = step.job_state.queue.priority
+        return priority is not None and (
+            priority < own or (step.spec.gang and priority == own)
+        )
+
     def _is_mostly_idle(self, service: str) -> bool:
         """Returns whether less than half of a service's cores are in use."""
         executors = self.accepting.get(service, {}).values()
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -30,6 +30,10 @@
 from dragonflybank.cell.ports import Platform
 from dragonflybank.cell.scheduling import Scheduler
 from dragonflybank.cell.state import Executor, JobState
+from dragonflybank.cell.team_report import (
+    summarise_teams,
+    update_team_gauges,
+)
 from dragonflybank.cell.throttling import ThrottleController
 from dragonflybank.cell.workload import Workload
 from dragonflybank.cluster.clock import Clock
@@ -93,7 +97,7 @@
         self.limits = limits
         self.clock = clock
         self.unix_time = unix_time
-        self.workload = Workload()
+        self.workload = Workload(limits.quota_overage)
         self.fleet = Fleet(self)
         self.attempts = AttemptManager(self)
         self.health = HealthTracker()
@@ -251,6 +255,7 @@
         metrics.executors.labels("claimed").set(len(claimed))
         metrics.executors.labels("silent").set(len(silent))
         metrics.free_cores.set(sum(e.free_millicores for e in claimed) / 1000)
+        update_team_gauges(self.workload, metrics)
 
     def _log_load(self) -> None:
         """Logs what waits and what is free, to explain late jobs afterwards."""
@@ -277,6 +282,7 @@
                 "services": self._load_by_service(executors),
                 "silent": sum(e.silent_since is not None for e in executors),
                 "idle_advice_slots": self.scheduler.idle_advice_slots,
+                "teams": summarise_teams(self.workload),
             },
         )
 
--- a/libs/cell/dragonflybank/cell/leader_session.py
+++ b/libs/cell/dragonflybank/cell/leader_session.py
@@ -195,7 +195,7 @@
         case Success(reply) if reply.revision is not None:
             for item in items:
                 job_id = item.key.removeprefix(ENDED_PREFIX)
-                leader.workload.ended.pop(job_id, None)
+                leader.workload.forget_ended(job_id)
         case _:
             _log.warning(
                 "expired states not removed", extra={"jobs": len(items)}
--- a/libs/cell/dragonflybank/cell/limits.py
+++ b/libs/cell/dragonflybank/cell/limits.py
@@ -19,6 +19,8 @@
             in seconds.
         heartbeat_interval_s: Time between two heartbeats of an executor, in
             seconds.
+        quota_overage: By how much a team's usage may exceed its cap, as a
+            fraction of the cap.
     """
 
     lease_s: float = 6.0
@@ -27,3 +29,4 @@
     max_early_start_s: float = 0.25
     status_retention_s: float = 120.0
     heartbeat_interval_s: float = 1.5
+    quota_overage: float = 0.1
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -10,15 +10,22 @@
 address; the attempt is stopped there too.
 """
 
-__all__ = ["ExecutorLink", "has_lease_expired", "max_old_lease_s"]
+__all__ = [
+    "ExecutorLink",
+    "has_lease_expired",
+    "max_old_lease_s",
+    "running_orphans",
+]
 
 import asyncio
 import logging
+from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING
 
 from returns.result import Failure, Success
 
 from dragonflybank.cell.background import BackgroundTasks
+from dragonflybank.cell.jobs import TaskId
 from dragonflybank.cell.ports import (
     CommandReply,
     ExecutorClient,
@@ -62,6 +69,18 @@
     return waited_s >= left_s / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
 
 
+def running_orphans(
+    executors: Iterable[Executor], now: float
+) -> Iterator[tuple[TaskId, int]]:
+    """Yields the orphan attempts that executors may still run."""
+    for executor in executors:
+        if executor.orphan_attempts and not (
+            executor.silent_since is not None
+            and has_lease_expired(executor, now)
+        ):
+            yield from executor.orphan_attempts
+
+
 def max_old_lease_s(lease_s: float) -> float:
     """Returns how long leases of earlier leaders can last after an election.
 
--- a/libs/cell/dragonflybank/cell/metrics.py
+++ b/libs/cell/dragonflybank/cell/metrics.py
@@ -14,6 +14,7 @@
 
     To keep the number of time series small, labels are result codes, kinds of
     ends and calls, and queue priorities, but never names of jobs or executors.
+    A bounded number of teams is named, see `team_report`.
     """
 
     def __init__(self):
@@ -67,6 +68,12 @@
             "start_delay_seconds",
             "Expected wait of a new job under overload, 0 without overload",
         )
+        self.team_used_cores = self._gauge(
+            "team_used_cores", "Processors that a team's attempts use", "team"
+        )
+        self.team_waiting_steps = self._gauge(
+            "team_waiting_steps", "Steps of a team with tasks to place", "team"
+        )
         self.config_version = self._gauge(
             "config_version", "Version of the configuration in force"
         )
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -34,6 +34,7 @@
 )
 from dragonflybank.cell.decision_round import DecisionRound, begin_round
 from dragonflybank.cell.jobs import Queue
+from dragonflybank.cell.links import running_orphans
 from dragonflybank.cell.placement import (
     PlacementPlan,
     candidate_executors,
@@ -47,6 +48,7 @@
     StepState,
     Task,
 )
+from dragonflybank.cell.step_holds import is_start_within_cap, tasks_within_cap
 from dragonflybank.cell.step_order import step_rank
 from dragonflybank.cell.tickets import (
     TICKET_MARGIN_S,
@@ -114,8 +116,10 @@
         leader = self._leader
         if not leader.leadership.may_start_attempts(now):
             return
-        current = begin_round(leader.fleet.executors.values(), now)
+        executors = leader.fleet.executors.values()
+        current = begin_round(executors, now)
         self._last_round = current
+        leader.workload.count_orphans(running_orphans(executors, now))
         ready = sorted(
             leader.workload.ready, key=lambda s: step_rank(s, unix_time)
         )
@@ -123,7 +127,11 @@
             tasks = step.waiting_tasks()
             if not tasks:
                 leader.workload.ready.pop(step, None)
-            elif self._is_placeable(step, tasks, now):
+                continue
+            tasks = tasks_within_cap(step, tasks, current)
+            if not tasks:
+                continue
+            if self._is_placeable(step, tasks, now):
                 self._place_step(step, tasks, current)
             elif step.spec.gang and step.advice_pending:
                 self._keep_reservation(step, tasks, current)
@@ -164,7 +172,9 @@
             allowed,
             reserved_millicores=current.reserved_against(step),
         )
-        if plan.pairs and self._execute_plan(step, plan, allowed, current):
+        if plan.pairs and self._execute_plan(
+            step, tasks, plan, allowed, current
+        ):
             return
         is_asking = (
             is_advised
@@ -272,6 +282,7 @@
     def _execute_plan(
         self,
         step: StepState,
+        tasks: list[Task],
         plan: PlacementPlan,
         allowed: list[Executor],
         current: DecisionRound,
@@ -301,7 +312,7 @@
         if not named:
             self._start(step, self._reserve(step, rest, now), now)
             return bool(plan.pairs)
-        if len(step.waiting_tasks()) > len(rest):
+        if len(tasks) > len(plan.pairs):
             others = [
                 e
                 for e in allowed
@@ -438,6 +449,11 @@
             usable, rest = [], [*usable, *rest]
         for attempt in rest:
             self._leader.attempts.stop(attempt, "no valid ticket")
+        while usable and not is_start_within_cap(step, usable):
+            # The cap was lowered during the call for tickets.
+            for attempt in usable if step.spec.gang else usable[-1:]:
+                self._leader.attempts.stop(attempt, "over the cap of its team")
+            usable = [a for a in usable if a.phase is AttemptPhase.RESERVED]
         self._start(step, usable, now)
 
 
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -23,6 +23,7 @@
     TaskId,
 )
 from dragonflybank.cell.ports import ExecutorInfo
+from dragonflybank.cell.team_usage import TeamUsage
 
 
 class AttemptPhase(enum.Enum):
@@ -181,6 +182,7 @@
         advice_pending: Whether a call for advice is in progress.
         awaiting_tickets: Reserved attempts that wait for new tickets.
         blocked_until: Time before which its tasks are not placed.
+        hold_logged_at: Time at which the last log line said why it waits.
     """
 
     job_state: "JobState"
@@ -194,6 +196,7 @@
     advice_pending: bool = False
     awaiting_tickets: list[Attempt] = attrs.field(factory=list)
     blocked_until: float = 0.0
+    hold_logged_at: float = float("-inf")
 
     @property
     def key(self) -> str:
@@ -232,6 +235,7 @@
         progress_revision: Revision of the stored progress; 0 if none.
         queue: Its queue as the configuration in force defines it, or the last
             definition known if the queue no longer exists.
+        team_usage: What the teams have running; shared by all jobs of a leader.
     """
 
     job: Job
@@ -245,6 +249,7 @@
             lambda self: self.progress.queue or self.job.queue, takes_self=True
         )
     )
+    team_usage: TeamUsage = attrs.field(factory=TeamUsage)
 
     def attempts(self) -> list[Attempt]:
         """Returns the attempts that may be running."""
--- /dev/null
+++ b/libs/cell/dragonflybank/cell/step_holds.py
@@ -0,0 +1,92 @@
+"""Waiting steps that the cap of their team holds back.
+
+A step that is held back is passed over: it reserves no executors and asks for
+no advice, so that it does not hold back other teams.
+"""
+
+__all__ = ["is_start_within_cap", "log_hold", "tasks_within_cap"]
+
+import logging
+from collections.abc import Sequence
+
+from dragonflybank.cell.decision_round import DecisionRound
+from dragonflybank.cell.state import Attempt, StepState, Task
+
+_log = logging.getLogger(__name__)
+
+# Shortest time between two log lines that say why a step waits.
+HOLD_LOG_INTERVAL_S = 1.0
+
+
+def tasks_within_cap(
+    step: StepState, tasks: list[Task], current: DecisionRound
+) -> list[Task]:
+    """Returns the tasks that the cap of the step's team leaves room for.
+
+    A gang without room keeps the rest of the cap from later gangs of its team
+    and from its team's work of lower priorities.
+
+    Args:
+        step: A ready step.
+        tasks: Its waiting tasks.
+        current: The round.
+    """
+    state, spec = step.job_state, step.spec
+    usage, team = state.team_usage, state.job.team
+    if not usage.is_limited(team):
+        return tasks
+    room = 0
+    if not current.waits_for_gang_of_team(step) or current.is_overdue(step):
+        room = usage.room_for(
+            team, spec, len(tasks), is_job_idle=not state.attempts()
+        )
+        is_whole_gang = spec.gang and len(tasks) == step.unfinished_count
+        if not room and is_whole_gang and usage.may_ever_fit(team, spec):
+            current.cap_waits.setdefault(team, state.queue.priority)
+    if not room:
+        log_hold(step, "cap", current.now)
+    return tasks[:room]
+
+
+def is_start_within_cap(step: StepState, attempts: Sequence[Attempt]) -> bool:
+    """Returns whether reserved attempts of a step may still be started.
+
+    The cap of the team may have been lowered since their reservation.
+    """
+    state = step.job_state
+    return state.team_usage.covers(
+        state.job.team,
+        step.spec,
+        len(attempts),
+        is_first=len(state.attempts()) == 1,
+    )
+
+
+def log_hold(step: StepState, reason: str, now: float) -> None:
+    """Logs why a step waits, at most once a second for each step.
+
+    Args:
+        step: The step.
+        reason: ``cap``, ``share`` or ``rate``.
+        now: Current time of the leader's monotonic clock, in seconds.
+    """
+    if now - step.hold_logged_at < HOLD_LOG_INTERVAL_S:
+        return
+    step.hold_logged_at = now
+    team = step.job_state.job.team
+    usage = step.job_state.team_usage
+    used, cap = usage.used(team), usage.cap(team)
+    _log.info(
+        "held back",
+        extra={
+            "step": step.name,
+            "team": team,
+            "reason": reason,
+            "used_millicores": used.millicores,
+            "cap_millicores": cap.millicores,
+            "used_memory_mb": used.memory_mb,
+            "cap_memory_mb": cap.memory_mb,
+            "used_accelerators": used.accelerators,
+            "cap_accelerators": cap.accelerators,
+        },
+    )
--- a/libs/cell/dragonflybank/cell/tests/builders.py
+++ b/libs/cell/dragonflybank/cell/tests/builders.py
@@ -1,13 +1,35 @@
 """Builders of jobs and executors for tests of scheduling decisions."""
 
-__all__ = ["QUEUES", "add_job", "get_step", "make_executor"]
+__all__ = [
+    "QUEUES",
+    "ManualClock",
+    "StubLeader",
+    "add_job",
+    "get_step",
+    "make_config",
+    "make_executor",
+]
 
 import attrs
 
-from dragonflybank.cell.jobs import AdviceTiming, Job, Progress, Queue, Step
+from dragonflybank.cell.background import BackgroundTasks
+from dragonflybank.cell.capacity import release, reserve
+from dragonflybank.cell.election import Leadership
+from dragonflybank.cell.jobs import (
+    AdviceTiming,
+    CellConfig,
+    Job,
+    Progress,
+    Queue,
+    Step,
+)
+from dragonflybank.cell.metrics import CellMetrics
 from dragonflybank.cell.ports import ExecutorInfo
-from dragonflybank.cell.state import Executor, StepState
+from dragonflybank.cell.state import AttemptPhase, Executor, StepState
+from dragonflybank.cell.teams import ResourceCap, Team, key_digest
 from dragonflybank.cell.workload import Workload
+from dragonflybank.cluster.clock import Clock
+from dragonflybank.standins.cell.virtual_time import VirtualClock
 
 QUEUES = {
     name: Queue(
@@ -66,3 +88,96 @@
 def get_step(state, number: int = 0) -> StepState:
     """Returns a step of the first occurrence of a job."""
     return state.occurrences[0][number]
+
+
+def make_config(
+    version: int = 1,
+    *,
+    caps: dict[str, int],
+    weights: dict[str, float] | None = None,
+) -> CellConfig:
+    """Returns a configuration with teams.
+
+    Args:
+        version: Its version.
+        caps: Cap in cores, 0 for none, by team.
+        weights: Weight by team; 1 for the other teams.
+    """
+    return CellConfig(
+        version,
+        {"front": tuple(QUEUES.values())},
+        {},
+        teams={
+            name: Team(
+                name,
+                (key_digest(name),),
+                (weights or {}).get(name, 1.0),
+                ResourceCap(1000 * cores),
+            )
+            for name, cores in caps.items()
+        },
+    )
+
+
+class ManualClock(Clock):
+    """A clock that a test sets.
+
+    Attributes:
+        time_s: Its time in seconds.
+    """
+
+    def __init__(self):
+        self.time_s = 0.0
+
+    def now(self) -> float:
+        """See `Clock.now`."""
+        return self.time_s
+
+    async def sleep(self, seconds: float) -> None:
+        """See `Clock.sleep`."""
+        self.time_s += seconds
+
+
+class StubLeader:
+    """The parts of a leader that the scheduler uses; starts are recorded.
+
+    Args:
+        executors: Its executors.
+        clock: Its clock; without one, tests run in virtual time.
+    """
+
+    def __init__(self, executors, clock: Clock | None = None):
+        self.clock = clock or VirtualClock()
+        self.fleet = _Fleet({e.info.id: e for e in executors})
+        self.workload = Workload()
+        self.leadership = Leadership(1, 1, 0.0, float("inf"))
+        self.background = BackgroundTasks()
+        self.metrics = CellMetrics()
+        self.attempts = _Attempts(self.clock)
+
+    def wake(self):
+        """Does nothing, since the test runs the rounds."""
+
+
+@attrs.frozen
+class _Fleet:
+    executors: dict
+
+
+class _Attempts:
+    def __init__(self, clock):
+        self.started = []
+        self._clock = clock
+
+    def reserve_attempts(self, step, pairs, number, now):
+        return [
+            reserve(e, t, number, phase=AttemptPhase.RESERVED, now=now)
+            for t, e in pairs
+        ]
+
+    def start_attempts(self, step, attempts):
+        now = self._clock.now()
+        self.started += [(now, a.executor.info.id) for a in attempts]
+
+    def stop(self, attempt, reason):
+        release(attempt)
--- a/libs/cell/dragonflybank/cell/tests/test_scheduling.py
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -11,21 +11,18 @@
 from dragonflybank.cell.advice_dispatch import AdviceSlot
 from dragonflybank.cell.background import BackgroundTasks
 from dragonflybank.cell.capacity import release, reserve
-from dragonflybank.cell.election import Leadership
 from dragonflybank.cell.jobs import CellConfig, Step
-from dragonflybank.cell.metrics import CellMetrics
 from dragonflybank.cell.scheduling import Scheduler
 from dragonflybank.cell.state import AttemptPhase
 from dragonflybank.cell.tests.builders import (
     QUEUES,
+    StubLeader,
     add_job,
     get_step,
     make_executor,
 )
 from dragonflybank.cell.tickets import record_advice
-from dragonflybank.cell.workload import Workload
 from dragonflybank.standins.cell.virtual_time import (
-    VirtualClock,
     run_in_virtual_time,
 )
 
@@ -51,52 +48,12 @@
         return Success({name: f"ticket/{name}" for name in good})
 
 
-class _Leader:
-    """The parts of a leader that the scheduler uses; starts are recorded."""
-
-    def __init__(self, executors):
-        self.clock = VirtualClock()
-        self.fleet = _Fleet({e.info.id: e for e in executors})
-        self.workload = Workload()
-        self.leadership = Leadership(1, 1, 0.0, float("inf"))
-        self.background = BackgroundTasks()
-        self.metrics = CellMetrics()
-        self.attempts = _Attempts(self.clock)
-
-    def wake(self):
-        """Does nothing, since the test runs the rounds."""
-
-
-@attrs.frozen
-class _Fleet:
-    executors: dict
-
-
-class _Attempts:
-    def __init__(self, clock):
-        self.started = []
-        self._clock = clock
-
-    def reserve_attempts(self, step, pairs, number, now):
-        return [
-            reserve(e, t, number, phase=AttemptPhase.RESERVED, now=now)
-            for t, e in pairs
-        ]
-
-    def start_attempts(self, step, attempts):
-        now = self._clock.now()
-        self.started += [(now, a.executor.info.id) for a in attempts]
-
-    def stop(self, attempt, reason):
-        release(attempt)
-
-
 class TestAdvisedSteps(testtools.TestCase):
     """Guards against free capacity that waits for one advice call per task."""
 
     def _run_simulation(self, main):
         executors = [make_executor(f"e{n}", cores=4) for n in range(4)]
-        leader, dispatcher = _Leader(executors), _AdviceDispatcher()
+        leader, dispatcher = StubLeader(executors), _AdviceDispatcher()
         scheduler = Scheduler(leader, dispatcher)
         spec = Step(9, millicores=4000, estimate_s=4.0)
         step = get_step(add_job(leader.workload, 1, spec, queue="verify"))
@@ -152,7 +109,10 @@
 
     def test_executors_known_to_be_bad_are_neither_used_nor_asked_about(self):
         executors = [make_executor(f"e{n}", cores=4) for n in range(20)]
-        leader, dispatcher = _Leader(executors), _AdviceDispatcher({"e0", "e9"})
+        leader, dispatcher = (
+            StubLeader(executors),
+            _AdviceDispatcher({"e0", "e9"}),
+        )
         scheduler = Scheduler(leader, dispatcher)
         spec = Step(3, millicores=4000, estimate_s=4.0)
         add_job(leader.workload, 1, spec, queue="verify")
@@ -178,7 +138,7 @@
             *(make_executor(f"e{n}", cores=4) for n in range(2)),
             make_executor("new", cores=4, service="archive"),
         ]
-        leader, failures = _Leader(executors), []
+        leader, failures = StubLeader(executors), []
         leader.background = BackgroundTasks(lambda: failures.append(1))
         scheduler = Scheduler(leader, _AdviceDispatcher())
         spec = Step(1, millicores=4000, estimate_s=4.0)
@@ -222,7 +182,7 @@
 
     def _set_up_cell(self) -> None:
         self.executors = [make_executor(f"e{n}", cores=4) for n in range(8)]
-        self.leader = _Leader(self.executors)
+        self.leader = StubLeader(self.executors)
         self.scheduler = Scheduler(self.leader, _AdviceDispatcher())
         self._jobs = itertools.count(1)
 
--- a/libs/cell/dragonflybank/cell/workload.py
+++ b/libs/cell/dragonflybank/cell/workload.py
@@ -6,13 +6,14 @@
 __all__ = ["Workload"]
 
 import itertools
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from dragonflybank.cell.jobs import (
     CellConfig,
     Job,
     JobPhase,
     Progress,
+    Step,
     TaskId,
 )
 from dragonflybank.cell.queue_definitions import (
@@ -20,6 +21,7 @@
     is_redefined,
 )
 from dragonflybank.cell.state import Attempt, JobState, StepState, Task
+from dragonflybank.cell.team_usage import DEFAULT_OVERAGE, TeamUsage
 
 
 class Workload:
@@ -31,22 +33,30 @@
         ready: Steps that may have waiting tasks, in the order in which they
             became ready.
         recurring: Recurring jobs with occurrences that are not due yet.
+        ended_steps: Team and steps of ended jobs that have a team.
+        team_usage: What the teams have running, and their caps.
+
+    Args:
+        quota_overage: See `CellLimits.quota_overage`.
     """
 
-    def __init__(self):
+    def __init__(self, quota_overage: float = DEFAULT_OVERAGE):
         self.jobs: dict[str, JobState] = {}
         self.ended: dict[str, tuple[JobPhase, float]] = {}
         self.ready: dict[StepState, None] = {}
         self.recurring: dict[str, JobState] = {}
+        self.ended_steps: dict[str, tuple[str, tuple[Step, ...]]] = {}
+        self.team_usage = TeamUsage(quota_overage)
         self._definitions = QueueDefinitions()
 
     def adopt_config(self, cfg: CellConfig) -> list[JobState]:
-        """Redefines the queues of all jobs by a configuration.
+        """Redefines the queues of all jobs, and the teams, by a configuration.
 
         Returns:
             The jobs whose queues were redefined; their progress must be stored.
         """
         self._definitions = QueueDefinitions(cfg)
+        self.team_usage.adopt_config(cfg)
         return [s for s in self.jobs.values() if self.update_queue(s)]
 
     def update_queue(self, state: JobState) -> bool:
@@ -98,12 +108,14 @@
             return None
         if progress.phase.is_final:
             self.ended[job.id] = (progress.phase, progress.ended_at)
+            self._keep_steps(job)
             return None
         state = JobState(
             job,
             progress.phase,
             progress=progress,
             progress_revision=revision,
+            team_usage=self.team_usage,
         )
         self.jobs[job.id] = state
         if job.is_recurring:
@@ -237,10 +249,41 @@
         state.progress.phase = phase
         state.progress.ended_at = unix_time
         self.ended[state.job.id] = (phase, unix_time)
+        self._keep_steps(state.job)
         self.recurring.pop(state.job.id, None)
         for step in _all_steps(state):
             self.ready.pop(step, None)
 
+    def forget_ended(self, job_id: str) -> None:
+        """Forgets the final state of a job after its retention time."""
+        self.ended.pop(job_id, None)
+        self.ended_steps.pop(job_id, None)
+
+    def count_orphans(self, attempts: Iterable[tuple[TaskId, int]]) -> None:
+        """Counts orphan attempts as usage of their teams.
+
+        Those of jobs that ended under an earlier leader are left out: nothing
+        that is stored names their teams.
+
+        Args:
+            attempts: Tasks and numbers of all that executors may run.
+        """
+        if not self.team_usage.is_active:
+            return
+        found = ((task, self._team_steps(task.job)) for task, _ in attempts)
+        self.team_usage.set_orphans(
+            (team, steps[task.step])
+            for task, (team, steps) in found
+            if task.step < len(steps)
+        )
+
+    def _team_steps(self, job_id: str) -> tuple[str, tuple[Step, ...]]:
+        """Returns the team and the steps of a job, if they are known."""
+        state = self.jobs.get(job_id)
+        if state is not None:
+            return state.job.team, state.job.steps
+        return self.ended_steps.get(job_id, ("", ()))
+
     def drop_if_idle(self, state: JobState) -> None:
         """Drops an ended job of which no attempt may run any more."""
         if state.phase.is_final and not state.attempts():
@@ -265,6 +308,10 @@
             state.attempts() for state in self.jobs.values()
         )
 
+    def _keep_steps(self, job: Job) -> None:
+        if job.team:
+            self.ended_steps[job.id] = (job.team, job.steps)
+
     def _open_occurrence(
         self, state: JobState, occurrence: int, now: float
     ) -> None:
