Restart long-running tasks within seconds in a full service

The users' rule is a restart within 6 s of its last run.

Cause: step_rank puts steps that can no longer end by three times their objective last, before it looks at the priority, and the objective counts from the acceptance of the job. Long-running tasks have no end, so they were always last after some seconds. Behind it was a second cause: in a full service each part of an executor that becomes free is smaller than the task, and the next small task takes it.

Change: a long-running task is never late; one that has run before comes before all other steps and reserves the executor on which it can start first.

Ruled out: the rank alone.

The fakes of test_scheduling.py are moved to scheduler_fakes.py without a change besides their names and an optional clock; its tests are the same.

Open: no running work is stopped for a restart.

--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -23,8 +23,8 @@
         accepting: Executors that accept new work, by service and identifier.
         free_millicores: Upper bound of the free CPU cores of any executor, by
             service, in thousandths of a core.
-        gang_reservations: What is reserved for each waiting gang. No executor
-            is reserved for two gangs.
+        gang_reservations: What is reserved for each waiting gang and restart.
+            No executor is reserved twice.
         refused: Steps that got no slot for a call, as their priority and
             whether the call is a long one.
     """
@@ -39,8 +39,9 @@
         """Returns the capacity that a step must leave, by executor.
 
         It is reserved for gangs of a higher priority and, if the step is a gang
-        itself, for those that come before it. In a mostly idle service, a step
-        may use it that will have ended when the gang starts.
+        itself, for those that come before it, and for restarts of long-running
+        tasks. In a mostly idle service, a step
+        may use it that will have ended when the gang or the restart begins.
         """
         return {
             executor: cores
@@ -60,7 +61,7 @@
         return 2 * used < sum(e.info.millicores for e in executors)
 
     def reserved(self) -> dict[str, int]:
-        """Returns the capacity that is reserved for any gang, by executor."""
+        """Returns the capacity that is reserved for any step, by executor."""
         return {
             executor: cores
             for reservation in self.gang_reservations
@@ -70,10 +71,10 @@
     def reserve_for_gang(
         self, step: StepState, tasks: list[Task], good: Iterable[Executor]
     ) -> None:
-        """Reserves executors for a waiting gang.
+        """Reserves executors for a waiting gang or a restart.
 
         Args:
-            step: The gang.
+            step: The gang, or a step whose tasks are restarted.
             tasks: Its tasks.
             good: Executors that may run it.
         """
--- a/libs/cell/dragonflybank/cell/gang_reservation.py
+++ b/libs/cell/dragonflybank/cell/gang_reservation.py
@@ -1,10 +1,13 @@
-"""Capacity that is kept free for a waiting gang.
+"""Capacity that is kept free for a waiting gang or a restart.
 
 A gang starts when all of its tasks fit at the same time. Until then it reserves
-executors against work that must come after it. In a mostly idle service, work
-that will have ended when the gang is expected to start may use them all the
-same (backfilling, as in Lifka 1995, "The ANL/IBM SP scheduling system"). In a
-busy one, estimates are too rough for that, and gangs would start later.
+executors against work that must come after it. A long-running task that has run
+before reserves the executor on which it can start first: in a full service,
+smaller tasks would otherwise take each part of an executor that is freed. In a
+mostly idle service, work that will have ended when the gang is expected to
+start may use them all the same (backfilling, as in Lifka 1995, "The ANL/IBM SP
+scheduling system"). In a busy one, estimates are too rough for that, and gangs
+would start later.
 """
 
 __all__ = ["GangReservation", "reserve_executors"]
@@ -17,6 +20,7 @@
 from dragonflybank.cell.capacity import count_attainable_tasks, time_to_room_s
 from dragonflybank.cell.jobs import Step
 from dragonflybank.cell.state import Executor, StepState
+from dragonflybank.cell.step_order import is_restart
 
 # Estimates are rough: a task counts as ended after this multiple of its
 # estimate and a margin for its start and the report of its end.
@@ -26,19 +30,21 @@
 
 @attrs.frozen
 class GangReservation:
-    """Executors reserved for a waiting gang in one round.
+    """Executors reserved for a waiting gang or a restart in one round.
 
     Attributes:
         priority: Priority of its queue.
         spec: Its declaration.
         places: Executors and the number of its tasks that each will run.
         now: Time of the round.
+        is_restart: Whether its tasks are long-running and have run before.
     """
 
     priority: int
     spec: Step
     places: tuple[tuple[Executor, int], ...]
     now: float
+    is_restart: bool = False
 
     @functools.cached_property
     def millicores(self) -> dict[str, int]:
@@ -50,21 +56,23 @@
 
     @functools.cached_property
     def wait_s(self) -> float:
-        """Expected time until the gang can start, in seconds."""
+        """Expected time until all of its tasks can run, in seconds."""
         return max(
             time_to_room_s(executor, self.spec, count, self.now)
             for executor, count in self.places
         )
 
     def precedes(self, step: StepState) -> bool:
-        """Returns whether a step comes after the gang."""
+        """Returns whether a step must leave the reserved executors."""
         priority = step.job_state.queue.priority
-        return self.priority < priority or (
-            step.spec.gang and self.priority == priority
+        return (
+            self.is_restart
+            or self.priority < priority
+            or (step.spec.gang and self.priority == priority)
         )
 
     def allows_backfill(self, step: StepState) -> bool:
-        """Returns whether a step will have ended when the gang starts."""
+        """Returns whether a step will have ended when its tasks can run."""
         spec = step.spec
         if spec.lasting or not spec.estimate_s:
             return False
@@ -77,28 +85,41 @@
 def reserve_executors(
     step: StepState, tasks: int, allowed: Iterable[Executor], now: float
 ) -> GangReservation | None:
-    """Returns the reservation of a waiting gang.
+    """Returns the reservation of a waiting gang or a restart.
 
-    It is None if the gang would not fit even after all tasks with an end have
-    ended, since a reservation does not help it then.
+    It is None if the gang, or any task of a restart, would not fit even after
+    all tasks with an end have ended, since a reservation does not help then.
 
     Args:
-        step: The gang.
+        step: The gang, or a step whose tasks are restarted.
         tasks: Number of its tasks.
         allowed: Executors that may run it and are not reserved.
         now: Time of the round.
     """
     places = []
     missing = tasks
-    for executor in sorted(allowed, key=lambda e: -e.free_millicores):
+    restarts = is_restart(step)
+
+    def rank(executor: Executor) -> tuple[float, int]:
+        # A restart has to start soon, so it waits where it has room first.
+        wait_s = (
+            time_to_room_s(executor, step.spec, 1, now) if restarts else 0.0
+        )
+        return wait_s, -executor.free_millicores
+
+    for executor in sorted(allowed, key=rank):
         if missing <= 0:
             break
         count = min(missing, count_attainable_tasks(executor, step.spec))
         if count > 0:
             places.append((executor, count))
             missing -= count
-    if missing > 0:
+    if not places or (missing > 0 and step.spec.gang):
         return None
     return GangReservation(
-        step.job_state.queue.priority, step.spec, tuple(places), now
+        step.job_state.queue.priority,
+        step.spec,
+        tuple(places),
+        now,
+        is_restart=restarts,
     )
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -3,7 +3,8 @@
 Steps are considered in the order of `step_order.step_rank`. A gang that does
 not fit reserves the executors that it would need against steps of lower
 priority, so that small work does not starve it, and against later gangs, so
-that small gangs do not starve a large one.
+that small gangs do not starve a large one. A restart of a long-running task
+that does not fit reserves an executor against all steps.
 
 Advice is limited to one call at a time for each host. Steps get the free slots
 for calls in their order, and capacity is reserved for a step only while its
@@ -47,7 +48,11 @@
     StepState,
     Task,
 )
-from dragonflybank.cell.step_order import step_rank
+from dragonflybank.cell.step_order import (
+    is_restart,
+    step_rank,
+    tasks_in_turn,
+)
 from dragonflybank.cell.tickets import (
     TICKET_MARGIN_S,
     advice_call_s,
@@ -124,7 +129,7 @@
             if not tasks:
                 leader.workload.ready.pop(step, None)
             elif self._is_placeable(step, tasks, now):
-                self._place_step(step, tasks, current)
+                self._place_step(step, tasks_in_turn(step, tasks), current)
             elif step.spec.gang and step.advice_pending:
                 self._keep_reservation(step, tasks, current)
 
@@ -150,9 +155,10 @@
             return
         accepting = current.accepting.get(queue.service, {})
         if not is_advised:
-            allowed = candidate_executors(step, accepting.values())
+            good = candidate_executors(step, accepting.values())
         else:
-            allowed = _good_executors(step, accepting)
+            good = _good_executors(step, accepting)
+        allowed = good
         if is_advised and step.advice_pending:
             # Valid tickets are used while a call for advice is in progress.
             allowed = [
@@ -173,8 +179,8 @@
             and self._needs_more(step, tasks, allowed)
             and self._request_first_advice(step, tasks, accepting, current)
         )
-        if step.spec.gang and not is_asking:
-            current.reserve_for_gang(step, tasks, allowed)
+        if (step.spec.gang or is_restart(step)) and not is_asking:
+            current.reserve_for_gang(step, tasks, good)
 
     def _keep_reservation(
         self, step: StepState, tasks: list[Task], current: DecisionRound
@@ -197,12 +203,14 @@
         queue, spec = step.job_state.queue, step.spec
         most_free = current.free_millicores.get(queue.service, 0)
         is_full = not spec.filling and spec.millicores > most_free
+        # Gangs and restarts reserve executors in a full cell.
+        is_full = is_full and not (spec.gang or is_restart(step))
         if not is_advised:
-            return is_full and not spec.gang
+            return is_full
         needs_long_call = is_long_call(queue.advised.base_s)
         if not step.advice_by_executor:
             return (queue.priority, needs_long_call) in current.refused
-        return is_full and not spec.gang and needs_long_call
+        return is_full and needs_long_call
 
     def _needs_more(
         self, step: StepState, tasks: list[Task], good: list[Executor]
--- a/libs/cell/dragonflybank/cell/step_order.py
+++ b/libs/cell/dragonflybank/cell/step_order.py
@@ -1,28 +1,32 @@
 """The order in which waiting steps are placed.
 
-Steps that will end after three times their objective, when their result is no
-longer needed, come after all others, whatever their queue: under overload they
-would take capacity from work that can still be in time. Among the others,
-queues with a smaller priority number come first, and within a queue the steps
-that can meet their objective. Steps that can meet it are sorted by earliest
-deadline, late steps by latest deadline.
+Long-running tasks that have run before come first, whatever their queue: they
+have to be restarted within seconds, however full their service is. Steps that
+will end after three times their objective, when their result is no longer
+needed, come after all others, whatever their queue: under overload they would
+take capacity from work that can still be in time. Among the others, queues with
+a smaller priority number come first, and within a queue the steps that can meet
+their objective. Steps that can meet it are sorted by earliest deadline, late
+steps by latest deadline. A long-running task has no end that could be late.
 """
 
 __all__ = [
     "HARD_DEADLINE_FACTOR",
     "hard_deadline",
+    "is_restart",
     "job_objective_s",
     "objective_deadline",
     "remaining_path_s",
     "remains_useful",
     "step_rank",
+    "tasks_in_turn",
 ]
 
 import functools
 from collections.abc import Sequence
 
 from dragonflybank.cell.jobs import Queue, Step, critical_path_s
-from dragonflybank.cell.state import StepState
+from dragonflybank.cell.state import StepState, Task
 
 # A result that comes later than this multiple of the objective has no value.
 HARD_DEADLINE_FACTOR = 3.0
@@ -38,8 +42,9 @@
     queue = step.job_state.queue
     due = objective_deadline(step)
     ends_at = now + remaining_path_s(step.job_state.job.steps, step.number)
-    is_late = ends_at > due
+    is_late = ends_at > due and not step.spec.lasting
     return (
+        not is_restart(step),
         is_late and not remains_useful(step, now),
         queue.priority,
         is_late,
@@ -48,6 +53,24 @@
     )
 
 
+def is_restart(step: StepState) -> bool:
+    """Returns whether long-running tasks wait that have run before."""
+    return step.spec.lasting and any(
+        t.last_attempt for t in step.waiting_tasks()
+    )
+
+
+def tasks_in_turn(step: StepState, waiting: list[Task]) -> list[Task]:
+    """Returns those waiting tasks of a step that are placed first.
+
+    Long-running tasks that have not run yet get no part in the precedence of
+    those that have. A gang is placed as a whole.
+    """
+    if not step.spec.lasting or step.spec.gang:
+        return waiting
+    return [t for t in waiting if t.last_attempt] or waiting
+
+
 def remains_useful(step: StepState, now: float) -> bool:
     """Returns whether the step's job can still end by its hard deadline.
 
@@ -55,6 +78,8 @@
         step: A ready step.
         now: Current time, seconds since 1970.
     """
+    if step.spec.lasting:
+        return True
     path_s = remaining_path_s(step.job_state.job.steps, step.number)
     return now + path_s <= hard_deadline(step)
 
--- a/libs/cell/dragonflybank/cell/tests/test_scheduling.py
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -5,15 +5,11 @@
 
 import attrs
 import testtools
-from returns.result import Success
 from testtools.matchers import Equals
 
-from dragonflybank.cell.advice_dispatch import AdviceSlot
 from dragonflybank.cell.background import BackgroundTasks
 from dragonflybank.cell.capacity import release, reserve
-from dragonflybank.cell.election import Leadership
 from dragonflybank.cell.jobs import CellConfig, Step
-from dragonflybank.cell.metrics import CellMetrics
 from dragonflybank.cell.scheduling import Scheduler
 from dragonflybank.cell.state import AttemptPhase
 from dragonflybank.cell.tests.builders import (
@@ -22,73 +18,13 @@
     get_step,
     make_executor,
 )
-from dragonflybank.cell.tickets import record_advice
-from dragonflybank.cell.workload import Workload
-from dragonflybank.standins.cell.virtual_time import (
-    VirtualClock,
-    run_in_virtual_time,
+from dragonflybank.cell.tests.scheduler_fakes import (
+    CALL_S,
+    FakeAdviceDispatcher,
+    FakeLeader,
 )
-
-CALL_S = 0.7
-
-
-class _AdviceDispatcher:
-    """Slow advice that declares every executor good, or some of them."""
-
-    is_mostly_idle = True
-
-    def __init__(self, good=None):
-        self.named = []
-        self._good = good
-
-    def acquire_slot(self, *, priority, duration_s, now):
-        return AdviceSlot("", 0.0)
-
-    async def request_advice(self, slot, step, executors, *, duration_s):
-        self.named.append(sorted(executors))
-        await asyncio.sleep(CALL_S)
-        good = [n for n in executors if self._good is None or n in self._good]
-        return Success({name: f"ticket/{name}" for name in good})
-
-
-class _Leader:
-    """The parts of a leader that the scheduler uses; starts are recorded."""
-
-    def __init__(self, executors):
-        self.clock = VirtualClock()
-        self.fleet = _Fleet({e.info.id: e for e in executors})
-        self.workload = Workload()
-        self.leadership = Leadership(1, 1, 0.0, float("inf"))
-        self.background = BackgroundTasks()
-        self.metrics = CellMetrics()
-        self.attempts = _Attempts(self.clock)
-
-    def wake(self):
-        """Does nothing, since the test runs the rounds."""
-
-
-@attrs.frozen
-class _Fleet:
-    executors: dict
-
-
-class _Attempts:
-    def __init__(self, clock):
-        self.started = []
-        self._clock = clock
-
-    def reserve_attempts(self, step, pairs, number, now):
-        return [
-            reserve(e, t, number, phase=AttemptPhase.RESERVED, now=now)
-            for t, e in pairs
-        ]
-
-    def start_attempts(self, step, attempts):
-        now = self._clock.now()
-        self.started += [(now, a.executor.info.id) for a in attempts]
-
-    def stop(self, attempt, reason):
-        release(attempt)
+from dragonflybank.cell.tickets import record_advice
+from dragonflybank.standins.cell.virtual_time import run_in_virtual_time
 
 
 class TestAdvisedSteps(testtools.TestCase):
@@ -96,7 +32,7 @@
 
     def _run_simulation(self, main):
         executors = [make_executor(f"e{n}", cores=4) for n in range(4)]
-        leader, dispatcher = _Leader(executors), _AdviceDispatcher()
+        leader, dispatcher = FakeLeader(executors), FakeAdviceDispatcher()
         scheduler = Scheduler(leader, dispatcher)
         spec = Step(9, millicores=4000, estimate_s=4.0)
         step = get_step(add_job(leader.workload, 1, spec, queue="verify"))
@@ -152,7 +88,10 @@
 
     def test_executors_known_to_be_bad_are_neither_used_nor_asked_about(self):
         executors = [make_executor(f"e{n}", cores=4) for n in range(20)]
-        leader, dispatcher = _Leader(executors), _AdviceDispatcher({"e0", "e9"})
+        leader, dispatcher = (
+            FakeLeader(executors),
+            FakeAdviceDispatcher({"e0", "e9"}),
+        )
         scheduler = Scheduler(leader, dispatcher)
         spec = Step(3, millicores=4000, estimate_s=4.0)
         add_job(leader.workload, 1, spec, queue="verify")
@@ -178,9 +117,9 @@
             *(make_executor(f"e{n}", cores=4) for n in range(2)),
             make_executor("new", cores=4, service="archive"),
         ]
-        leader, failures = _Leader(executors), []
+        leader, failures = FakeLeader(executors), []
         leader.background = BackgroundTasks(lambda: failures.append(1))
-        scheduler = Scheduler(leader, _AdviceDispatcher())
+        scheduler = Scheduler(leader, FakeAdviceDispatcher())
         spec = Step(1, millicores=4000, estimate_s=4.0)
         step = get_step(add_job(leader.workload, 1, spec, queue="verify"))
         moved = attrs.evolve(
@@ -222,8 +161,8 @@
 
     def _set_up_cell(self) -> None:
         self.executors = [make_executor(f"e{n}", cores=4) for n in range(8)]
-        self.leader = _Leader(self.executors)
-        self.scheduler = Scheduler(self.leader, _AdviceDispatcher())
+        self.leader = FakeLeader(self.executors)
+        self.scheduler = Scheduler(self.leader, FakeAdviceDispatcher())
         self._jobs = itertools.count(1)
 
     def _add(
@@ -365,7 +304,7 @@
     def test_a_gang_asks_on_if_lasting_tasks_hold_its_good_executors(self):
         # Six executors are good for the gang, twice what it needs, but it has
         # no room beside the long-running tasks of five.
-        dispatcher = _AdviceDispatcher()
+        dispatcher = FakeAdviceDispatcher()
         dispatcher.is_mostly_idle = False
         self.scheduler = Scheduler(self.leader, dispatcher)
         self._occupy(0, 1, 2, 3, 4, lasting=True, millicores=1000)
@@ -377,7 +316,7 @@
 
     def test_no_advice_is_asked_for_a_gang_without_room(self):
         # Its calls would take the places of calls for work that can start.
-        dispatcher = _AdviceDispatcher()
+        dispatcher = FakeAdviceDispatcher()
         self.scheduler = Scheduler(self.leader, dispatcher)
         self._occupy(0, lasting=True, millicores=1000)
         gang = self._add(8)
