Compute paths once per job and bound the time of a round

Cause: remaining_path_s was a recursion with a cache of 4,096 entries for all jobs, which hashed all steps of a job on each call. Each round ordered 1,280 ready steps in 5 to 8 s in one piece; a leader loses its key after 1.4 s, and the next one began with the same round.

Change: paths, the critical path and the dependents of a step are computed once for each job. Ends, completeness, attempts of a job and placements of wide steps no longer read all steps or tasks. A round of more than 0.1 s is continued in the next one and a new leader adds stored jobs in parts of ten, so that it can confirm its key in between.

Ruled out: a larger cache, since each call would still hash all steps.

Open: each round reads all waiting tasks, each change of a job writes its whole record, and a new leader adds all executors in one piece.

--- a/libs/cell/dragonflybank/cell/capacity.py
+++ b/libs/cell/dragonflybank/cell/capacity.py
@@ -26,6 +26,7 @@
     attempt = Attempt(task, number, executor, phase, now, advanced_at=now)
     executor.attempts[task.id, number] = attempt
     task.attempts.append(attempt)
+    task.step.job_state.open_attempts[attempt] = None
     task.last_attempt = max(task.last_attempt, number)
     _change_usage(executor, task.step.spec, 1)
     return attempt
@@ -38,6 +39,7 @@
         return
     attempt.phase = AttemptPhase.OVER
     attempt.task.attempts.remove(attempt)
+    attempt.task.step.job_state.open_attempts.pop(attempt, None)
     _change_usage(attempt.executor, attempt.task.step.spec, -1)
 
 
--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -54,6 +54,18 @@
             for executor, cores in reservation.millicores.items()
         }
 
+    def continue_after(self, earlier: "DecisionRound") -> None:
+        """Takes over what steps of an earlier part of the round wait for."""
+        self.gang_reservations = earlier.gang_reservations
+        self.refused = earlier.refused
+
+    def update_free_millicores(self, service: str) -> None:
+        """Lowers the bound of a service after placements in this round."""
+        executors = self.accepting.get(service, {}).values()
+        self.free_millicores[service] = max(
+            (e.free_millicores for e in executors), default=0
+        )
+
     def _is_mostly_idle(self, service: str) -> bool:
         """Returns whether less than half of a service's cores are in use."""
         executors = self.accepting.get(service, {}).values()
--- a/libs/cell/dragonflybank/cell/jobs.py
+++ b/libs/cell/dragonflybank/cell/jobs.py
@@ -19,6 +19,7 @@
     "decode_progress",
     "encode_record",
     "find_queue",
+    "remaining_paths_s",
 ]
 
 import enum
@@ -293,6 +294,28 @@
     return max(ends, default=0.0)
 
 
+def remaining_paths_s(steps: Sequence[Step]) -> tuple[float, ...]:
+    """Returns the declared time from each step to the end of its job.
+
+    This is the critical path of the step and those that depend on it, in
+    seconds. The largest is the critical path of the job.
+
+    Example:
+        >>> remaining_paths_s((Step(1, estimate_s=2.0),
+        ...                    Step(1, estimate_s=1.0, after=(0,))))
+        (3.0, 1.0)
+    """
+    paths_s = [step.estimate_s for step in steps]
+    for number in reversed(range(len(steps))):
+        for earlier in steps[number].after:
+            if earlier < number:
+                paths_s[earlier] = max(
+                    paths_s[earlier],
+                    steps[earlier].estimate_s + paths_s[number],
+                )
+    return tuple(paths_s)
+
+
 _job_decoder = msgspec.json.Decoder(Job)
 _progress_decoder = msgspec.json.Decoder(Progress)
 _encoder = msgspec.json.Encoder()
--- a/libs/cell/dragonflybank/cell/leader_session.py
+++ b/libs/cell/dragonflybank/cell/leader_session.py
@@ -18,9 +18,9 @@
 from dragonflybank.cell.ports import Item, Txn
 from dragonflybank.cell.prefix_watcher import PrefixWatcher
 from dragonflybank.cell.takeover import (
-    add_stored_jobs,
     decode_executors,
     list_executors,
+    load_stored_jobs,
     take_over,
 )
 from dragonflybank.model.decoding import DecodeError
@@ -96,7 +96,7 @@
         pause_s=JOBS_WATCH_PAUSE_S,
     )
     async for items, _ in watcher.changes(revision):
-        add_stored_jobs(leader, items)
+        await load_stored_jobs(leader, items)
 
 
 async def _watch_executors(leader: Leader, revision: int) -> None:
--- a/libs/cell/dragonflybank/cell/placement.py
+++ b/libs/cell/dragonflybank/cell/placement.py
@@ -115,6 +115,8 @@
     if step.spec.gang and sum(placeable.values()) < len(tasks):
         return PlacementPlan(reason=f"no capacity for all {len(tasks)} tasks")
     for group in groups:
+        if sum(placeable[e.info.id] for e in group) < len(tasks):
+            continue
         pairs = _assign_tasks(step, tasks, group, dict(placeable))
         if len(pairs) == len(tasks):
             return PlacementPlan(tuple(pairs), "best fit")
@@ -165,31 +167,28 @@
     placeable: dict[str, int],
 ) -> list[tuple[Task, Executor]]:
     size = step.spec.millicores
-    by_free = sorted(
+    free = sorted(
         (e for e in group if placeable[e.info.id] > 0),
         key=lambda e: (e.free_millicores - size, e.info.id),
     )
     pairs = []
     for task in tasks:
         chosen = _choose_executor(
-            by_free,
-            placeable,
+            free,
             lambda e, t=task: e.info.id in t.avoided_executors,
         )
         if chosen is None:
-            if step.spec.gang:
-                return []
-            continue
+            # Nothing is left for later tasks either.
+            return [] if step.spec.gang else pairs
         placeable[chosen.info.id] -= 1
+        if not placeable[chosen.info.id]:
+            free.remove(chosen)
         pairs.append((task, chosen))
     return pairs
 
 
 def _choose_executor(
-    executors: list[Executor],
-    placeable: dict[str, int],
-    is_avoided: Callable[[Executor], bool],
+    free: list[Executor], is_avoided: Callable[[Executor], bool]
 ) -> Executor | None:
-    free = [e for e in executors if placeable[e.info.id] > 0]
     # If the task failed on all of them, it is tried again on one of those.
     return next((e for e in free if not is_avoided(e)), next(iter(free), None))
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -6,6 +6,9 @@
 that small gangs do not starve a large one. A restart of a long-running task
 that does not fit reserves an executor against all steps.
 
+A round that takes long is continued in the next one, so that the leader can
+confirm its key in between.
+
 Advice is limited to one call at a time for each host. Steps get the free slots
 for calls in their order, and capacity is reserved for a step only while its
 call is in progress, not while it waits for a slot.
@@ -68,6 +71,9 @@
 
 _log = logging.getLogger(__name__)
 
+# Time after which a round is continued in the next one. The leader reads its
+# key every 0.4 s and starts nothing if the last confirmation is older than 1 s.
+ROUND_BUDGET_S = 0.1
 # Time for which a step is not placed after a failed call for advice.
 ADVICE_RETRY_DELAY_S = 0.2
 # A waiting gang asks about no further executors while the good ones that it
@@ -91,6 +97,8 @@
         self._advice_dispatcher = advice_dispatcher
         self._history = AdviceHistory()
         self._last_round: DecisionRound | None = None
+        # Steps considered in a round that is not over yet.
+        self._considered: set[StepState] = set()
 
     @property
     def reserved_millicores(self) -> dict[str, int]:
@@ -112,6 +120,10 @@
     def place_waiting_steps(self, now: float, unix_time: float) -> None:
         """Runs one round: places all waiting steps that can be placed now.
 
+        A round that exceeds its budget of time wakes the leader and goes on
+        with the next call, which considers steps that are new first if they
+        come first.
+
         Args:
             now: Current time of the leader's monotonic clock, in seconds.
             unix_time: Current time, seconds since 1970.
@@ -120,11 +132,19 @@
         if not leader.leadership.may_start_attempts(now):
             return
         current = begin_round(leader.fleet.executors.values(), now)
+        if self._considered:
+            current.continue_after(self._last_round)
         self._last_round = current
         ready = sorted(
-            leader.workload.ready, key=lambda s: step_rank(s, unix_time)
+            (s for s in leader.workload.ready if s not in self._considered),
+            key=lambda s: step_rank(s, unix_time),
         )
+        until = leader.clock.now() + ROUND_BUDGET_S
         for step in ready:
+            if leader.clock.now() >= until:
+                leader.wake()
+                return
+            self._considered.add(step)
             tasks = step.waiting_tasks()
             if not tasks:
                 leader.workload.ready.pop(step, None)
@@ -132,6 +152,7 @@
                 self._place_step(step, tasks_in_turn(step, tasks), current)
             elif step.spec.gang and step.advice_pending:
                 self._keep_reservation(step, tasks, current)
+        self._considered.clear()
 
     def _is_placeable(
         self, step: StepState, tasks: list[Task], now: float
@@ -172,6 +193,8 @@
         )
         if plan.pairs and self._execute_plan(step, plan, allowed, current):
             return
+        if not plan.pairs:
+            current.update_free_millicores(queue.service)
         is_asking = (
             is_advised
             and not plan.pairs
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -11,6 +11,7 @@
 ]
 
 import enum
+import functools
 
 import attrs
 
@@ -21,6 +22,7 @@
     Queue,
     Step,
     TaskId,
+    remaining_paths_s,
 )
 from dragonflybank.cell.ports import ExecutorInfo
 
@@ -176,6 +178,7 @@
         spec: Its declaration.
         tasks: Its tasks.
         unfinished_count: Number of tasks that are not done.
+        blocking_count: Number of steps before it that are not done.
         ready_at: Time at which the steps before it were done; None before.
         advice_by_executor: Advice by executor.
         advice_pending: Whether a call for advice is in progress.
@@ -189,6 +192,7 @@
     spec: Step
     tasks: list[Task] = attrs.field(factory=list)
     unfinished_count: int = 0
+    blocking_count: int = 0
     ready_at: float | None = None
     advice_by_executor: dict[str, ExecutorAdvice] = attrs.field(factory=dict)
     advice_pending: bool = False
@@ -227,6 +231,9 @@
         phase: State; a final one is reported to callers only once it is
             stored.
         occurrences: Steps of each occurrence that is due.
+        unfinished_steps: Number of steps of these that are not done.
+        open_attempts: Attempts that may be running, in the order in which they
+            were reserved; `capacity` keeps them.
         cancelled: Whether its caller cancelled it.
         progress: Progress to be stored.
         progress_revision: Revision of the stored progress; 0 if none.
@@ -237,6 +244,8 @@
     job: Job
     phase: JobPhase = JobPhase.QUEUED
     occurrences: dict[int, list[StepState]] = attrs.field(factory=dict)
+    unfinished_steps: int = 0
+    open_attempts: dict[Attempt, None] = attrs.field(factory=dict)
     cancelled: bool = False
     progress: Progress = attrs.field(factory=Progress)
     progress_revision: int = 0
@@ -246,15 +255,28 @@
         )
     )
 
+    @functools.cached_property
+    def paths_s(self) -> tuple[float, ...]:
+        """Declared time from each step to the end of the job, in seconds."""
+        return remaining_paths_s(self.job.steps)
+
+    @functools.cached_property
+    def critical_path_s(self) -> float:
+        """Declared time of the whole job, in seconds."""
+        return max(self.paths_s, default=0.0)
+
+    @functools.cached_property
+    def dependents(self) -> tuple[tuple[int, ...], ...]:
+        """Numbers of the steps that come after each step."""
+        found: list[list[int]] = [[] for _ in self.job.steps]
+        for number, step in enumerate(self.job.steps):
+            for earlier in set(step.after):
+                found[earlier].append(number)
+        return tuple(map(tuple, found))
+
     def attempts(self) -> list[Attempt]:
         """Returns the attempts that may be running."""
-        return [
-            attempt
-            for steps in self.occurrences.values()
-            for step in steps
-            for task in step.tasks
-            for attempt in task.attempts
-        ]
+        return list(self.open_attempts)
 
 
 @attrs.define(eq=False)
--- a/libs/cell/dragonflybank/cell/step_order.py
+++ b/libs/cell/dragonflybank/cell/step_order.py
@@ -22,11 +22,10 @@
     "tasks_in_turn",
 ]
 
-import functools
 from collections.abc import Sequence
 
 from dragonflybank.cell.jobs import Queue, Step, critical_path_s
-from dragonflybank.cell.state import StepState, Task
+from dragonflybank.cell.state import JobState, StepState, Task
 
 # A result that comes later than this multiple of the objective has no value.
 HARD_DEADLINE_FACTOR = 3.0
@@ -41,7 +40,7 @@
     """
     queue = step.job_state.queue
     due = objective_deadline(step)
-    ends_at = now + remaining_path_s(step.job_state.job.steps, step.number)
+    ends_at = now + remaining_path_s(step)
     is_late = ends_at > due and not step.spec.lasting
     return (
         not is_restart(step),
@@ -80,40 +79,35 @@
     """
     if step.spec.lasting:
         return True
-    path_s = remaining_path_s(step.job_state.job.steps, step.number)
+    path_s = remaining_path_s(step)
     return now + path_s <= hard_deadline(step)
 
 
 def objective_deadline(step: StepState) -> float:
     """Returns the time by which the step's occurrence should be done."""
     state = step.job_state
-    return state.job.due_at(step.occurrence) + job_objective_s(
-        state.queue, state.job.steps
-    )
+    return state.job.due_at(step.occurrence) + _objective_s(state)
 
 
 def hard_deadline(step: StepState) -> float:
     """Returns the time after which the occurrence's result has no value."""
     state = step.job_state
-    return state.job.due_at(
-        step.occurrence
-    ) + HARD_DEADLINE_FACTOR * job_objective_s(state.queue, state.job.steps)
+    due_at = state.job.due_at(step.occurrence)
+    return due_at + HARD_DEADLINE_FACTOR * _objective_s(state)
 
 
-@functools.lru_cache(maxsize=4096)
-def remaining_path_s(steps: tuple[Step, ...], number: int) -> float:
-    """Returns the declared time from a step to the end of the job, in seconds.
+def remaining_path_s(step: StepState) -> float:
+    """Returns the declared time from a step to the end of its job, in seconds.
 
     This is the critical path of the step and those that depend on it.
     """
-    dependents_s = [
-        remaining_path_s(steps, later)
-        for later in range(number + 1, len(steps))
-        if number in steps[later].after
-    ]
-    return steps[number].estimate_s + max(dependents_s, default=0.0)
+    return step.job_state.paths_s[step.number]
 
 
 def job_objective_s(queue: Queue, steps: Sequence[Step]) -> float:
     """Returns the latency objective of a queue's job, in seconds."""
     return queue.objective_s + queue.slack * critical_path_s(steps)
+
+
+def _objective_s(state: JobState) -> float:
+    return state.queue.objective_s + state.queue.slack * state.critical_path_s
--- a/libs/cell/dragonflybank/cell/takeover.py
+++ b/libs/cell/dragonflybank/cell/takeover.py
@@ -14,6 +14,7 @@
     "add_stored_jobs",
     "decode_executors",
     "list_executors",
+    "load_stored_jobs",
     "take_over",
 ]
 
@@ -37,6 +38,10 @@
 
 _log = logging.getLogger(__name__)
 
+# Jobs that are decoded and added before other work of the leader gets a turn. A
+# job of the largest size takes some milliseconds.
+JOBS_PER_TURN = 10
+
 
 @attrs.frozen
 class DecodedExecutors:
@@ -68,7 +73,7 @@
         if isinstance(got, Failure):
             return got
     # Ends can only be processed after their jobs are loaded.
-    add_stored_jobs(leader, jobs.unwrap().items, progress.unwrap().items)
+    await load_stored_jobs(leader, jobs.unwrap().items, progress.unwrap().items)
     list_executors(
         leader, decode_executors(leader, listed.unwrap().items).infos
     )
@@ -88,10 +93,33 @@
     return Success((jobs.unwrap().revision, listed.unwrap().revision))
 
 
-def add_stored_jobs(
+async def load_stored_jobs(
     leader: Leader,
     items: tuple[Item, ...],
     progress: tuple[Item, ...] = (),
+) -> None:
+    """Adds many jobs as `add_stored_jobs` does, a few at a time.
+
+    The leader can confirm its key in between. A change of a job that arrives
+    meanwhile is found again by the watch, which begins at an earlier revision.
+    """
+    stored = {item.key.removeprefix(PROGRESS_PREFIX): item for item in progress}
+    cancels = [i for i in items if parse_job_key(i.key)[1]]
+    jobs = [i for i in items if not parse_job_key(i.key)[1]]
+    for first in range(0, len(jobs), JOBS_PER_TURN):
+        part = jobs[first : first + JOBS_PER_TURN]
+        ids = [parse_job_key(item.key)[0] for item in part]
+        add_stored_jobs(
+            leader, part, [stored[job] for job in ids if job in stored]
+        )
+        await leader.clock.sleep(0.0)
+    add_stored_jobs(leader, cancels)
+
+
+def add_stored_jobs(
+    leader: Leader,
+    items: Iterable[Item],
+    progress: Iterable[Item] = (),
 ) -> None:
     """Adds accepted jobs from the store and applies stored cancellations."""
     stored = {item.key.removeprefix(PROGRESS_PREFIX): item for item in progress}
--- a/libs/cell/dragonflybank/cell/workload.py
+++ b/libs/cell/dragonflybank/cell/workload.py
@@ -6,7 +6,7 @@
 __all__ = ["Workload"]
 
 import itertools
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from dragonflybank.cell.jobs import (
     CellConfig,
@@ -164,6 +164,8 @@
         for member in done:
             member.done = True
             step.unfinished_count -= 1
+        state = step.job_state
+        state.unfinished_steps -= not step.unfinished_count
         progress = step.job_state.progress
         progress.done.setdefault(step.key, []).extend(t.id.index for t in done)
         for member in done:
@@ -171,7 +173,11 @@
             progress.placed.pop(step.task_key(member), None)
         if not step.unfinished_count:
             self.ready.pop(step, None)
-            self._open_ready_steps(step.job_state, step.occurrence, now)
+            steps = state.occurrences[step.occurrence]
+            dependents = [steps[n] for n in state.dependents[step.number]]
+            for dependent in dependents:
+                dependent.blocking_count -= 1
+            self._open_ready_steps(state, dependents, now)
         return True
 
     def fail_task(self, task: Task, attempt: int) -> bool:
@@ -227,7 +233,7 @@
         """Returns whether all tasks of all occurrences are done."""
         if state.job.id in self.recurring:
             return False
-        return all(not step.unfinished_count for step in _all_steps(state))
+        return not state.unfinished_steps
 
     def end_job(
         self, state: JobState, phase: JobPhase, unix_time: float
@@ -281,8 +287,13 @@
             if spec.gang:
                 _share_checkpoint(step.tasks)
             steps.append(step)
+        for step in steps:
+            step.blocking_count = sum(
+                steps[n].unfinished_count > 0 for n in set(step.spec.after)
+            )
+        state.unfinished_steps += sum(s.unfinished_count > 0 for s in steps)
         state.occurrences[occurrence] = steps
-        self._open_ready_steps(state, occurrence, now)
+        self._open_ready_steps(state, steps, now)
 
     def _make_task(
         self, step: StepState, index: int, done: bool, now: float
@@ -300,16 +311,13 @@
         )
 
     def _open_ready_steps(
-        self, state: JobState, occurrence: int, now: float
+        self, state: JobState, steps: Iterable[StepState], now: float
     ) -> None:
         if state.phase.is_final:
             # A task may succeed after its job was cancelled.
             return
-        steps = state.occurrences[occurrence]
         for step in steps:
-            if step.ready_at is None and all(
-                not steps[n].unfinished_count for n in step.spec.after
-            ):
+            if step.ready_at is None and not step.blocking_count:
                 step.ready_at = now
                 if step.unfinished_count:
                     self.ready[step] = None
