--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -28,8 +28,8 @@
         accepting: Executors that accept new work, by service and identifier.
         free_millicores: Upper bound of the free CPU cores of any executor, by
             service, in thousandths of a core.
-        gang_reservations: What is reserved for each waiting gang. No executor
-            is reserved for two gangs.
+        gang_reservations: What is reserved for each waiting gang and restart.
+            No executor is reserved twice.
         refused: Steps that got no slot for a call, as their priority and
             whether the call is a long one.
         cap_waits: Highest priority of the gangs that wait for room under the
@@ -48,9 +48,10 @@
         """Returns the capacity that a step must leave, by executor.
 
         It is reserved for gangs of a higher priority and, if the step is a gang
-        itself, for those that come before it. In a mostly idle service, a step
-        may use it that will have ended when the gang starts. A step of an
-        overdue job may use it in any case.
+        itself, for those that come before it, and for restarts of long-running
+        tasks. In a mostly idle service, a step may use it that will have ended
+        when the gang or the restart begins. A step of an overdue job may use it
+        in any case.
         """
         if not self.gang_reservations or self.is_overdue(step):
             return {}
@@ -98,6 +99,19 @@
             priority < own or (step.spec.gang and priority == own)
         )
 
+    def continue_after(self, earlier: "DecisionRound") -> None:
+        """Takes over what steps of an earlier part of the round wait for."""
+        self.gang_reservations = earlier.gang_reservations
+        self.refused = earlier.refused
+        self.cap_waits = earlier.cap_waits
+
+    def update_free_millicores(self, service: str) -> None:
+        """Lowers the bound of a service after placements in this round."""
+        executors = self.accepting.get(service, {}).values()
+        self.free_millicores[service] = max(
+            (e.free_millicores for e in executors), default=0
+        )
+
     def _is_mostly_idle(self, service: str) -> bool:
         """Returns whether less than half of a service's cores are in use."""
         executors = self.accepting.get(service, {}).values()
@@ -105,7 +119,7 @@
         return 2 * used < sum(e.info.millicores for e in executors)
 
     def reserved(self) -> dict[str, int]:
-        """Returns the capacity that is reserved for any gang, by executor."""
+        """Returns the capacity that is reserved for any step, by executor."""
         return {
             executor: cores
             for reservation in self.gang_reservations
@@ -115,10 +129,10 @@
     def reserve_for_gang(
         self, step: StepState, tasks: list[Task], good: Iterable[Executor]
     ) -> None:
-        """Reserves executors for a waiting gang.
+        """Reserves executors for a waiting gang or a restart.
 
         Args:
-            step: The gang.
+            step: The gang, or a step whose tasks are restarted.
             tasks: Its tasks.
             good: Executors that may run it.
         """
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -3,7 +3,11 @@
 Steps are considered in the order of `step_order.step_rank`. A gang that does
 not fit reserves the executors that it would need against steps of lower
 priority, so that small work does not starve it, and against later gangs, so
-that small gangs do not starve a large one.
+that small gangs do not starve a large one. A restart of a long-running task
+that does not fit reserves an executor against all steps.
+
+A round that takes long is continued in the next one, so that the leader can
+confirm its key in between.
 
 Advice is limited to one call at a time for each host. Steps get the free slots
 for calls in their order, and capacity is reserved for a step only while its
@@ -49,7 +53,11 @@
     Task,
 )
 from dragonflybank.cell.step_holds import is_start_within_cap, tasks_within_cap
-from dragonflybank.cell.step_order import step_rank
+from dragonflybank.cell.step_order import (
+    is_restart,
+    step_rank,
+    tasks_in_turn,
+)
 from dragonflybank.cell.tickets import (
     TICKET_MARGIN_S,
     advice_call_s,
@@ -65,6 +73,9 @@
 
 _log = logging.getLogger(__name__)
 
+# Time after which a round is continued in the next one. The leader reads its
+# key every 0.4 s and starts nothing if the last confirmation is older than 1 s.
+ROUND_BUDGET_S = 0.1
 # Time for which a step is not placed after a failed call for advice.
 ADVICE_RETRY_DELAY_S = 0.2
 # A waiting gang asks about no further executors while the good ones that it
@@ -88,6 +99,8 @@
         self._advice_dispatcher = advice_dispatcher
         self._history = AdviceHistory()
         self._last_round: DecisionRound | None = None
+        # Steps considered in a round that is not over yet.
+        self._considered: set[StepState] = set()
 
     @property
     def reserved_millicores(self) -> dict[str, int]:
@@ -109,6 +122,10 @@
     def place_waiting_steps(self, now: float, unix_time: float) -> None:
         """Runs one round: places all waiting steps that can be placed now.
 
+        A round that exceeds its budget of time wakes the leader and goes on
+        with the next call, which considers steps that are new first if they
+        come first.
+
         Args:
             now: Current time of the leader's monotonic clock, in seconds.
             unix_time: Current time, seconds since 1970.
@@ -118,16 +135,25 @@
             return
         executors = leader.fleet.executors.values()
         current = begin_round(executors, now)
+        if self._considered:
+            current.continue_after(self._last_round)
         self._last_round = current
         leader.workload.count_orphans(running_orphans(executors, now))
         ready = sorted(
-            leader.workload.ready, key=lambda s: step_rank(s, unix_time)
+            (s for s in leader.workload.ready if s not in self._considered),
+            key=lambda s: step_rank(s, unix_time),
         )
+        until = leader.clock.now() + ROUND_BUDGET_S
         for step in ready:
+            if leader.clock.now() >= until:
+                leader.wake()
+                return
+            self._considered.add(step)
             tasks = step.waiting_tasks()
             if not tasks:
                 leader.workload.ready.pop(step, None)
                 continue
+            tasks = tasks_in_turn(step, tasks)
             tasks = tasks_within_cap(step, tasks, current)
             if not tasks:
                 continue
@@ -135,6 +161,7 @@
                 self._place_step(step, tasks, current)
             elif step.spec.gang and step.advice_pending:
                 self._keep_reservation(step, tasks, current)
+        self._considered.clear()
 
     def _is_placeable(
         self, step: StepState, tasks: list[Task], now: float
@@ -158,9 +185,10 @@
             return
         accepting = current.accepting.get(queue.service, {})
         if not is_advised:
-            allowed = candidate_executors(step, accepting.values())
+            good = candidate_executors(step, accepting.values())
         else:
-            allowed = _good_executors(step, accepting)
+            good = _good_executors(step, accepting)
+        allowed = good
         if is_advised and step.advice_pending:
             # Valid tickets are used while a call for advice is in progress.
             allowed = [
@@ -176,6 +204,8 @@
             step, tasks, plan, allowed, current
         ):
             return
+        if not plan.pairs:
+            current.update_free_millicores(queue.service)
         is_asking = (
             is_advised
             and not plan.pairs
@@ -183,8 +213,8 @@
             and self._needs_more(step, tasks, allowed)
             and self._request_first_advice(step, tasks, accepting, current)
         )
-        if step.spec.gang and not is_asking:
-            current.reserve_for_gang(step, tasks, allowed)
+        if (step.spec.gang or is_restart(step)) and not is_asking:
+            current.reserve_for_gang(step, tasks, good)
 
     def _keep_reservation(
         self, step: StepState, tasks: list[Task], current: DecisionRound
@@ -207,12 +237,14 @@
         queue, spec = step.job_state.queue, step.spec
         most_free = current.free_millicores.get(queue.service, 0)
         is_full = not spec.filling and spec.millicores > most_free
+        # Gangs and restarts reserve executors in a full cell.
+        is_full = is_full and not (spec.gang or is_restart(step))
         if not is_advised:
-            return is_full and not spec.gang
+            return is_full
         needs_long_call = is_long_call(queue.advised.base_s)
         if not step.advice_by_executor:
             return (queue.priority, needs_long_call) in current.refused
-        return is_full and not spec.gang and needs_long_call
+        return is_full and needs_long_call
 
     def _needs_more(
         self, step: StepState, tasks: list[Task], good: list[Executor]
--- a/libs/cell/dragonflybank/cell/tests/builders.py
+++ b/libs/cell/dragonflybank/cell/tests/builders.py
@@ -3,7 +3,6 @@
 __all__ = [
     "QUEUES",
     "ManualClock",
-    "StubLeader",
     "add_job",
     "get_step",
     "make_config",
@@ -12,9 +11,6 @@
 
 import attrs
 
-from dragonflybank.cell.background import BackgroundTasks
-from dragonflybank.cell.capacity import release, reserve
-from dragonflybank.cell.election import Leadership
 from dragonflybank.cell.jobs import (
     AdviceTiming,
     CellConfig,
@@ -23,13 +19,11 @@
     Queue,
     Step,
 )
-from dragonflybank.cell.metrics import CellMetrics
 from dragonflybank.cell.ports import ExecutorInfo
-from dragonflybank.cell.state import AttemptPhase, Executor, StepState
+from dragonflybank.cell.state import Executor, StepState
 from dragonflybank.cell.teams import ResourceCap, Team, key_digest
 from dragonflybank.cell.workload import Workload
 from dragonflybank.cluster.clock import Clock
-from dragonflybank.standins.cell.virtual_time import VirtualClock
 
 QUEUES = {
     name: Queue(
@@ -136,48 +130,3 @@
     async def sleep(self, seconds: float) -> None:
         """See `Clock.sleep`."""
         self.time_s += seconds
-
-
-class StubLeader:
-    """The parts of a leader that the scheduler uses; starts are recorded.
-
-    Args:
-        executors: Its executors.
-        clock: Its clock; without one, tests run in virtual time.
-    """
-
-    def __init__(self, executors, clock: Clock | None = None):
-        self.clock = clock or VirtualClock()
-        self.fleet = _Fleet({e.info.id: e for e in executors})
-        self.workload = Workload()
-        self.leadership = Leadership(1, 1, 0.0, float("inf"))
-        self.background = BackgroundTasks()
-        self.metrics = CellMetrics()
-        self.attempts = _Attempts(self.clock)
-
-    def wake(self):
-        """Does nothing, since the test runs the rounds."""
-
-
-@attrs.frozen
-class _Fleet:
-    executors: dict
-
-
-class _Attempts:
-    def __init__(self, clock):
-        self.started = []
-        self._clock = clock
-
-    def reserve_attempts(self, step, pairs, number, now):
-        return [
-            reserve(e, t, number, phase=AttemptPhase.RESERVED, now=now)
-            for t, e in pairs
-        ]
-
-    def start_attempts(self, step, attempts):
-        now = self._clock.now()
-        self.started += [(now, a.executor.info.id) for a in attempts]
-
-    def stop(self, attempt, reason):
-        release(attempt)
--- a/libs/cell/dragonflybank/cell/tests/test_scheduling.py
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -5,10 +5,8 @@
 
 import attrs
 import testtools
-from returns.result import Success
 from testtools.matchers import Equals
 
-from dragonflybank.cell.advice_dispatch import AdviceSlot
 from dragonflybank.cell.background import BackgroundTasks
 from dragonflybank.cell.capacity import release, reserve
 from dragonflybank.cell.jobs import CellConfig, Step
@@ -16,36 +14,17 @@
 from dragonflybank.cell.state import AttemptPhase
 from dragonflybank.cell.tests.builders import (
     QUEUES,
-    StubLeader,
     add_job,
     get_step,
     make_executor,
 )
-from dragonflybank.cell.tickets import record_advice
-from dragonflybank.standins.cell.virtual_time import (
-    run_in_virtual_time,
+from dragonflybank.cell.tests.scheduler_fakes import (
+    CALL_S,
+    FakeAdviceDispatcher,
+    FakeLeader,
 )
-
-CALL_S = 0.7
-
-
-class _AdviceDispatcher:
-    """Slow advice that declares every executor good, or some of them."""
-
-    is_mostly_idle = True
-
-    def __init__(self, good=None):
-        self.named = []
-        self._good = good
-
-    def acquire_slot(self, *, priority, duration_s, now):
-        return AdviceSlot("", 0.0)
-
-    async def request_advice(self, slot, step, executors, *, duration_s):
-        self.named.append(sorted(executors))
-        await asyncio.sleep(CALL_S)
-        good = [n for n in executors if self._good is None or n in self._good]
-        return Success({name: f"ticket/{name}" for name in good})
+from dragonflybank.cell.tickets import record_advice
+from dragonflybank.standins.cell.virtual_time import run_in_virtual_time
 
 
 class TestAdvisedSteps(testtools.TestCase):
@@ -53,7 +32,7 @@
 
     def _run_simulation(self, main):
         executors = [make_executor(f"e{n}", cores=4) for n in range(4)]
-        leader, dispatcher = StubLeader(executors), _AdviceDispatcher()
+        leader, dispatcher = FakeLeader(executors), FakeAdviceDispatcher()
         scheduler = Scheduler(leader, dispatcher)
         spec = Step(9, millicores=4000, estimate_s=4.0)
         step = get_step(add_job(leader.workload, 1, spec, queue="verify"))
@@ -110,8 +89,8 @@
     def test_executors_known_to_be_bad_are_neither_used_nor_asked_about(self):
         executors = [make_executor(f"e{n}", cores=4) for n in range(20)]
         leader, dispatcher = (
-            StubLeader(executors),
-            _AdviceDispatcher({"e0", "e9"}),
+            FakeLeader(executors),
+            FakeAdviceDispatcher({"e0", "e9"}),
         )
         scheduler = Scheduler(leader, dispatcher)
         spec = Step(3, millicores=4000, estimate_s=4.0)
@@ -138,9 +117,9 @@
             *(make_executor(f"e{n}", cores=4) for n in range(2)),
             make_executor("new", cores=4, service="archive"),
         ]
-        leader, failures = StubLeader(executors), []
+        leader, failures = FakeLeader(executors), []
         leader.background = BackgroundTasks(lambda: failures.append(1))
-        scheduler = Scheduler(leader, _AdviceDispatcher())
+        scheduler = Scheduler(leader, FakeAdviceDispatcher())
         spec = Step(1, millicores=4000, estimate_s=4.0)
         step = get_step(add_job(leader.workload, 1, spec, queue="verify"))
         moved = attrs.evolve(
@@ -182,8 +161,8 @@
 
     def _set_up_cell(self) -> None:
         self.executors = [make_executor(f"e{n}", cores=4) for n in range(8)]
-        self.leader = StubLeader(self.executors)
-        self.scheduler = Scheduler(self.leader, _AdviceDispatcher())
+        self.leader = FakeLeader(self.executors)
+        self.scheduler = Scheduler(self.leader, FakeAdviceDispatcher())
         self._jobs = itertools.count(1)
 
     def _add(
@@ -325,7 +304,7 @@
     def test_a_gang_asks_on_if_lasting_tasks_hold_its_good_executors(self):
         # Six executors are good for the gang, twice what it needs, but it has
         # no room beside the long-running tasks of five.
-        dispatcher = _AdviceDispatcher()
+        dispatcher = FakeAdviceDispatcher()
         dispatcher.is_mostly_idle = False
         self.scheduler = Scheduler(self.leader, dispatcher)
         self._occupy(0, 1, 2, 3, 4, lasting=True, millicores=1000)
@@ -337,7 +316,7 @@
 
     def test_no_advice_is_asked_for_a_gang_without_room(self):
         # Its calls would take the places of calls for work that can start.
-        dispatcher = _AdviceDispatcher()
+        dispatcher = FakeAdviceDispatcher()
         self.scheduler = Scheduler(self.leader, dispatcher)
         self._occupy(0, lasting=True, millicores=1000)
         gang = self._add(8)
--- a/libs/cell/dragonflybank/cell/tests/test_team_usage.py
+++ b/libs/cell/dragonflybank/cell/tests/test_team_usage.py
@@ -27,12 +27,12 @@
 )
 from dragonflybank.cell.tests.builders import (
     ManualClock,
-    StubLeader,
     add_job,
     get_step,
     make_config,
     make_executor,
 )
+from dragonflybank.cell.tests.scheduler_fakes import FakeLeader
 from dragonflybank.cell.tickets import record_advice
 from dragonflybank.standins.cell.virtual_time import run_in_virtual_time
 
@@ -87,7 +87,7 @@
     def setUp(self):
         super().setUp()
         executors = [make_executor(f"e{n}") for n in range(4)]
-        self.leader = StubLeader(executors, ManualClock())
+        self.leader = FakeLeader(executors, ManualClock())
         self.workload = self.leader.workload
         self.workload.adopt_config(make_config(caps={"a": 20, "b": 0}))
         self.dispatcher = _NoAdvice()
@@ -182,7 +182,7 @@
         self.assertThat(late.waiting_tasks(), Equals([]))
 
     def test_work_of_teams_waits_for_the_first_configuration(self):
-        leader = StubLeader([make_executor("e")], ManualClock())
+        leader = FakeLeader([make_executor("e")], ManualClock())
         job = add_job(leader.workload, 1, _step(1, 1), team="a")
         scheduler = Scheduler(leader, None)
         scheduler.place_waiting_steps(0.0, 0.0)
@@ -288,7 +288,7 @@
 
     def _successor(self, *progress):
         """Returns a new leader that has loaded one job for each progress."""
-        leader = StubLeader([make_executor("e0")], ManualClock())
+        leader = FakeLeader([make_executor("e0")], ManualClock())
         leader.attempts = AttemptManager(leader)
         leader.on_task_started = lambda state: None
         leader.workload.adopt_config(make_config(caps={"a": 20}))
