Find a new leader through other hosts when the store turns a host away

Cause: a host that the store turned away learned of a new leader only from the store. A former leader that resigned for that reason, and a host whose leader was killed meanwhile, knew no leader until the cut was over, and kept the keys of an old configuration beyond the bound of 4 s.

Change: when its read of the leader's key fails and no leader answers, a candidate reads the key through other hosts. The parts of CellHost that deal with them moved to known_peers.

Ruled out: reading through peers at each failed read, which would multiply the reads of a store that is out for all hosts; a leader that answers is enough in that case.

--- a/libs/cell/dragonflybank/cell/election.py
+++ b/libs/cell/dragonflybank/cell/election.py
@@ -176,6 +176,7 @@
             asked_at = self._clock.now()
             found = await self._store.get(LEADER_KEY)
             if isinstance(found, Failure):
+                await self._find_leader_through_peers()
                 await self._clock.sleep(RETRY_DELAY_S)
                 continue
             round_trip_s = self._clock.now() - asked_at
@@ -189,6 +190,19 @@
             if won is not None:
                 return won
 
+    async def _find_leader_through_peers(self) -> None:
+        """Reads the leader's key through other hosts.
+
+        If the store turns away this host alone, it learns of a new leader only
+        by them. With a leader that answers, nothing is read, so that an outage
+        of the store does not multiply the reads.
+        """
+        if self._is_leader_responsive(self._clock.now()):
+            return
+        item = await self._read_through_peers(LEADER_KEY)
+        if item is not None:
+            self._update_record(item)
+
     def record_ended_term(self, term: int) -> None:
         """Records that the leader of a term has reported its end."""
         self._last_ended_term = max(self._last_ended_term, term)
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -22,6 +22,7 @@
 from dragonflybank.cell.frontend import CellFrontend
 from dragonflybank.cell.isolation import run_supervised
 from dragonflybank.cell.jobs import CellConfig
+from dragonflybank.cell.known_peers import KnownPeers
 from dragonflybank.cell.lag import LoopLag
 from dragonflybank.cell.leader import Leader
 from dragonflybank.cell.leader_session import run_leader
@@ -49,7 +50,6 @@
 from dragonflybank.cell.relay import (
     RelayedStore,
     read_for_peer,
-    read_through_host,
     write_for_peer,
 )
 from dragonflybank.cell.takeover import add_stored_jobs
@@ -68,14 +68,8 @@
 # wait detects an outage earlier.
 CONFIG_WAIT_S = 1.0
 SYNC_RETRY_DELAY_S = 0.2
-# A host that has not sent a sync request for this long is not used for calls
-# to the advice service.
-PEER_SILENCE_LIMIT_S = 2.5
 # Network time to a peer and back, added to the timeout of the peer's own call.
 PEER_ROUND_TRIP_S = 0.2
-# Reads of the store through other hosts, by a leader that it does not answer.
-PEERS_ASKED = 3
-PEER_READ_TIMEOUT_S = 0.4
 # Hosts with fewer cores delay their candidacy.
 MIN_PREFERRED_CORES = 1.0
 
@@ -155,7 +149,7 @@
             notify_leader=self._notify_leader,
         )
         self._peers = peers
-        self._last_sync_at: dict[str, float] = {}
+        self._known_peers = KnownPeers(peers)
         self._last_ended_term = 0
         self._lag = LoopLag()
         self._notifications = BackgroundTasks()
@@ -170,7 +164,7 @@
             is_leader_responsive=self._is_leader_responsive,
             has_process_exited=peers.has_process_exited,
             lag=self._lag,
-            read_through_peers=self._read_through_peers,
+            read_through_peers=self._known_peers.read,
         )
 
     async def on_start(self) -> None:
@@ -332,13 +326,11 @@
                 )
                 self._phase_cache.start_delays = leader.start_delays(now)
                 self._phase_cache.synced_at = now
-            self._last_sync_at = {
-                address: last_sync_at
-                for address, last_sync_at in self._last_sync_at.items()
-                if now - last_sync_at < PEER_SILENCE_LIMIT_S
-            }
+            self._known_peers.forget_silent(now)
             if self._advice_dispatcher is not None:
-                self._advice_dispatcher.set_peers(list(self._last_sync_at))
+                self._advice_dispatcher.set_peers(
+                    list(self._known_peers.last_sync_at)
+                )
             await self._host_clock.sleep(SYNC_RETRY_DELAY_S)
 
     async def _sync_phases(self) -> None:
@@ -366,6 +358,7 @@
             match requesting.result():
                 case Success(reply) if reply.epoch:
                     self._phase_cache.apply_changes(reply, clock.now())
+                    self._known_peers.learn(reply.peers)
                     if reply.config:
                         self._adopt_packed_config(reply.config)
                 case got:
@@ -395,16 +388,17 @@
         now = self._host_clock.now()
         if not self._is_leading(now):
             return Success(SyncReply(0, over_term=self._last_ended_term))
-        self._last_sync_at[req.address] = now
+        self._known_peers.last_sync_at[req.address] = now
         if req.epoch == self._phase_cache.epoch:
             await self._host_clock.sleep(
-                sync_batch_delay_s(len(self._last_sync_at))
+                sync_batch_delay_s(len(self._known_peers.last_sync_at))
             )
         reply = await self._phase_cache.wait_for_changes(
             req.epoch, req.number, wait_s=SYNC_WAIT_S
         )
         if not self._is_leading(self._host_clock.now()):
             return Success(SyncReply(0, over_term=self._last_ended_term))
+        reply = attrs.evolve(reply, peers=self._known_peers.recent)
         if self.config is not None and should_send_config(
             req,
             self.config.version,
@@ -421,19 +415,6 @@
             return record.address
         return ""
 
-    async def _read_through_peers(self, key: str) -> Item | None:
-        """Reads a key through the hosts that asked this leader last."""
-        by_age = sorted(self._last_sync_at, key=self._last_sync_at.get)
-        found = await asyncio.gather(
-            *(
-                read_through_host(
-                    self._peers, address, key, timeout_s=PEER_READ_TIMEOUT_S
-                )
-                for address in by_age[-PEERS_ASKED:]
-            )
-        )
-        return next((i for got in found if (i := got.value_or(None))), None)
-
     async def _handle_read(self, sender: str, req: ReadRequest) -> Result:
         return await read_for_peer(self.platform.store, req)
 
--- a/libs/cell/dragonflybank/cell/messages.py
+++ b/libs/cell/dragonflybank/cell/messages.py
@@ -79,6 +79,7 @@
         config: The operators' configuration, compressed by `pack_config`, if
             the asking host needs a newer one.
         start_delays: Delays of new jobs that the leader expects.
+        peers: Addresses of some hosts that were alive recently.
         over_term: Last term in which the answering host led, if that term has
             ended; otherwise 0.
     """
@@ -91,6 +92,7 @@
     config: bytes = b""
     over_term: int = 0
     start_delays: tuple[StartDelay, ...] = ()
+    peers: tuple[str, ...] = ()
 
 
 @attrs.frozen
