Change keys of teams in the simulated cell and check who is admitted

Change: a simulated cell configures teams with keys, its callers use keys in force, withdrawn ones and one that never was. The check KEY compares each decision with the configurations in force within config_apply_ms before the request. The scenario keys_changed adds and withdraws keys while a host is cut off from the store, leaders are killed, a configuration is unsound and a host restarts.

--- a/libs/standins/dragonflybank/standins/cell/checks.py
+++ b/libs/standins/dragonflybank/standins/cell/checks.py
@@ -14,6 +14,8 @@
 - ORDER: a task starts only after the steps that its step depends on are done.
 - ROUTE: a task starts only on executors of a service to which its queue is or
   was sent since `CONFIG_APPLY_S` before its job was submitted.
+- KEY: a submission is admitted or refused by the keys of a configuration that
+  was in force between `KEYS_APPLY_S` before it was sent and its answer.
 - MIXED: callers see only one final phase of a job, and a job is
   completed only if its tasks are done.
 
@@ -21,7 +23,7 @@
 in time.
 """
 
-__all__ = ["CallerHistory", "find_violations"]
+__all__ = ["CallerHistory", "KeyDecision", "find_violations"]
 
 import itertools
 from collections.abc import Iterable, Iterator, Mapping
@@ -38,6 +40,25 @@
 CANCEL_DEADLINE_S = 3.0
 # Time within which hosts have to apply a change of the configuration.
 CONFIG_APPLY_S = 2.5
+# The platform's config_apply_ms.
+KEYS_APPLY_S = 4.0
+
+
+@attrs.frozen
+class KeyDecision:
+    """The answer of a host to a submission with a key.
+
+    Attributes:
+        sent_at: Time at which it was sent.
+        answered_at: Time at which the host decided.
+        key: Key of the caller.
+        is_admitted: Whether the key was accepted.
+    """
+
+    sent_at: float
+    answered_at: float
+    key: str
+    is_admitted: bool
 
 
 @attrs.define
@@ -53,6 +74,9 @@
         sent: Times of the first submissions.
         services: Services to which each queue was sent, with the times of the
             configurations.
+        keys: Keys of all teams, with the times of the configurations; empty
+            for one without teams.
+        key_decisions: Answers to submissions with a key.
     """
 
     jobs: dict[str, Job] = attrs.field(factory=dict)
@@ -64,6 +88,8 @@
     )
     sent: dict[str, float] = attrs.field(factory=dict)
     services: dict[str, list[tuple[float, str]]] = attrs.field(factory=dict)
+    keys: list[tuple[float, frozenset[str]]] = attrs.field(factory=list)
+    key_decisions: list[KeyDecision] = attrs.field(factory=list)
 
     def record_submission(self, job: Job, now: float) -> None:
         """Records the first submission of a job."""
@@ -105,6 +131,7 @@
         *itertools.chain.from_iterable(
             _check_route(history, executor) for executor in executors
         ),
+        *_check_keys(history),
         *_check_dependencies(history, runs),
         *_check_phases(history, runs),
     ]
@@ -125,6 +152,23 @@
             yield f"ROUTE {run.task} was started on {executor.info.id}"
 
 
+def _check_keys(history: CallerHistory) -> Iterator[str]:
+    for found in history.key_decisions:
+        oldest = found.sent_at - KEYS_APPLY_S
+        applied = [keys for at, keys in history.keys if at <= oldest]
+        later = [
+            keys
+            for at, keys in history.keys
+            if oldest < at <= found.answered_at
+        ]
+        if not any(
+            found.is_admitted == (not keys or found.key in keys)
+            for keys in (*applied[-1:], *later)
+        ):
+            verdict = "admitted" if found.is_admitted else "refused"
+            yield f"KEY {found.key} was {verdict} at {found.answered_at:.2f}"
+
+
 def _check_task(
     history: CallerHistory,
     task: TaskId,
--- a/libs/standins/dragonflybank/standins/cell/fault_scenarios.py
+++ b/libs/standins/dragonflybank/standins/cell/fault_scenarios.py
@@ -329,6 +329,32 @@
         left, entered = entered, left
 
 
+async def keys_changed(cell: SimulatedCell) -> None:
+    """Keys are added and withdrawn under faults of hosts and the store."""
+    cell.configure(2, keys={"a": ["a-1"], "b": ["b-1"]})
+    await asyncio.sleep(4.0)
+    first, second, *_ = cell.hosts
+    cell.store.faults.cut_hosts.add(first)
+    await asyncio.sleep(2.0)
+    # The host that the store turns away has to get these in time.
+    cell.configure(3, keys={"a": ["a-1", "a-2"], "b": ["b-1"]})
+    cell.configure(4, keys={"a": ["a-2"], "b": ["b-1"]})
+    await asyncio.sleep(0.5)
+    cell.kill_host(cell.leader())
+    cell.configure(5, keys={"a": ["a-2"], "c": ["b-1"]})
+    await asyncio.sleep(6.0)
+    cell.store.faults.cut_hosts.clear()
+    # An unsound configuration, and a host that restarts with it.
+    cell.store.put("config", b'{"version": 6, "teams": 5}')
+    await asyncio.sleep(1.0)
+    cell.kill_host(second)
+    await cell.start_host(second)
+    await asyncio.sleep(4.0)
+    cell.configure(7, keys={"c": ["c-1"]})
+    await asyncio.sleep(2.0)
+    cell.configure(8, keys={})
+
+
 SCENARIOS: dict[str, Scenario] = {
     fault.__name__: fault
     for fault in (
@@ -356,6 +382,7 @@
         entries_broken,
         entries_turn_odd,
         queues_moved,
+        keys_changed,
     )
 }
 # The other scenarios have one service.
--- a/libs/standins/dragonflybank/standins/cell/simulated_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/simulated_cell.py
@@ -31,6 +31,7 @@
     MemoryPeers,
     MemoryPlatform,
 )
+from dragonflybank.standins.cell.simulated_teams import SimulatedTeams
 from dragonflybank.standins.cell.store import MemoryStore
 from dragonflybank.standins.cell.virtual_time import (
     VirtualClock,
@@ -108,6 +109,7 @@
         self._clock = VirtualClock()
         self._services = tuple(services)
         self._queues = _make_queues(advised, self._services[0])
+        self._teams = SimulatedTeams(self.history)
         self.executors = {
             name: self._new_executor(name, number)
             for number, name in enumerate(
@@ -129,6 +131,7 @@
         *,
         moved_queues: Mapping[str, str] | None = None,
         dropped_queues: Sequence[str] = (),
+        keys: Mapping[str, Sequence[str]] | None = None,
     ) -> None:
         """Writes a configuration to the store.
 
@@ -137,7 +140,11 @@
             moved_queues: New services by name of the queue; the other queues
                 stay where they are.
             dropped_queues: Queues that are left out of this configuration.
+            keys: API keys by name of the team; None for the same teams as
+                before.
         """
+        if keys is not None:
+            self._teams.change(keys, self._clock.now())
         moved = moved_queues or {}
         self._queues = {
             name: attrs.evolve(
@@ -150,6 +157,7 @@
             version,
             {"front": tuple(queues)},
             {name: Service(name) for name in self._services},
+            teams=self._teams.teams,
         )
         self.store.put("config", msgspec.json.encode(cfg))
         for queue in queues:
@@ -236,9 +244,13 @@
                 return name
             await asyncio.sleep(LEADER_POLL_INTERVAL_S)
 
-    async def submit(self, job: Job) -> bool:
+    async def submit(self, job: Job, *, key: str = "") -> bool:
         """Submits a job as a caller does, with retries.
 
+        Args:
+            job: The job.
+            key: API key of the caller.
+
         Returns:
             Whether the job was accepted.
         """
@@ -248,7 +260,14 @@
             hosts = list(self.hosts.values())
             if hosts:
                 host = self.rng.choice(hosts)
-                defined = attrs.evolve(job, queue=_defined_queue(host, job))
+                queue = _defined_queue(host, job)
+                team = self._teams.authorize(
+                    host.config, queue, key, self._clock.now()
+                )
+                if team is None:
+                    await asyncio.sleep(1.0)
+                    continue
+                defined = attrs.evolve(job, queue=queue, team=team)
                 call = asyncio.create_task(
                     host.frontend.submit(defined, timeout_s=CALL_TIMEOUT_S)
                 )
@@ -382,7 +401,7 @@
     ) -> str:
         await asyncio.sleep(self.rng.uniform(1.0, 1.0 + load.duration_s))
         job = self.draw_job(load)
-        if not await self.submit(job):
+        if not await self.submit(job, key=self._teams.draw_key(self.rng)):
             return ""
         if self.rng.random() < load.cancel_share:
             await asyncio.sleep(self.rng.uniform(0.0, 2.0))
