Check the caps of teams in the simulated cell

The check QUOTA compares what a team has running after each start with the greatest cap that was in force within 2.5 s. The scenario caps_changed lowers and raises caps while leaders are killed.

--- a/libs/standins/dragonflybank/standins/cell/checks.py
+++ b/libs/standins/dragonflybank/standins/cell/checks.py
@@ -14,6 +14,9 @@
 - ORDER: a task starts only after the steps that its step depends on are done.
 - ROUTE: a task starts only on executors of a service to which its queue is or
   was sent since `CONFIG_APPLY_S` before its job was submitted.
+- QUOTA: a start brings what a team has running to at most its cap and the
+  allowed overage, and one task more. The greatest cap counts that was in force
+  within `CONFIG_APPLY_S` before the start.
 - MIXED: callers see only one final phase of a job, and a job is
   completed only if its tasks are done.
 
@@ -30,6 +33,7 @@
 
 from dragonflybank.cell.jobs import Job, JobPhase, Queue, TaskId
 from dragonflybank.cell.ports import EndKind
+from dragonflybank.cell.teams import ResourceCap, Team
 from dragonflybank.standins.cell.executors import AttemptRun, MemoryExecutor
 
 # A failure counts as known to the leader this long after it happened, if it is
@@ -38,6 +42,7 @@
 CANCEL_DEADLINE_S = 3.0
 # Time within which hosts have to apply a change of the configuration.
 CONFIG_APPLY_S = 2.5
+QUOTA_OVERAGE = 0.1
 
 
 @attrs.define
@@ -53,6 +58,7 @@
         sent: Times of the first submissions.
         services: Services to which each queue was sent, with the times of the
             configurations.
+        teams: Teams of each configuration, with its time.
     """
 
     jobs: dict[str, Job] = attrs.field(factory=dict)
@@ -64,6 +70,7 @@
     )
     sent: dict[str, float] = attrs.field(factory=dict)
     services: dict[str, list[tuple[float, str]]] = attrs.field(factory=dict)
+    teams: list[tuple[float, dict[str, Team]]] = attrs.field(factory=list)
 
     def record_submission(self, job: Job, now: float) -> None:
         """Records the first submission of a job."""
@@ -74,6 +81,17 @@
         """Records the service to which a configuration sends a queue."""
         self.services.setdefault(queue.name, []).append((now, queue.service))
 
+    def record_teams(self, teams: Mapping[str, Team], now: float) -> None:
+        """Records the teams of a configuration."""
+        self.teams.append((now, dict(teams)))
+
+    def caps(self, team: str, now: float) -> list[ResourceCap]:
+        """Returns the caps of a team that may be in force at a time."""
+        known = [teams for at, teams in self.teams if at <= now]
+        applied = sum(at <= now - CONFIG_APPLY_S for at, _ in self.teams)
+        in_force = known[max(0, applied - 1) :]
+        return [teams[team].cap for teams in in_force if team in teams]
+
     def allowed_services(self, job: Job) -> set[str]:
         """Returns the services whose executors may run a job."""
         services = self.services.get(job.queue.name, [])
@@ -105,6 +123,7 @@
         *itertools.chain.from_iterable(
             _check_route(history, executor) for executor in executors
         ),
+        *_check_caps(history, runs),
         *_check_dependencies(history, runs),
         *_check_phases(history, runs),
     ]
@@ -201,6 +220,39 @@
     return not any(run.ended_at < at < run.acked_at for at in lapses[executor])
 
 
+def _check_caps(
+    history: CallerHistory, runs: Mapping[TaskId, list[AttemptRun]]
+) -> Iterator[str]:
+    """Checks cores and memory of each team after each of its starts."""
+    events = sorted(
+        (
+            (at, sign, run.task)
+            for run in itertools.chain.from_iterable(runs.values())
+            for at, sign in ((run.started_at, 1), (run.ended_at, -1))
+            if at is not None and run.task.job in history.jobs
+        ),
+        key=lambda event: event[:2],
+    )
+    used: dict[str, list[int]] = {}
+    for at, sign, task in events:
+        job = history.jobs[task.job]
+        step = job.steps[task.step]
+        need = (step.millicores, step.memory_mb)
+        amounts = used.setdefault(job.team, [0, 0])
+        amounts[:] = [u + sign * n for u, n in zip(amounts, need, strict=True)]
+        caps = history.caps(job.team, at) if sign > 0 else []
+        limits = [(c.millicores, c.memory_mb) for c in caps]
+        for amount, task_need, values in zip(
+            amounts, need, zip(*limits, strict=True), strict=False
+        ):
+            most = (1 + QUOTA_OVERAGE) * max(values) + task_need
+            if all(values) and amount > most:
+                yield (
+                    f"QUOTA {task} brought {job.team} to {amount} of "
+                    f"{max(values)} at {at:.2f}"
+                )
+
+
 def _check_dependencies(
     history: CallerHistory, runs: Mapping[TaskId, list[AttemptRun]]
 ) -> Iterator[str]:
--- a/libs/standins/dragonflybank/standins/cell/fault_scenarios.py
+++ b/libs/standins/dragonflybank/standins/cell/fault_scenarios.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from dragonflybank.cell.teams import ResourceCap, Team, key_digest
 from dragonflybank.standins.cell.simulated_cell import (
     SERVICE_NAME,
     SimulatedCell,
@@ -22,6 +23,8 @@
 ENTRY_EXPIRY_S = 4.5
 OTHER_SERVICE = "archive"
 LONG_DRAIN_S = 120.0
+# A drawn gang needs up to 60 cores; a cap of 0 is none.
+CAPS_IN_CORES = {"forecast": 80, "research": 100, "survey": 0}
 DEEPLY_NESTED = b'{"not_known": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
 
 
@@ -40,7 +43,12 @@
     scenario: Scenario, seed: int, services: tuple[str, ...]
 ) -> list[str]:
     # Each service alone has the capacity for the load.
-    cell = SimulatedCell(seed, executors=6 * len(services), services=services)
+    cell = SimulatedCell(
+        seed,
+        executors=6 * len(services),
+        services=services,
+        teams=TEAMS_BY_SCENARIO.get(scenario.__name__),
+    )
     await cell.start()
     injecting = asyncio.create_task(scenario(cell))
     found = await cell.run_load(LOAD)
@@ -329,6 +337,34 @@
         left, entered = entered, left
 
 
+async def caps_changed(cell: SimulatedCell) -> None:
+    """Caps of teams are lowered and raised while leaders are killed."""
+    for version, (pause_s, percent) in enumerate(
+        ((4.0, 85), (0.3, 100), (4.0, 80), (3.0, 120), (3.0, 90)), 2
+    ):
+        await asyncio.sleep(pause_s)
+        cell.teams = {
+            name: _make_team(name, cores * percent // 100)
+            for name, cores in CAPS_IN_CORES.items()
+        }
+        cell.configure(version)
+        if version % 2:
+            await asyncio.sleep(0.02 * version)
+            leader = cell.leader()
+            cell.kill_host(leader)
+            await asyncio.sleep(0.5)
+            if leader:
+                await cell.start_host(leader)
+
+
+def _make_team(name: str, cores: int) -> Team:
+    return Team(
+        name,
+        (key_digest(name),),
+        cap=ResourceCap(1000 * cores, 1000 * cores),
+    )
+
+
 SCENARIOS: dict[str, Scenario] = {
     fault.__name__: fault
     for fault in (
@@ -356,7 +392,12 @@
         entries_broken,
         entries_turn_odd,
         queues_moved,
+        caps_changed,
     )
 }
 # The other scenarios have one service.
 SERVICES_BY_SCENARIO = {"queues_moved": (SERVICE_NAME, OTHER_SERVICE)}
+# The other scenarios have no teams.
+TEAMS_BY_SCENARIO = {
+    "caps_changed": {n: _make_team(n, c) for n, c in CAPS_IN_CORES.items()}
+}
--- a/libs/standins/dragonflybank/standins/cell/simulated_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/simulated_cell.py
@@ -24,6 +24,7 @@
 )
 from dragonflybank.cell.limits import CellLimits
 from dragonflybank.cell.ports import EndKind, ExecutorInfo
+from dragonflybank.cell.teams import Team
 from dragonflybank.model.codes import Code
 from dragonflybank.standins.cell.checks import CallerHistory, find_violations
 from dragonflybank.standins.cell.executors import AttemptRun, MemoryExecutor
@@ -71,6 +72,7 @@
         cut_peers: Hosts that neither reach other hosts nor are reached by them.
         powered_off: Hosts whose machines have lost power.
         handlers_of_host: Handlers of calls from peers, by live host.
+        teams: Teams of the next configuration, by name.
         refusing_hosts: Live hosts whose machines refuse connections, so that
             other hosts take their processes for ended.
 
@@ -81,6 +83,7 @@
         advised: Whether queues other than ``lookup`` need advice.
         services: Services, among which the executors are dealt out in turn;
             all queues begin at the first.
+        teams: Teams by name; jobs are drawn from all of them alike.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         executors: int = 6,
         advised: bool = True,
         services: Sequence[str] = (SERVICE_NAME,),
+        teams: Mapping[str, Team] | None = None,
     ):
         self.rng = random.Random(seed)
         self.store = MemoryStore(random.Random(seed + 1))
@@ -107,6 +111,7 @@
         self._failing_jobs: set[str] = set()
         self._clock = VirtualClock()
         self._services = tuple(services)
+        self.teams = dict(teams or {})
         self._queues = _make_queues(advised, self._services[0])
         self.executors = {
             name: self._new_executor(name, number)
@@ -150,10 +155,12 @@
             version,
             {"front": tuple(queues)},
             {name: Service(name) for name in self._services},
+            teams=self.teams,
         )
         self.store.put("config", msgspec.json.encode(cfg))
         for queue in queues:
             self.history.record_service(queue, self._clock.now())
+        self.history.record_teams(self.teams, self._clock.now())
 
     def write_executor_entry(self, executor: MemoryExecutor) -> None:
         """Writes an executor's entry to the store."""
@@ -354,10 +361,18 @@
         run_s *= rng.lognormvariate(0, 0.4)
         if rng.random() < load.failing_share:
             self._failing_jobs.add(job_id)
-        return self.make_job(name, *steps, run_s=run_s, job_id=job_id)
+        team = rng.choice(sorted(self.teams)) if self.teams else ""
+        return self.make_job(
+            name, *steps, run_s=run_s, job_id=job_id, team=team
+        )
 
     def make_job(
-        self, queue: str, *steps: Step, run_s: float, job_id: str = ""
+        self,
+        queue: str,
+        *steps: Step,
+        run_s: float,
+        job_id: str = "",
+        team: str = "",
     ) -> Job:
         """Returns a job that a caller can submit.
 
@@ -366,6 +381,7 @@
             steps: Its steps.
             run_s: Run time of each task on a sound executor, in seconds.
             job_id: Its identifier; drawn if empty.
+            team: Its team.
         """
         job_id = job_id or f"{self.rng.getrandbits(64):016x}"
         self._run_times_s[job_id] = run_s
@@ -375,6 +391,7 @@
             "text of " + job_id,
             steps,
             self._clock.now(),
+            team=team,
         )
 
     async def _run_caller(
