--- a/libs/standins/dragonflybank/standins/cell/simulated_teams.py
+++ b/libs/standins/dragonflybank/standins/cell/caller_keys.py
@@ -1,6 +1,6 @@
-"""The teams of a simulated cell and the keys of its callers."""
+"""The API keys of the callers of a simulated cell."""
 
-__all__ = ["SimulatedTeams"]
+__all__ = ["CallerKeys"]
 
 import random
 from collections.abc import Mapping, Sequence
@@ -13,28 +13,26 @@
 from dragonflybank.standins.cell.checks import CallerHistory, KeyDecision
 
 
-class SimulatedTeams:
-    """Teams of the configurations, and what hosts decided about keys.
+class CallerKeys:
+    """Keys of the configurations, and what hosts decided about them.
 
     Args:
         history: The callers' history, in which keys and decisions are recorded.
-
-    Attributes:
-        teams: Teams of the last configuration by name.
     """
 
     def __init__(self, history: CallerHistory):
-        self.teams: dict[str, Team] = {}
         self._history = history
 
-    def change(self, keys: Mapping[str, Sequence[str]], now: float) -> None:
-        """Sets the API keys by name of the team."""
-        self.teams = {
+    def change(
+        self, keys: Mapping[str, Sequence[str]], now: float
+    ) -> dict[str, Team]:
+        """Sets the API keys by name of the team, and returns the teams."""
+        known = frozenset(key for found in keys.values() for key in found)
+        self._history.keys.append((now, known))
+        return {
             name: Team(name, tuple(map(key_digest, found)))
             for name, found in keys.items()
         }
-        known = frozenset(key for found in keys.values() for key in found)
-        self._history.keys.append((now, known))
 
     def draw_key(self, rng: random.Random) -> str:
         """Returns a key that is or was in force, or one that never was."""
