--- a/libs/standins/dragonflybank/standins/cell/executors.py
+++ b/libs/standins/dragonflybank/standins/cell/executors.py
@@ -221,6 +221,7 @@
         )
         self.runs.append(run)
         self.running[key] = self._runs[key] = run
+        self.on_run_started(run)
         cores, memory_mb = self.used_capacity()
         if cores > self.info.millicores or memory_mb > self.info.memory_mb:
             self.overloaded_at.append(self._now())
@@ -377,6 +378,12 @@
     def _is_gang_present(self, run: AttemptRun, step: Step) -> bool:
         return self.count_gang_members(run) >= step.count
 
+    def on_run_started(self, run: AttemptRun) -> None:
+        """Called with each run at its start.
+
+        `SimulatedCell` replaces it.
+        """
+
     def count_gang_members(self, run: AttemptRun) -> int:
         """Returns the number of tasks of a run's gang that run now.
 
--- a/libs/standins/dragonflybank/standins/cell/simulated_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/simulated_cell.py
@@ -3,6 +3,7 @@
 __all__ = ["SimulatedCell", "SubmissionLoad"]
 
 import asyncio
+import functools
 import random
 from collections.abc import Mapping, Sequence
 
@@ -105,6 +106,8 @@
         self._process_of_host: dict[str, str] = {}
         self._run_times_s: dict[str, float] = {}
         self._failing_jobs: set[str] = set()
+        self._gang_runs: dict[tuple, list[tuple[MemoryExecutor, AttemptRun]]]
+        self._gang_runs = {}
         self._clock = VirtualClock()
         self._services = tuple(services)
         self._queues = _make_queues(advised, self._services[0])
@@ -416,6 +419,9 @@
             clock_rate=self.rng.uniform(0.98, 1.0),
             rng=random.Random(self.rng.getrandbits(32)),
         )
+        executor.on_run_started = functools.partial(
+            self._record_gang_run, executor
+        )
         executor.count_gang_members = self._count_gang_members
         executor.on_gang_member_ended = self._end_gang
         return executor
@@ -429,13 +435,19 @@
     ) -> list[tuple[MemoryExecutor, AttemptRun]]:
         return [
             (executor, other)
-            for executor in self.executors.values()
-            for other in executor.running.values()
-            if other.attempt == run.attempt
-            and other.task.job == run.task.job
-            and other.task.step == run.task.step
+            for executor, other in self._gang_runs.get(_gang_key(run), ())
+            if other.ended_at is None
         ]
 
+    def _record_gang_run(
+        self, executor: MemoryExecutor, run: AttemptRun
+    ) -> None:
+        step = self._find_step(run.task)
+        if step is not None and step.gang:
+            self._gang_runs.setdefault(_gang_key(run), []).append(
+                (executor, run)
+            )
+
     def _count_gang_members(self, run: AttemptRun) -> int:
         return len({other.task for _, other in self._running_gang_members(run)})
 
@@ -450,6 +462,10 @@
             )
 
 
+def _gang_key(run: AttemptRun) -> tuple[str, int, int]:
+    return run.task.job, run.task.step, run.attempt
+
+
 def _defined_queue(host: CellHost, job: Job) -> Queue:
     """Returns the queue of a job as the configuration of a host defines it."""
     found = host.config and find_queue(
--- a/libs/standins/dragonflybank/standins/cell/store.py
+++ b/libs/standins/dragonflybank/standins/cell/store.py
@@ -3,6 +3,7 @@
 __all__ = ["MemoryStore", "StoreFaults"]
 
 import asyncio
+import bisect
 import random
 
 import attrs
@@ -173,6 +174,12 @@
             self._revision += 1
             self._set(key, None, 0)
 
+    def item(self, key: str) -> Item | None:
+        """Returns a key as a host reads it, None if it does not exist."""
+        self._expire()
+        found = self._items.get(key)
+        return Item(key, found[0], found[1]) if found else None
+
     def scan(self, prefix: str) -> ScanResult:
         """Returns all items with a prefix."""
         self._expire()
@@ -198,14 +205,17 @@
             self.faults.is_history_lost = False
             return Success(WatchResult((), after, is_history_lost=True))
         until = self._now() + wait_s
+        # Events up to here are older than the watch or have other keys.
+        first = bisect.bisect_right(
+            self._events, after, key=lambda i: i.revision
+        )
         while True:
             self._expire()
             revision = self._revision
             items = tuple(
-                i
-                for i in self._events
-                if i.revision > after and i.key.startswith(prefix)
+                i for i in self._events[first:] if i.key.startswith(prefix)
             )
+            first = len(self._events)
             if items or self._now() >= until:
                 return Success(WatchResult(items, revision))
             self._changed.clear()
@@ -270,8 +280,7 @@
 
     async def get(self, key: str) -> Result[Item | None, Problem]:
         def operation() -> Item | None:
-            items = self._store.scan(key).items
-            return next((i for i in items if i.key == key), None)
+            return self._store.item(key)
 
         return await self._call("get", operation)
 
