Look at as many executors as a call for advice can name

In a profile of the leader at 1,002 executors and 100 hosts, two thirds of the decisions' time went into first calls for advice: each counted the free room of every executor, although a call names a few. Counting now stops when the room is enough, and at 200 executors, the most that a gang's calls name. The same executors are named as before. The check of expired leases computes times only for unclaimed executors with attempts.

What is left grows with calls x executors (the list of candidates, the sort by free cores) and with rounds x executors (accepting executors).

--- a/libs/cell/dragonflybank/cell/advice_spending.py
+++ b/libs/cell/dragonflybank/cell/advice_spending.py
@@ -24,6 +24,8 @@
 # The advice service accepts at most this many executors in a call.
 MAX_EXECUTORS_PER_CALL = 100
 MIN_EXECUTORS_PER_CALL = 4
+# A gang names executors for two calls at most.
+MAX_EXECUTORS_COUNTED = 2 * MAX_EXECUTORS_PER_CALL
 # Share of good executors that is expected before there is any advice, and its
 # weight as a number of executors.
 INITIAL_GOOD_SHARE = 0.3
@@ -87,12 +89,15 @@
     """
     spec = step.spec
     most = spec.max_per_executor or spec.count
-    fits = [count_fitting_tasks(e, spec) for e in executors]
+    # No caller names more; in a large cell most executors are not looked at.
+    looked_at = itertools.islice(executors, MAX_EXECUTORS_COUNTED)
+    fits = (count_fitting_tasks(e, spec) for e in looked_at)
     needed = waiting
     if spec.millicores and not spec.filling:
         needed += other_millicores // spec.millicores
     totals = itertools.accumulate(min(fit, most) for fit in fits)
-    enough = sum(total < needed for total in totals) + 1
+    short = itertools.takewhile(lambda total: total < needed, totals)
+    enough = sum(1 for _ in short) + 1
     return math.ceil(enough / good_share)
 
 
--- a/libs/cell/dragonflybank/cell/fleet.py
+++ b/libs/cell/dragonflybank/cell/fleet.py
@@ -270,11 +270,13 @@
         leader = self._leader
         began_at, limits = leader.leadership.began_at, leader.limits
         for executor in self.executors.values():
+            if executor.claimed or not executor.attempts:
+                continue
             ends_at = max(
                 began_at + max_old_lease_s(limits.lease_s),
                 executor.restart_seen_at + max_old_lease_s(limits.max_lease_s),
             )
-            if not executor.claimed and executor.attempts and now >= ends_at:
+            if now >= ends_at:
                 leader.attempts.release_lost(executor, "no lease can be left")
 
     def evacuate(self, now: float) -> None:
