Elect a leader whose link, descriptors, memory and cores hold the cell

Any host could lead: hosts have links of 5 to 100 Mbit/s and 1,638 to 10,250 descriptors, and only hosts of less than one core stood back. The measured leader sends 0.8 to 1.3 MB/s with 302 executors and with 1,002, though three times as much is asked of it; large_cell and the bytes of a call give over 3 MB/s at 1,002.

The settings carry link_mbps and max_fds. Answers to sync requests carry the number of executors, sync requests the share of what a leader needs that the host lacks. Candidates wait up to 0.6 s by that share. The size is not known at the first election of a cell, so a leader that is short by half more than another host resigns, between 1.5 and 6 s of its term and once for each process. Cells of 24 executors need less than the smallest host has, so nothing changes there. Safety is that of any change of the leader.

Ruled out: reading all executor entries before standing for election (400 KB for each of 100 hosts on links of 5 Mbit/s); a fixed delay for slow links, which delays small cells too.

--- a/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
+++ b/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
@@ -67,11 +67,11 @@
     cluster_work_messages.ListWork: "table limit",
     cluster_work_messages.WorkRows: "columns rows",
     cell_messages.SyncRequest: (
-        "address epoch number version needs_config accepts_packed"
+        "address epoch number version needs_config accepts_packed shortfall"
     ),
     cell_messages.SyncReply: (
         "epoch number is_whole states pending config over_term start_delays "
-        "packed"
+        "packed executors"
     ),
     cell_messages.StartDelay: "service priority seconds",
     cell_messages.AdviceRequest: "step executors timeout_s",
@@ -182,7 +182,7 @@
     adapter_settings.AdapterSettings: (
         "name zone ip callers_address ready_address metrics_address "
         "peer_ports store region zones advice_address cores core_share "
-        "memory_mb heartbeat_ms bounds"
+        "memory_mb heartbeat_ms bounds link_mbps max_fds"
     ),
     config_settings.Address: "address port",
     config_settings.Seed: "name region address port",
--- a/libs/cell/dragonflybank/cell/election.py
+++ b/libs/cell/dragonflybank/cell/election.py
@@ -29,6 +29,7 @@
 from returns.result import Failure, Success
 
 from dragonflybank.cell.lag import LoopLag
+from dragonflybank.cell.leader_fitness import LeaderFitness
 from dragonflybank.cell.ports import Item, Store, Txn, TxnReply
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.model.decoding import DecodeError
@@ -131,6 +132,7 @@
         address: Address of its peer socket.
         clock: Clock of the host.
         has_few_cores: Whether hosts with more cores should be elected first.
+        fitness: How well this host can lead the cell.
         rng: Seeded random generator.
         is_leader_responsive: Returns whether the leader has answered this host
             recently and its leadership was confirmed then.
@@ -149,6 +151,7 @@
         *,
         clock: Clock,
         has_few_cores: bool,
+        fitness: LeaderFitness,
         rng: random.Random,
         is_leader_responsive: Callable[[float], bool],
         has_process_exited: Callable[[str], Awaitable[bool]],
@@ -162,6 +165,7 @@
         self._address = address
         self._clock = clock
         self._has_few_cores = has_few_cores
+        self._fitness = fitness
         self._rng = rng
         self._is_leader_responsive = is_leader_responsive
         self._has_process_exited = has_process_exited
@@ -311,6 +315,7 @@
         delay_s += min(LAG_DELAY_MAX_S, LAG_DELAY_FACTOR * self._lag.mean_s)
         if self._has_few_cores:
             delay_s += FEW_CORES_DELAY_S
+        delay_s += self._fitness.candidacy_delay_s
         await self._clock.sleep(delay_s + self._rng.uniform(0.0, 0.02))
         revision = former.revision if former else 0
         leader_item, term_item = await asyncio.gather(
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -16,12 +16,13 @@
 from dragonflybank.cell.config_transfer import pack_config, unpack_config
 from dragonflybank.cell.election import Candidate, Leadership
 from dragonflybank.cell.frontend import CellFrontend
+from dragonflybank.cell.host_settings import HostSettings
 from dragonflybank.cell.isolation import run_supervised
 from dragonflybank.cell.jobs import CellConfig
 from dragonflybank.cell.lag import LoopLag
 from dragonflybank.cell.leader import Leader
+from dragonflybank.cell.leader_fitness import UNFIT, LeaderFitness
 from dragonflybank.cell.leader_session import run_leader
-from dragonflybank.cell.limits import CellLimits
 from dragonflybank.cell.messages import (
     ADVICE_KIND,
     KEY_WRITTEN_KIND,
@@ -40,6 +41,11 @@
 from dragonflybank.cell.metrics import CellMetrics
 from dragonflybank.cell.peering import Peers
 from dragonflybank.cell.phase_cache import JobPhaseCache, sync_batch_delay_s
+from dragonflybank.cell.phase_sync import (
+    SYNC_RETRY_DELAY_S,
+    SYNC_TIMEOUT_S,
+    PhaseSynchronizer,
+)
 from dragonflybank.cell.ports import Item, Platform
 from dragonflybank.cell.prefix_watcher import PrefixWatcher
 from dragonflybank.cell.relay import (
@@ -57,7 +63,6 @@
 # Longest time that the leader holds back its reply to a sync request while
 # there are no changes.
 SYNC_WAIT_S = 0.7
-SYNC_TIMEOUT_S = 1.4
 # A leader that has not answered for this long may have failed.
 LEADER_SILENCE_LIMIT_S = 1.2
 # The watch of the configuration also shows whether the store answers; a shorter
@@ -66,7 +71,6 @@
 # Hosts that have not read a change of the configuration from the store within
 # this time get it from the leader. The bound for a change is 2.5 s.
 CONFIG_READ_TIME_S = 1.0
-SYNC_RETRY_DELAY_S = 0.2
 # A host that has not sent a sync request for this long is not used for calls
 # to the advice service.
 PEER_SILENCE_LIMIT_S = 2.5
@@ -79,21 +83,6 @@
 MIN_PREFERRED_CORES = 1.0
 
 
-@attrs.frozen
-class HostSettings:
-    """Settings of a host of a cell.
-
-    Attributes:
-        name: Name of the host.
-        cores: CPU cores that it may use.
-        limits: Limits of the platform.
-    """
-
-    name: str
-    cores: float = 1.0
-    limits: CellLimits = CellLimits()
-
-
 class CellHost(mode.Service):
     """One host of a cell.
 
@@ -156,6 +145,7 @@
         self._last_sync_at: dict[str, float] = {}
         self._last_ended_term = 0
         self._lag = LoopLag()
+        self._fitness = LeaderFitness(settings.capacity)
         self._notifications = BackgroundTasks()
         self._advice_dispatcher: AdviceDispatcher | None = None
         self._candidate = Candidate(
@@ -164,12 +154,22 @@
             peers.address,
             clock=clock,
             has_few_cores=settings.cores < MIN_PREFERRED_CORES,
+            fitness=self._fitness,
             rng=random.Random(settings.name),
             is_leader_responsive=self._is_leader_responsive,
             has_process_exited=peers.has_process_exited,
             lag=self._lag,
             read_through_peers=self._read_through_peers,
         )
+        self._synchronizer = PhaseSynchronizer(
+            peers,
+            self._phase_cache,
+            self._candidate,
+            self._fitness,
+            clock=clock,
+            make_request=self._make_sync_request,
+            adopt_config=self._adopt_packed_config,
+        )
 
     async def on_start(self) -> None:
         """Opens the peer socket and starts the background loops."""
@@ -187,7 +187,7 @@
             ("lag", lambda: self._lag.run(clock)),
             ("configuration", self._watch_config),
             ("election", self._run_for_election),
-            ("job states", self._sync_phases),
+            ("job states", self._synchronizer.run),
         ):
             self.add_future(
                 run_supervised(
@@ -328,61 +328,44 @@
                 )
                 self._phase_cache.start_delays = leader.start_delays(now)
                 self._phase_cache.synced_at = now
+                self._phase_cache.executors = self._fitness.executors = len(
+                    leader.fleet.executors
+                )
             self._last_sync_at = {
                 address: last_sync_at
                 for address, last_sync_at in self._last_sync_at.items()
                 if now - last_sync_at < PEER_SILENCE_LIMIT_S
             }
+            self._fitness.keep_peers(self._last_sync_at)
+            if self._fitness.should_hand_over(now - leader.leadership.began_at):
+                await self._hand_over(leader)
             if self._advice_dispatcher is not None:
                 self._advice_dispatcher.set_peers(list(self._last_sync_at))
             await self._host_clock.sleep(SYNC_RETRY_DELAY_S)
 
-    async def _sync_phases(self) -> None:
-        clock = self._host_clock
-        while True:
-            record = self._candidate.record
-            if record is None or record.address == self._peers.address:
-                await clock.sleep(SYNC_RETRY_DELAY_S)
-                continue
-            changed = asyncio.create_task(self._candidate.changed.wait())
-            requesting = asyncio.create_task(
-                self._request_changes(record.address)
-            )
-            try:
-                # A replaced leader may never answer, so a change of the leader
-                # ends the wait.
-                await asyncio.wait(
-                    (changed, requesting), return_when=asyncio.FIRST_COMPLETED
-                )
-            finally:
-                changed.cancel()
-                requesting.cancel()
-            if not requesting.done() or requesting.cancelled():
-                continue
-            match requesting.result():
-                case Success(reply) if reply.epoch:
-                    self._phase_cache.apply_changes(reply, clock.now())
-                    if reply.config:
-                        self._adopt_packed_config(reply.config)
-                case got:
-                    if isinstance(got, Success):
-                        self._candidate.record_ended_term(
-                            got.unwrap().over_term
-                        )
-                    self._phase_cache.synced_at = float("-inf")
-                    await clock.sleep(SYNC_RETRY_DELAY_S)
-
-    async def _request_changes(self, address: str) -> Result:
-        req = SyncRequest(
+    async def _hand_over(self, leader: Leader) -> None:
+        _log.warning(
+            "resigning because another host is fitter to lead",
+            extra={
+                "executors": self._fitness.executors,
+                "shortfall": round(self._fitness.own_shortfall, 2),
+            },
+        )
+        self._fitness.record_handover()
+        leader.leadership.lost.set()
+        await self._candidate.resign()
+
+    def _make_sync_request(self) -> SyncRequest:
+        return SyncRequest(
             self._peers.address,
             self._phase_cache.epoch,
             self._phase_cache.change_number,
             self.config.version if self.config else 0,
             needs_config=not self._config_watcher.is_store_answering,
             accepts_packed=True,
-        )
-        return await self._peers.call(
-            address, SYNC_KIND, req, SyncReply, timeout_s=SYNC_TIMEOUT_S
+            shortfall=(
+                UNFIT if self.draining else self._fitness.announced_shortfall
+            ),
         )
 
     async def _handle_sync(self, sender: str, req: SyncRequest) -> Result:
@@ -390,6 +373,7 @@
         if not self._is_leading(now):
             return Success(SyncReply(0, over_term=self._last_ended_term))
         self._last_sync_at[req.address] = now
+        self._fitness.record_peer(req.address, req.shortfall)
         if req.epoch == self._phase_cache.epoch:
             await self._host_clock.sleep(
                 sync_batch_delay_s(len(self._last_sync_at))
--- a/libs/cell/dragonflybank/cell/messages.py
+++ b/libs/cell/dragonflybank/cell/messages.py
@@ -41,6 +41,8 @@
         needs_config: Whether the asking host needs a newer configuration from
             the leader, since the store does not answer it.
         accepts_packed: Whether the asking host reads `SyncReply.packed`.
+        shortfall: Share of what a leader needs that the asking host lacks; see
+            `leader_fitness.shortfall`.
     """
 
     address: str
@@ -49,6 +51,7 @@
     version: int
     needs_config: bool = True
     accepts_packed: bool = False
+    shortfall: float = 1.0
 
 
 @attrs.frozen
@@ -83,6 +86,7 @@
         over_term: Last term in which the answering host led, if that term has
             ended; otherwise 0.
         packed: Further ``states`` in the form of `pack_phases`.
+        executors: Number of executors of the cell; 0 if it is not known.
     """
 
     epoch: int
@@ -94,6 +98,7 @@
     over_term: int = 0
     start_delays: tuple[StartDelay, ...] = ()
     packed: bytes = b""
+    executors: int = 0
 
 
 @attrs.frozen
--- a/libs/cell/dragonflybank/cell/phase_cache.py
+++ b/libs/cell/dragonflybank/cell/phase_cache.py
@@ -35,6 +35,7 @@
         change_number: Number of the last change.
         pending: Number of jobs without a started task, by queue.
         start_delays: Delays of new jobs under overload.
+        executors: Number of executors that the leader knows; 0 elsewhere.
         synced_at: Time of the last synchronisation with the leader.
     """
 
@@ -43,6 +44,7 @@
         self.change_number = 0
         self.pending: dict[str, int] = {}
         self.start_delays: tuple[StartDelay, ...] = ()
+        self.executors = 0
         self.synced_at = float("-inf")
         self._states: dict[str, JobPhase] = {}
         self._changes: collections.deque[tuple[int, str]] = collections.deque(
@@ -148,6 +150,7 @@
             dict(self.pending),
             start_delays=self.start_delays,
             packed=packed,
+            executors=self.executors,
         )
 
     def apply_changes(self, reply: SyncReply, now: float) -> None:
--- a/libs/standins/dragonflybank/standins/cell/large_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/large_cell.py
@@ -21,7 +21,9 @@
 import attrs
 from returns.result import Result, Success
 
+from dragonflybank.cell.host import HostSettings
 from dragonflybank.cell.jobs import AdviceTiming, Job, JobPhase, Queue, Step
+from dragonflybank.cell.leader_fitness import HostCapacity
 from dragonflybank.cell.ports import AdviceService, ExecutorClient
 from dragonflybank.cluster.messages import encode_reply, encode_request
 from dragonflybank.standins.cell.checks import find_violations
@@ -96,6 +98,8 @@
         hosts: Number of hosts.
         executors: Number of executors.
         patterns: Classes of jobs.
+        capacities: Capacities of hosts by name; that of the others is not
+            limited.
     """
 
     def __init__(
@@ -105,7 +109,9 @@
         hosts: int,
         executors: int,
         patterns: tuple[WorkPattern, ...] = BUSY_CELL,
+        capacities: Mapping[str, HostCapacity] | None = None,
     ):
+        self._capacities = dict(capacities or {})
         self.traffic = LeaderTraffic()
         super().__init__(seed, hosts=hosts, executors=executors)
         self.patterns = {p.name: p for p in patterns}
@@ -181,6 +187,10 @@
             return job, None
         return job, await self.wait_until_final(job, timeout_s=FINISH_TIMEOUT_S)
 
+    def _host_settings(self, name: str) -> HostSettings:
+        capacity = self._capacities.get(name, HostCapacity())
+        return attrs.evolve(super()._host_settings(name), capacity=capacity)
+
     def _new_executor(self, name: str, number: int) -> MemoryExecutor:
         executor = super()._new_executor(name, number)
         executor.info = attrs.evolve(
--- a/libs/standins/dragonflybank/standins/cell/simulated_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/simulated_cell.py
@@ -198,7 +198,7 @@
         async def start() -> None:
             current_process.set(process)
             host = CellHost(
-                HostSettings(name, limits=CellLimits()),
+                self._host_settings(name),
                 MemoryPlatform(self, name),
                 MemoryPeers(self, name),
                 clock=self._clock,
@@ -209,6 +209,9 @@
 
         await asyncio.create_task(start())
 
+    def _host_settings(self, name: str) -> HostSettings:
+        return HostSettings(name, limits=CellLimits())
+
     def kill_host(self, name: str, *, power_off: bool = False) -> None:
         """Kills the process of a host.
 
--- /dev/null
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_leader_choice.py
@@ -0,0 +1,85 @@
+"""Tests of which host leads a cell whose hosts differ."""
+
+import asyncio
+
+import pytest
+
+from dragonflybank.cell.leader_fitness import HostCapacity
+from dragonflybank.standins.cell.large_cell import LargeCell
+from dragonflybank.standins.cell.virtual_time import run_in_virtual_time
+
+SLOW = HostCapacity(cores=0.387, memory_mb=160, link_mbps=5, max_fds=1638)
+FAST = HostCapacity(cores=2.15, memory_mb=552, link_mbps=100, max_fds=10_250)
+HOSTS = [f"host-{n}" for n in range(5)]
+SEEDS = range(1, 6)
+FACTOR = 0.2
+
+
+async def watch_leaders(cell: LargeCell, leaders: list[str]) -> None:
+    """Appends the name of each new leader."""
+    while True:
+        name = cell.leader()
+        if name and name not in leaders[-1:]:
+            leaders.append(name)
+        await asyncio.sleep(0.01)
+
+
+def play(seed: int, executors: int, fast: list[str], *, kill: bool = False):
+    """Plays a load and returns its figures and the leaders in turn."""
+
+    async def run():
+        cell = LargeCell(
+            seed,
+            hosts=len(HOSTS),
+            executors=executors,
+            capacities={h: FAST if h in fast else SLOW for h in HOSTS},
+        )
+        await cell.start()
+        leaders: list[str] = []
+        watching = asyncio.create_task(watch_leaders(cell, leaders))
+        loading = asyncio.create_task(
+            cell.run_pattern_load(factor=FACTOR, duration_s=6.0)
+        )
+        if kill:
+            await asyncio.sleep(6.0)
+            cell.kill_host(cell.leader())
+        figures = await loading
+        watching.cancel()
+        return figures, leaders
+
+    return run_in_virtual_time(run())
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_slow_host_hands_over_to_the_fast_one_under_load(seed):
+    """Guards against a leader whose link cannot carry the cell.
+
+    Guards also against tasks that run twice, or too many on an executor, while
+    the leadership moves.
+    """
+    figures, leaders = play(seed, 176, ["host-4"])
+    assert leaders[-1] == "host-4"
+    assert len(leaders) <= 2
+    assert figures.violations == []
+    assert figures.completed == figures.accepted == figures.jobs
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_fast_host_that_is_left_succeeds_a_killed_leader(seed):
+    """Guards against an election that a slow host wins by chance."""
+    figures, leaders = play(seed, 176, ["host-1", "host-3"], kill=True)
+    assert set(leaders[-2:]) == {"host-1", "host-3"}
+    assert figures.violations == []
+
+
+@pytest.mark.parametrize("fast", [[], HOSTS])
+def test_equal_hosts_do_not_hand_over(fast):
+    """Guards against handovers that gain nothing."""
+    _, leaders = play(1, 176, fast)
+    assert len(leaders) == 1
+
+
+def test_a_small_cell_keeps_its_first_leader():
+    """Guards against handovers in cells that any host can lead."""
+    _, leaders = play(1, 60, ["host-4"])
+    assert len(leaders) == 1
