Send counts of pending jobs only when they changed

Each answer to a sync request carried the counts of pending jobs of all queues and the delays of new jobs: up to 600 answers a second of all queues with live jobs. They carry a number now and are left out if the asking host has them. Above 40 hosts they change less often than five times a second, so that they are sent at most 200 times a second in all; callers may see counts 4 s late.

Hosts of two versions exchange the counts in each answer.

--- a/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
+++ b/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
@@ -67,11 +67,12 @@
     cluster_work_messages.ListWork: "table limit",
     cluster_work_messages.WorkRows: "columns rows",
     cell_messages.SyncRequest: (
-        "address epoch number version needs_config accepts_packed shortfall"
+        "address epoch number version needs_config accepts_packed shortfall "
+        "pending_number"
     ),
     cell_messages.SyncReply: (
         "epoch number is_whole states pending config over_term start_delays "
-        "packed executors"
+        "packed executors pending_number"
     ),
     cell_messages.StartDelay: "service priority seconds",
     cell_messages.AdviceRequest: "step executors timeout_s",
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -323,10 +323,12 @@
         while True:
             now = self._host_clock.now()
             if self._is_leading(now):
-                self._phase_cache.pending = (
-                    leader.workload.count_pending_by_queue()
+                self._phase_cache.update_pending(
+                    leader.workload.count_pending_by_queue(),
+                    leader.start_delays(now),
+                    hosts=len(self._last_sync_at),
+                    now=now,
                 )
-                self._phase_cache.start_delays = leader.start_delays(now)
                 self._phase_cache.synced_at = now
                 self._phase_cache.executors = self._fitness.executors = len(
                     leader.fleet.executors
@@ -366,6 +368,7 @@
             shortfall=(
                 UNFIT if self.draining else self._fitness.announced_shortfall
             ),
+            pending_number=self._phase_cache.pending_number,
         )
 
     async def _handle_sync(self, sender: str, req: SyncRequest) -> Result:
@@ -383,6 +386,7 @@
             req.number,
             wait_s=SYNC_WAIT_S,
             packs=req.accepts_packed,
+            pending_number=req.pending_number,
         )
         if not self._is_leading(self._host_clock.now()):
             return Success(SyncReply(0, over_term=self._last_ended_term))
--- a/libs/cell/dragonflybank/cell/messages.py
+++ b/libs/cell/dragonflybank/cell/messages.py
@@ -43,6 +43,8 @@
         accepts_packed: Whether the asking host reads `SyncReply.packed`.
         shortfall: Share of what a leader needs that the asking host lacks; see
             `leader_fitness.shortfall`.
+        pending_number: Number of the last numbers of pending jobs that the
+            asking host has; -1 if it needs them in each answer.
     """
 
     address: str
@@ -52,6 +54,7 @@
     needs_config: bool = True
     accepts_packed: bool = False
     shortfall: float = 1.0
+    pending_number: int = -1
 
 
 @attrs.frozen
@@ -87,6 +90,8 @@
             ended; otherwise 0.
         packed: Further ``states`` in the form of `pack_phases`.
         executors: Number of executors of the cell; 0 if it is not known.
+        pending_number: Number of ``pending`` and ``start_delays``, -1 if they
+            have none. Both are left out if the asking host has them.
     """
 
     epoch: int
@@ -99,6 +104,7 @@
     start_delays: tuple[StartDelay, ...] = ()
     packed: bytes = b""
     executors: int = 0
+    pending_number: int = -1
 
 
 @attrs.frozen
--- a/libs/cell/dragonflybank/cell/phase_cache.py
+++ b/libs/cell/dragonflybank/cell/phase_cache.py
@@ -19,6 +19,9 @@
 # In a large cell more changes are collected into one reply, so that the leader
 # sends at most this many replies per second. One takes it some 0.3 ms.
 MAX_SYNC_REPLIES_PER_S = 600
+# The numbers of pending jobs of all queues are sent at most this often per
+# second; callers may see them up to 4 s late.
+MAX_PENDING_SENT_PER_S = 200
 # A host that missed more changes than this gets a full copy.
 CHANGES_KEPT = 4000
 # Phases older than this are read from the store instead.
@@ -35,6 +38,8 @@
         change_number: Number of the last change.
         pending: Number of jobs without a started task, by queue.
         start_delays: Delays of new jobs under overload.
+        pending_number: Number of the last update of ``pending`` and
+            ``start_delays``.
         executors: Number of executors that the leader knows; 0 elsewhere.
         synced_at: Time of the last synchronisation with the leader.
     """
@@ -44,6 +49,8 @@
         self.change_number = 0
         self.pending: dict[str, int] = {}
         self.start_delays: tuple[StartDelay, ...] = ()
+        self.pending_number = 0
+        self._pending_updated_at = float("-inf")
         self.executors = 0
         self.synced_at = float("-inf")
         self._states: dict[str, JobPhase] = {}
@@ -99,7 +106,13 @@
         }
 
     async def wait_for_changes(
-        self, epoch: int, number: int, *, wait_s: float, packs: bool = False
+        self,
+        epoch: int,
+        number: int,
+        *,
+        wait_s: float,
+        packs: bool = False,
+        pending_number: int = -1,
     ) -> SyncReply:
         """Returns the changes after a number, waiting for some if none.
 
@@ -108,6 +121,8 @@
             number: Number of the last change that the asking host has.
             wait_s: Longest time to wait for a change, in seconds.
             packs: Whether the asking host reads the short form of phases.
+            pending_number: Number of the last update of pending jobs that the
+                asking host has, -1 for none.
         """
         if epoch == self.epoch and number == self.change_number:
             self._changed.clear()
@@ -142,19 +157,51 @@
             if job_id in self._states
         )
         packed, rest = pack_phases(states) if packs else (b"", states)
+        keeps_pending = (
+            not is_other_epoch and pending_number == self.pending_number
+        )
         return SyncReply(
             self.epoch,
             self.change_number,
             is_whole,
             rest,
-            dict(self.pending),
-            start_delays=self.start_delays,
+            {} if keeps_pending else dict(self.pending),
+            start_delays=() if keeps_pending else self.start_delays,
+            pending_number=self.pending_number,
             packed=packed,
             executors=self.executors,
         )
 
+    def update_pending(
+        self,
+        pending: dict[str, int],
+        start_delays: tuple[StartDelay, ...],
+        *,
+        hosts: int,
+        now: float,
+    ) -> None:
+        """Updates what other hosts are told about pending jobs.
+
+        Args:
+            pending: Number of jobs without a started task, by queue.
+            start_delays: Delays of new jobs under overload.
+            hosts: Number of hosts that send sync requests to the leader.
+            now: Current time.
+        """
+        is_same = (pending, start_delays) == (self.pending, self.start_delays)
+        waited_s = now - self._pending_updated_at
+        if is_same or waited_s < hosts / MAX_PENDING_SENT_PER_S:
+            return
+        self.pending, self.start_delays = pending, start_delays
+        self.pending_number += 1
+        self._pending_updated_at = now
+
     def apply_changes(self, reply: SyncReply, now: float) -> None:
         """Applies the changes that the leader sent."""
+        has_pending = reply.pending_number >= 0 and (
+            reply.epoch,
+            reply.pending_number,
+        ) == (self.epoch, self.pending_number)
         if reply.epoch != self.epoch:
             self.start_epoch(reply.epoch)
         for job_id, phase in itertools.chain(
@@ -164,8 +211,10 @@
         self.epoch = reply.epoch
         self.change_number = reply.number
         self._changes.clear()
-        self.pending = reply.pending
-        self.start_delays = reply.start_delays
+        if not has_pending:
+            self.pending = reply.pending
+            self.start_delays = reply.start_delays
+            self.pending_number = reply.pending_number
         self.synced_at = now
 
 
--- a/libs/cell/dragonflybank/cell/tests/test_phase_packing.py
+++ b/libs/cell/dragonflybank/cell/tests/test_phase_packing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from dragonflybank.cell.jobs import JobPhase
@@ -67,3 +68,79 @@
     without = len(encode(changes(cache_with_changes([]), packs=True)))
     with_changes = len(encode(changes(leader, packs=True)))
     assert with_changes - without <= 10 * len(JOB_IDS)
+
+
+async def ask(leader: JobPhaseCache, follower: JobPhaseCache):
+    """Returns the answer to a request of a follower, which applies it."""
+    reply = await leader.wait_for_changes(
+        follower.epoch,
+        follower.change_number,
+        wait_s=0.0,
+        pending_number=follower.pending_number,
+    )
+    follower.apply_changes(reply, now=1.0)
+    return reply
+
+
+def test_counts_of_pending_jobs_are_sent_once():
+    """Guards against answers that repeat the counts of all queues."""
+    pending = {f"queue-{n}": n for n in range(1000)}
+
+    async def run():
+        leader, follower = cache_with_changes([]), JobPhaseCache()
+        leader.update_pending(pending, (), hosts=100, now=1.0)
+        assert (await ask(leader, follower)).pending == pending
+        assert len(encode(await ask(leader, follower))) < 250
+        assert follower.pending == pending
+        leader.update_pending({"queue-1": 3}, (), hosts=100, now=2.0)
+        assert (await ask(leader, follower)).pending == {"queue-1": 3}
+        assert follower.pending == {"queue-1": 3}
+
+    asyncio.run(run())
+
+
+def test_a_new_leader_sends_its_own_counts():
+    """Guards against counts of a former leader under an equal number."""
+
+    async def run():
+        follower = JobPhaseCache()
+        for epoch, pending in ((7, {"a": 1}), (8, {"b": 2})):
+            leader = JobPhaseCache()
+            leader.start_epoch(epoch)
+            leader.update_pending(pending, (), hosts=3, now=1.0)
+            await ask(leader, follower)
+            assert follower.pending == pending
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_leader_earlier", [False, True])
+def test_hosts_of_two_versions_exchange_the_counts_each_time(is_leader_earlier):
+    """Guards against an update that leaves hosts with outdated counts."""
+
+    async def run():
+        leader, follower = cache_with_changes([]), JobPhaseCache()
+        for number in range(3):
+            leader.update_pending({"a": number}, (), hosts=3, now=number)
+            reply = await leader.wait_for_changes(
+                7, leader.change_number, wait_s=0.0
+            )
+            assert reply.pending == {"a": number}
+            if is_leader_earlier:
+                reply = attrs.evolve(reply, pending_number=-1)
+            follower.apply_changes(reply, now=1.0)
+            assert follower.pending == {"a": number}
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(("hosts", "updates"), [(6, 50), (40, 50), (100, 20)])
+def test_counts_change_less_often_in_a_large_cell(hosts, updates):
+    """Guards against bytes that grow with hosts x queues.
+
+    Small cells get each change as before, five a second.
+    """
+    cache = JobPhaseCache()
+    for n in range(50):
+        cache.update_pending({"a": n + 1}, (), hosts=hosts, now=n * 0.2001)
+    assert cache.pending_number == pytest.approx(updates, abs=3)
