Let callers of the soak use keys in force, withdrawn and unknown

Change: each configuration of the soak has a team with a lasting key and one whose keys change with the version. A tenth of the submissions each use the newest key, a withdrawn one and one that never was in force. Hosts that were undisturbed for 8.5 s, the time that the soak gives a change of the configuration, are held to the bound of 4 s by the check KEY; keys that are always or never in force are judged at each host.

--- a/libs/bench/dragonflybank/bench/soak/process_cell.py
+++ b/libs/bench/dragonflybank/bench/soak/process_cell.py
@@ -35,6 +35,8 @@
     Queue,
     Service,
 )
+from dragonflybank.cell.teams import Team, key_digest
+from dragonflybank.standins.cell.checks import KeyDecision
 from dragonflybank.standins.cell.executors import MemoryExecutor
 from dragonflybank.standins.cell.simulated_cell import (
     SERVICE_NAME,
@@ -58,6 +60,10 @@
 CONFIG_PROPAGATION_LIMIT_S = 2.5 + 6.0
 UNDISTURBED_S = 4.0
 CALLER_HOSTNAME = "front"
+# Each configuration has the first key, and adds a key named after its version
+# that the next but one withdraws.
+LASTING_KEY = "lasting"
+UNKNOWN_KEY = "never-in-force"
 
 
 class ProcessCell(SimulatedCell):
@@ -155,12 +161,25 @@
             prefix=f"/extra-{self._config_version}/",
         )
         queues: tuple[Queue, ...] = (*self._queues.values(), extra)
+        keys = {
+            "lasting": [LASTING_KEY],
+            "rotating": [
+                f"key-{n}"
+                for n in (self._config_version - 1, self._config_version)
+            ],
+        }
         cfg = CellConfig(
             self._config_version,
             {CALLER_HOSTNAME: queues},
             {SERVICE_NAME: Service(SERVICE_NAME)},
+            teams={
+                name: Team(name, tuple(map(key_digest, found)))
+                for name, found in keys.items()
+            },
         )
-        self.store.put(HttpPlatform.config_key, config_body(cfg))
+        self.store.put(HttpPlatform.config_key, config_body(cfg, keys=keys))
+        known = frozenset(itertools.chain.from_iterable(keys.values()))
+        self.history.keys.append((self.now(), known))
         for queue in queues:
             self.history.record_service(queue, self.now())
         self._configured_at = self.now()
@@ -205,7 +224,7 @@
                 return True
             if status == 404:
                 self.violations.append(f"CONFIG {job.queue.name} is not known")
-            is_refused &= status in (429, 503)
+            is_refused &= status in (401, 429, 503)
             await asyncio.sleep(1.0)
         if is_refused:
             self.history.refused.add(job.id)
@@ -258,6 +277,7 @@
         host = self._choose_host(job)
         session = self._caller_session(host.name)
         sent_at, process_number = self.now(), host.process_number
+        key = self._draw_key() if method == "POST" else LASTING_KEY
         try:
             async with session.request(
                 method,
@@ -266,8 +286,10 @@
                 headers={
                     "Host": CALLER_HOSTNAME,
                     "Deadline-Ms": str(int(CALL_TIMEOUT_S * 1000)),
+                    "Authorization": f"Bearer {key}",
                 },
             ) as resp:
+                self._record_key_decision(host, key, sent_at, resp.status)
                 return resp.status, await resp.read()
         except aiohttp.ClientConnectorError:
             return None, b""
@@ -277,6 +299,34 @@
             self._check_lost_request(host, process_number, sent_at)
             return None, b""
 
+    def _draw_key(self) -> str:
+        """Returns a key in force, a withdrawn one or one that never was."""
+        version = self._config_version
+        keys = (f"key-{version}", f"key-{version - 2}", UNKNOWN_KEY)
+        return self.rng.choices((LASTING_KEY, *keys), (7, 1, 1, 1))[0]
+
+    def _record_key_decision(
+        self, host: HostProcess, key: str, sent_at: float, status: int
+    ) -> None:
+        """Records whether a host admitted a key.
+
+        A host that was disturbed may have an old configuration. Its decisions
+        are judged only for keys that are in force always or never. Other
+        statuses than these come before the check of the key.
+        """
+        undisturbed_at = (
+            max(host.disturbed_at, self.store_disturbed_at)
+            + CONFIG_PROPAGATION_LIMIT_S
+        )
+        is_judged = sent_at > undisturbed_at or key in (
+            LASTING_KEY,
+            UNKNOWN_KEY,
+        )
+        if is_judged and status in (200, 401):
+            self.history.key_decisions.append(
+                KeyDecision(sent_at, self.now(), key, status == 200)
+            )
+
     def _caller_session(self, host: str) -> aiohttp.ClientSession:
         """Returns the HTTP session that all callers use for a host."""
         if host not in self._caller_sessions:
--- a/libs/standins/dragonflybank/standins/cell/simulated_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/simulated_cell.py
@@ -244,16 +244,18 @@
                 return name
             await asyncio.sleep(LEADER_POLL_INTERVAL_S)
 
-    async def submit(self, job: Job, *, key: str = "") -> bool:
+    async def submit(self, job: Job, *, key: str | None = None) -> bool:
         """Submits a job as a caller does, with retries.
 
         Args:
             job: The job.
-            key: API key of the caller.
+            key: API key of the caller; drawn if None.
 
         Returns:
             Whether the job was accepted.
         """
+        if key is None:
+            key = self._teams.draw_key(self.rng)
         self.history.record_submission(job, self._clock.now())
         is_refused = True
         for _ in range(5):
@@ -401,7 +403,7 @@
     ) -> str:
         await asyncio.sleep(self.rng.uniform(1.0, 1.0 + load.duration_s))
         job = self.draw_job(load)
-        if not await self.submit(job, key=self._teams.draw_key(self.rng)):
+        if not await self.submit(job):
             return ""
         if self.rng.random() < load.cancel_share:
             await asyncio.sleep(self.rng.uniform(0.0, 2.0))
