--- a/libs/bench/dragonflybank/bench/soak/process_cell.py
+++ b/libs/bench/dragonflybank/bench/soak/process_cell.py
@@ -63,7 +63,7 @@
 # Each configuration has the first key, and adds a key named after its version
 # that the next but one withdraws.
 LASTING_KEY = "lasting"
-UNKNOWN_KEY = "never in force"
+UNKNOWN_KEY = "never-in-force"
 
 
 class ProcessCell(SimulatedCell):
