Bound the memory, connections and time that clients of a host can use

aiohttp bounds neither the memory of all bodies nor the time of a head or body, keeps an object for each chunk, and parses all pipelined requests at once, so a crowd of clients could use any amount of memory and every descriptor.

--- a/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
+++ b/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
@@ -179,7 +179,7 @@
     adapter_settings.AdapterSettings: (
         "name zone ip callers_address ready_address metrics_address "
         "peer_ports store region zones advice_address cores core_share "
-        "memory_mb heartbeat_ms bounds"
+        "memory_mb heartbeat_ms bounds max_fds"
     ),
     config_settings.Address: "address port",
     config_settings.Seed: "name region address port",
@@ -342,6 +342,7 @@
     "dragonflybank_executors_lost_total",
     "dragonflybank_malformed_inputs_total",
     "dragonflybank_isolated_faults_total",
+    "dragonflybank_client_limits_total",
     "dragonflybank_elections_total",
     "dragonflybank_elections_created",
     "dragonflybank_store_calls_total",
--- a/libs/cell/dragonflybank/cell/jobs.py
+++ b/libs/cell/dragonflybank/cell/jobs.py
@@ -194,6 +194,10 @@
         max_body_bytes: Maximum size of a request body.
         teams: Teams by name. Without teams, callers need no API key, and
             nothing is counted by team.
+        max_header_bytes: Maximum size of the head of a request.
+        header_timeout_s: Longest time for the head of a request, in seconds.
+        idle_timeout_s: Longest time between two requests on a connection, in
+            seconds.
     """
 
     version: int
@@ -201,6 +205,9 @@
     services: Mapping[str, Service]
     max_body_bytes: int = 262_144
     teams: Mapping[str, Team] = attrs.field(factory=dict)
+    max_header_bytes: int = 16_384
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
 
 
 @attrs.frozen
--- a/libs/cell/dragonflybank/cell/metrics.py
+++ b/libs/cell/dragonflybank/cell/metrics.py
@@ -37,6 +37,11 @@
             "Unexpected exceptions that were isolated from other work",
             "place",
         )
+        self.client_limits = self._counter(
+            "client_limits",
+            "Requests and connections of clients that met a limit",
+            "reason",
+        )
         self.elections = self._counter("elections", "Elections won")
         self.store_calls = self._counter(
             "store_calls", "Calls to the store", "call", "outcome"
--- a/libs/cell/dragonflybank/cell/peering.py
+++ b/libs/cell/dragonflybank/cell/peering.py
@@ -85,9 +85,18 @@
         name: Name of this host.
         ip: IP address to listen on.
         port: Port to listen on, 0 for a port that the kernel chooses.
+        max_connections: Largest number of connections of other hosts, None
+            without a limit.
     """
 
-    def __init__(self, name: str, ip: str, port: int):
+    def __init__(
+        self,
+        name: str,
+        ip: str,
+        port: int,
+        *,
+        max_connections: int | None = None,
+    ):
         self.address = f"{ip}:{port}"
         self._name = name
         self._ip = ip
@@ -96,6 +105,7 @@
             port,
             contexts=SERVER_CONTEXTS,
             max_contexts=MAX_SERVER_CONTEXTS,
+            max_connections=max_connections,
         )
         self._links: dict[str, PeerLink] = {}
 
--- a/libs/cluster/dragonflybank/cluster/server.py
+++ b/libs/cluster/dragonflybank/cluster/server.py
@@ -90,6 +90,7 @@
         contexts: Number of concurrent requests at the start.
         max_contexts: Largest number of concurrent requests; ``contexts`` if
             None.
+        max_connections: Largest number of connections, None without a limit.
         on_bytes: Called with the sender's name and the bytes of each
             exchange.
     """
@@ -101,12 +102,14 @@
         *,
         contexts: int = SERVER_CONTEXTS,
         max_contexts: int | None = None,
+        max_connections: int | None = None,
         on_bytes: CountBytes = ignore_bytes,
     ):
         self.port = port
         self._address = address
         self._contexts = contexts
         self._max_contexts = max(contexts, max_contexts or 0)
+        self._max_connections = max_connections
         self._on_bytes = on_bytes
         self._non_control_limit = max(1, self._max_contexts - CONTROL_CONTEXTS)
         self._non_control_in_progress = 0
@@ -124,6 +127,7 @@
             handlers: The handler of each kind of request.
         """
         self._sock = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
+        self._sock.add_pre_pipe_connect_cb(self._refuse_excess)
         listener = self._sock.listen(f"tcp://{self._address}:{self.port}")
         self.port = socket.ntohs(listener.local_address.port)
         self._handlers = handlers
@@ -132,6 +136,12 @@
             for _ in range(self._contexts)
         ]
 
+    def _refuse_excess(self, pipe: pynng.Pipe) -> None:
+        """Closes a connection above the limit; called in a thread of nng."""
+        limit = self._max_connections
+        if limit is not None and len(self._sock.pipes) > limit:
+            pipe.close()
+
     async def drain(self) -> None:
         """Waits until every request received so far is answered.
 
