Order waiting steps by weighted shares of their teams

Inside one priority and usefulness class the step of the team with the least dominant share divided by weight comes first, chosen anew after each step. Jobs beyond weight jobs a second (token bucket of 3 s by acceptance time) come after the work of all teams within their rate, ask for advice only while more than a quarter of the hosts is idle, and leave the executors that gangs within their rate reserved, whatever the priorities. An overdue job of a team below half of its cap counts as within the rate while the service is below half of its capacity. Admission does not count them into the delay of new jobs.

Ruled out: shares without the reservations of gangs.

--- a/libs/cell/dragonflybank/cell/capacity.py
+++ b/libs/cell/dragonflybank/cell/capacity.py
@@ -15,7 +15,6 @@
     Attempt,
     AttemptPhase,
     Executor,
-    StepState,
     Task,
 )
 
@@ -30,10 +29,11 @@
 ) -> Attempt:
     """Adds an attempt to its executor and task and reserves its resources."""
     attempt = Attempt(task, number, executor, phase, now, advanced_at=now)
+    attempt.service = executor.info.service
     executor.attempts[task.id, number] = attempt
     task.attempts.append(attempt)
     task.last_attempt = max(task.last_attempt, number)
-    _change_usage(executor, task.step, 1)
+    _change_usage(attempt, 1)
     return attempt
 
 
@@ -44,7 +44,7 @@
         return
     attempt.phase = AttemptPhase.OVER
     attempt.task.attempts.remove(attempt)
-    _change_usage(attempt.executor, attempt.task.step, -1)
+    _change_usage(attempt, -1)
 
 
 def count_fitting_tasks(executor: Executor, step: Step) -> int:
@@ -153,8 +153,9 @@
     return max(0, min(counts, default=step.count))
 
 
-def _change_usage(executor: Executor, state: StepState, sign: int) -> None:
-    step = state.spec
+def _change_usage(attempt: Attempt, sign: int) -> None:
+    executor, step = attempt.executor, attempt.task.step.spec
+    state = attempt.task.step.job_state
     millicores = 0 if step.filling else sign * step.millicores
     memory_mb = sign * step.memory_mb
     accelerators = sign * step.accelerators
@@ -165,4 +166,4 @@
         executor.lasting_millicores += millicores
         executor.lasting_memory_mb += memory_mb
         executor.lasting_accelerators += accelerators
-    state.job_state.team_usage.change(state.job_state.job.team, step, sign)
+    state.team_usage.change(state.job.team, step, sign, attempt.service)
--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -12,6 +12,7 @@
 )
 from dragonflybank.cell.placement import accepting_executors
 from dragonflybank.cell.state import Executor, StepState, Task
+from dragonflybank.cell.teams import ResourceCap
 
 # A job of a team may not wait for 3 s with nothing running while both its team
 # and its service are below half of their capacity. The rest of this time is for
@@ -43,6 +44,7 @@
     refused: set[tuple[int, bool]] = attrs.field(factory=set)
     cap_waits: dict[str, int] = attrs.field(factory=dict)
     _idle_services: dict[str, bool] = attrs.field(factory=dict)
+    _capacities: dict[str, ResourceCap] = attrs.field(factory=dict)
 
     def reserved_against(self, step: StepState) -> dict[str, int]:
         """Returns the capacity that a step must leave, by executor.
@@ -86,6 +88,17 @@
             and not state.attempts()
         )
 
+    def capacity(self, service: str) -> ResourceCap:
+        """Returns the resources of a service's executors that accept work."""
+        if service not in self._capacities:
+            infos = [e.info for e in self.accepting.get(service, {}).values()]
+            self._capacities[service] = ResourceCap(
+                sum(info.millicores for info in infos),
+                sum(info.memory_mb for info in infos),
+                sum(info.accelerators for info in infos),
+            )
+        return self._capacities[service]
+
     def waits_for_gang_of_team(self, step: StepState) -> bool:
         """Returns whether a gang of the same team needs the rest of its cap.
 
--- a/libs/cell/dragonflybank/cell/gang_reservation.py
+++ b/libs/cell/dragonflybank/cell/gang_reservation.py
@@ -29,13 +29,14 @@
     """Executors reserved for a waiting gang in one round.
 
     Attributes:
-        priority: Priority of its queue.
+        rank: Whether it is beyond the rate of its team, and the priority of its
+            queue.
         spec: Its declaration.
         places: Executors and the number of its tasks that each will run.
         now: Time of the round.
     """
 
-    priority: int
+    rank: tuple[bool, int]
     spec: Step
     places: tuple[tuple[Executor, int], ...]
     now: float
@@ -58,10 +59,8 @@
 
     def precedes(self, step: StepState) -> bool:
         """Returns whether a step comes after the gang."""
-        priority = step.job_state.queue.priority
-        return self.priority < priority or (
-            step.spec.gang and self.priority == priority
-        )
+        rank = _rank(step)
+        return self.rank < rank or (step.spec.gang and self.rank == rank)
 
     def allows_backfill(self, step: StepState) -> bool:
         """Returns whether a step will have ended when the gang starts."""
@@ -99,6 +98,8 @@
             missing -= count
     if missing > 0:
         return None
-    return GangReservation(
-        step.job_state.queue.priority, step.spec, tuple(places), now
-    )
+    return GangReservation(_rank(step), step.spec, tuple(places), now)
+
+
+def _rank(step: StepState) -> tuple[bool, int]:
+    return step.job_state.is_beyond_rate, step.job_state.queue.priority
--- a/libs/cell/dragonflybank/cell/load_admission.py
+++ b/libs/cell/dragonflybank/cell/load_admission.py
@@ -25,6 +25,7 @@
     has_attainable_room,
 )
 from dragonflybank.cell.state import Executor, StepState
+from dragonflybank.cell.step_holds import tasks_ahead
 from dragonflybank.cell.step_order import (
     HARD_DEADLINE_FACTOR,
     job_objective_s,
@@ -70,7 +71,9 @@
             continue
         queue = step.job_state.queue
         key = queue.service, queue.priority
-        tasks = len(step.waiting_tasks())
+        tasks = tasks_ahead(step)
+        if not tasks and step.job_state.job.team:
+            continue
         executors = accepting.get(queue.service, {}).values()
         if not has_attainable_room(step, tasks, executors):
             continue
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -14,7 +14,7 @@
 
 import asyncio
 import logging
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import TYPE_CHECKING
 
 from returns.result import Failure, Success
@@ -48,8 +48,13 @@
     StepState,
     Task,
 )
-from dragonflybank.cell.step_holds import is_start_within_cap, tasks_within_cap
+from dragonflybank.cell.step_holds import (
+    is_start_within_cap,
+    log_wait,
+    tasks_within_cap,
+)
 from dragonflybank.cell.step_order import step_rank
+from dragonflybank.cell.team_shares import fair_order, is_beyond_rate
 from dragonflybank.cell.tickets import (
     TICKET_MARGIN_S,
     advice_call_s,
@@ -70,6 +75,9 @@
 # A waiting gang asks about no further executors while the good ones that it
 # knows have this multiple of the capacity that it needs.
 GANG_CAPACITY_FACTOR = 2
+# Work beyond its team's rate asks for advice only while more than this part of
+# the hosts, as a divisor, makes no call.
+SPARE_SLOTS_FACTOR = 4
 
 
 class Scheduler:
@@ -120,10 +128,7 @@
         current = begin_round(executors, now)
         self._last_round = current
         leader.workload.count_orphans(running_orphans(executors, now))
-        ready = sorted(
-            leader.workload.ready, key=lambda s: step_rank(s, unix_time)
-        )
-        for step in ready:
+        for step in self._in_order(current, unix_time):
             tasks = step.waiting_tasks()
             if not tasks:
                 leader.workload.ready.pop(step, None)
@@ -132,10 +137,28 @@
             if not tasks:
                 continue
             if self._is_placeable(step, tasks, now):
-                self._place_step(step, tasks, current)
+                if not self._place_step(step, tasks, current):
+                    log_wait(step, current)
             elif step.spec.gang and step.advice_pending:
                 self._keep_reservation(step, tasks, current)
 
+    def _in_order(
+        self, current: DecisionRound, unix_time: float
+    ) -> Iterable[StepState]:
+        """Returns the ready steps in the order in which they are placed."""
+        workload = self._leader.workload
+        usage = workload.team_usage
+        if not usage.is_active:
+            return sorted(workload.ready, key=lambda s: step_rank(s, unix_time))
+        workload.rate_meter.judge_new(usage.teams)
+        return fair_order(
+            list(workload.ready),
+            usage,
+            current.capacity,
+            is_overdue=current.is_overdue,
+            unix_time=unix_time,
+        )
+
     def _is_placeable(
         self, step: StepState, tasks: list[Task], now: float
     ) -> bool:
@@ -149,13 +172,18 @@
 
     def _place_step(
         self, step: StepState, tasks: list[Task], current: DecisionRound
-    ) -> None:
+    ) -> bool:
+        """Places tasks of a step, or asks for advice about it.
+
+        Returns:
+            Whether anything was started or asked for.
+        """
         queue = step.job_state.queue
         is_advised = (
             queue.advised is not None and self._advice_dispatcher is not None
         )
         if self._must_wait(step, is_advised, current):
-            return
+            return False
         accepting = current.accepting.get(queue.service, {})
         if not is_advised:
             allowed = candidate_executors(step, accepting.values())
@@ -175,7 +203,7 @@
         if plan.pairs and self._execute_plan(
             step, tasks, plan, allowed, current
         ):
-            return
+            return True
         is_asking = (
             is_advised
             and not plan.pairs
@@ -185,6 +213,7 @@
         )
         if step.spec.gang and not is_asking:
             current.reserve_for_gang(step, tasks, allowed)
+        return is_asking
 
     def _keep_reservation(
         self, step: StepState, tasks: list[Task], current: DecisionRound
@@ -272,6 +301,13 @@
     ) -> AdviceSlot | None:
         queue = step.job_state.queue
         duration_s = advice_call_s(queue.advised, names)
+        if (
+            is_beyond_rate(step)
+            and not current.is_overdue(step)
+            and SPARE_SLOTS_FACTOR * self.idle_advice_slots <= self.advice_slots
+        ):
+            # The slots left are for the work of teams that keep their rates.
+            return None
         slot = self._advice_dispatcher.acquire_slot(
             priority=queue.priority, duration_s=duration_s, now=current.now
         )
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -64,6 +64,7 @@
             the attempt proves that it does not run; None while a start may
             still arrive.
         is_start_sent: Whether a command to start it was sent.
+        service: Service of its executor when it was placed.
     """
 
     task: "Task"
@@ -77,6 +78,7 @@
     speed_percent: int = 100
     absence_conclusive_after: float | None = None
     is_start_sent: bool = False
+    service: str = ""
 
     @property
     def may_run_on_newer_incarnation(self) -> bool:
@@ -236,6 +238,7 @@
         queue: Its queue as the configuration in force defines it, or the last
             definition known if the queue no longer exists.
         team_usage: What the teams have running; shared by all jobs of a leader.
+        is_beyond_rate: Whether its team sent it beyond its rate.
     """
 
     job: Job
@@ -250,6 +253,7 @@
         )
     )
     team_usage: TeamUsage = attrs.field(factory=TeamUsage)
+    is_beyond_rate: bool = False
 
     def attempts(self) -> list[Attempt]:
         """Returns the attempts that may be running."""
--- a/libs/cell/dragonflybank/cell/step_holds.py
+++ b/libs/cell/dragonflybank/cell/step_holds.py
@@ -1,16 +1,22 @@
-"""Waiting steps that the cap of their team holds back.
+"""Waiting steps that the cap, share or rate of their team holds back.
 
 A step that is held back is passed over: it reserves no executors and asks for
 no advice, so that it does not hold back other teams.
 """
 
-__all__ = ["is_start_within_cap", "log_hold", "tasks_within_cap"]
+__all__ = [
+    "is_start_within_cap",
+    "log_wait",
+    "tasks_ahead",
+    "tasks_within_cap",
+]
 
 import logging
 from collections.abc import Sequence
 
 from dragonflybank.cell.decision_round import DecisionRound
 from dragonflybank.cell.state import Attempt, StepState, Task
+from dragonflybank.cell.team_shares import is_beyond_rate
 
 _log = logging.getLogger(__name__)
 
@@ -44,10 +50,41 @@
         if not room and is_whole_gang and usage.may_ever_fit(team, spec):
             current.cap_waits.setdefault(team, state.queue.priority)
     if not room:
-        log_hold(step, "cap", current.now)
+        _log_hold(step, "cap", current.now)
     return tasks[:room]
 
 
+def tasks_ahead(step: StepState) -> int:
+    """Returns how many waiting tasks of a step may delay other teams' jobs.
+
+    Those over the cap of their team do not, nor does a job beyond the rate.
+    """
+    state, tasks = step.job_state, len(step.waiting_tasks())
+    if is_beyond_rate(step):
+        return 0
+    if not state.team_usage.is_limited(state.job.team):
+        return tasks
+    return state.team_usage.room_for(state.job.team, step.spec, tasks)
+
+
+def log_wait(step: StepState, current: DecisionRound) -> None:
+    """Logs that a step waits for its team's rate or share, if it does.
+
+    Args:
+        step: A step that was not placed.
+        current: The round.
+    """
+    state, service = step.job_state, step.job_state.queue.service
+    usage, team = state.team_usage, state.job.team
+    if not team or not usage.is_active:
+        return
+    share = usage.dominant_share(team, service, current.capacity(service))
+    if is_beyond_rate(step):
+        _log_hold(step, "rate", current.now, share)
+    elif share > usage.guaranteed_share(team):
+        _log_hold(step, "share", current.now, share)
+
+
 def is_start_within_cap(step: StepState, attempts: Sequence[Attempt]) -> bool:
     """Returns whether reserved attempts of a step may still be started.
 
@@ -62,13 +99,16 @@
     )
 
 
-def log_hold(step: StepState, reason: str, now: float) -> None:
+def _log_hold(
+    step: StepState, reason: str, now: float, share: float | None = None
+) -> None:
     """Logs why a step waits, at most once a second for each step.
 
     Args:
         step: The step.
         reason: ``cap``, ``share`` or ``rate``.
         now: Current time of the leader's monotonic clock, in seconds.
+        share: Share of the service that the team uses, if it is the reason.
     """
     if now - step.hold_logged_at < HOLD_LOG_INTERVAL_S:
         return
@@ -88,5 +128,13 @@
             "cap_memory_mb": cap.memory_mb,
             "used_accelerators": used.accelerators,
             "cap_accelerators": cap.accelerators,
+            **(
+                {}
+                if share is None
+                else {
+                    "share": round(share, 3),
+                    "guaranteed_share": round(usage.guaranteed_share(team), 3),
+                }
+            ),
         },
     )
--- a/libs/cell/dragonflybank/cell/team_usage.py
+++ b/libs/cell/dragonflybank/cell/team_usage.py
@@ -58,10 +58,12 @@
     def __init__(self, overage: float = DEFAULT_OVERAGE):
         self._overage = overage
         self._used: dict[str, UsedAmount] = {}
+        self._by_service: dict[tuple[str, str], UsedAmount] = {}
         self._lasting: dict[str, UsedAmount] = {}
         self._orphans: dict[str, UsedAmount] = {}
         self._version: int | None = None
         self._teams: dict[str, Team] = {}
+        self._average_weight = 1.0
 
     @property
     def is_active(self) -> bool:
@@ -92,9 +94,22 @@
         self._version = cfg.version
         known = self._teams if cfg.teams else {}
         self._teams = {**known, **cfg.teams}
+        weights = [team.weight for team in self._teams.values()]
+        self._average_weight = sum(weights) / len(weights) if weights else 1.0
 
-    def change(self, team: str, step: Step, count: int) -> None:
-        """Adds some attempts of a team; a negative number removes them."""
+    def change(
+        self, team: str, step: Step, count: int, service: str = ""
+    ) -> None:
+        """Adds some attempts of a team; a negative number removes them.
+
+        Args:
+            team: Name of the team.
+            step: Their step.
+            count: Number of the attempts.
+            service: Service of their executor when they were placed.
+        """
+        key = (team, service)
+        self._by_service.setdefault(key, UsedAmount()).add(step, count)
         self._used.setdefault(team, UsedAmount()).add(step, count)
         if step.lasting:
             self._lasting.setdefault(team, UsedAmount()).add(step, count)
@@ -206,6 +221,41 @@
         """Returns whether a team uses less than half of its cap."""
         return self._is_below_half(team, self.used(team))
 
+    def dominant_share(
+        self, team: str, service: str, capacity: ResourceCap
+    ) -> float:
+        """Returns the largest fraction of a service's resources that it uses.
+
+        Args:
+            team: Name of the team.
+            service: Name of the service.
+            capacity: Resources of the service.
+        """
+        used = self._by_service.get((team, service))
+        if used is None:
+            return 0.0
+        return max(
+            (taken / total for total, taken in _limited(capacity, used)),
+            default=0.0,
+        )
+
+    def weighted_share(
+        self, team: str, service: str, capacity: ResourceCap
+    ) -> float:
+        """Returns the dominant share of a team, divided by its weight.
+
+        Work without a team counts as that of a team of average weight.
+        """
+        found = self._teams.get(team)
+        weight = found.weight if found else self._average_weight
+        return self.dominant_share(team, service, capacity) / weight
+
+    def guaranteed_share(self, team: str) -> float:
+        """Returns the fraction of a full cell that a team is entitled to."""
+        found = self._teams.get(team)
+        weight = found.weight if found else self._average_weight
+        return weight / max(1, len(self._teams)) / self._average_weight
+
     def fullness(self, team: str) -> float:
         """Returns the largest used fraction of a limit of a team, or 0."""
         used, cap = self.used(team), self.cap(team)
--- a/libs/cell/dragonflybank/cell/workload.py
+++ b/libs/cell/dragonflybank/cell/workload.py
@@ -21,6 +21,7 @@
     is_redefined,
 )
 from dragonflybank.cell.state import Attempt, JobState, StepState, Task
+from dragonflybank.cell.team_shares import RateMeter
 from dragonflybank.cell.team_usage import DEFAULT_OVERAGE, TeamUsage
 
 
@@ -35,6 +36,7 @@
         recurring: Recurring jobs with occurrences that are not due yet.
         ended_steps: Team and steps of ended jobs that have a team.
         team_usage: What the teams have running, and their caps.
+        rate_meter: Finds the jobs that teams send beyond their rates.
 
     Args:
         quota_overage: See `CellLimits.quota_overage`.
@@ -47,6 +49,7 @@
         self.recurring: dict[str, JobState] = {}
         self.ended_steps: dict[str, tuple[str, tuple[Step, ...]]] = {}
         self.team_usage = TeamUsage(quota_overage)
+        self.rate_meter = RateMeter()
         self._definitions = QueueDefinitions()
 
     def adopt_config(self, cfg: CellConfig) -> list[JobState]:
@@ -118,6 +121,7 @@
             team_usage=self.team_usage,
         )
         self.jobs[job.id] = state
+        self.rate_meter.add(state)
         if job.is_recurring:
             self.recurring[job.id] = state
             self.open_due_occurrences(
--- a/libs/standins/dragonflybank/standins/cell/load_replay.py
+++ b/libs/standins/dragonflybank/standins/cell/load_replay.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "BUSY_CELL",
+    "FORECAST_CELL",
     "JobOutcome",
     "LoadReplay",
     "WorkPattern",
@@ -16,10 +17,12 @@
 
 import asyncio
 import collections
+import itertools
 import math
+import operator
 import random
 import zlib
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
 from returns.result import Success
@@ -30,6 +33,7 @@
 from dragonflybank.cell.election import Leadership
 from dragonflybank.cell.jobs import (
     AdviceTiming,
+    CellConfig,
     Job,
     JobPhase,
     Progress,
@@ -47,6 +51,7 @@
     StepState,
 )
 from dragonflybank.cell.step_order import HARD_DEADLINE_FACTOR
+from dragonflybank.cell.teams import Team
 from dragonflybank.cell.workload import Workload
 from dragonflybank.standins.cell.virtual_time import (
     VirtualClock,
@@ -114,6 +119,23 @@
     ),
 )
 
+# The classes of flood forecasts with 176 executors and 34 hosts, each job with
+# one step: 75% of the cores at usual load.
+FORECAST_CELL = (
+    WorkPattern(
+        *("ensemble", 1, 1.2, 2.2, 1.55, 20.0, 18.0, 6.2),
+        *(AdviceTiming(0.864, 0.0077, 2.0), 0.3, 1.0),
+    ),
+    WorkPattern(
+        *("rerun", 2, 3.0, 4.0, 7.0, 25.0, 6.9, 3.4),
+        *(AdviceTiming(0.192, 0.0018, 2.0), 0.45, 0.0),
+    ),
+    WorkPattern(
+        *("check", 0, 0.4, 1.5, 46.9, 3.0, 9.9, 0.64),
+        *(AdviceTiming(0.0115, 0.0001, 2.0), 0.7, 0.3),
+    ),
+)
+
 
 @attrs.frozen
 class JobOutcome:
@@ -125,6 +147,7 @@
         took_s: Time until its end, infinity if it did not end.
         objective_s: Its objective in seconds, from its real run times.
         core_s: Its work in core-seconds.
+        team: Its team.
     """
 
     queue: str
@@ -132,6 +155,7 @@
     took_s: float
     objective_s: float
     core_s: float
+    team: str = ""
 
     @property
     def is_in_time(self) -> bool:
@@ -157,6 +181,13 @@
         hosts: Number of hosts that call the advice service.
         call_overhead_s: Time that a call takes beyond its declared duration.
         seed: Seed of all random draws.
+        teams: Teams by name. Each sends its part of the jobs, by its weight.
+        has_shares: Whether the configuration has the teams; without them, jobs
+            are placed in the order of a cell without teams.
+        hot_team: Team that sends more than its usual load.
+        hot: Begin and end of its additional load, in seconds from the start.
+        hot_factor: Factor of its rate in this time. The other teams' jobs are
+            the same at any factor.
     """
 
     patterns: Sequence[WorkPattern] = BUSY_CELL
@@ -167,6 +198,11 @@
     hosts: int = 29
     call_overhead_s: float = 0.03
     seed: int = 1
+    teams: Mapping[str, Team] = attrs.field(factory=dict)
+    has_shares: bool = True
+    hot_team: str = ""
+    hot: tuple[float, float] = (0.0, 0.0)
+    hot_factor: float = 1.0
 
 
 def replay_load(load: LoadReplay) -> list[JobOutcome]:
@@ -225,13 +261,21 @@
         self._run_time_rng = random.Random(load.seed + 1)
         self._ends: dict[str, float] = {}
         self._jobs: list[tuple[WorkPattern, Job, float, float]] = []
+        if load.teams:
+            queues = tuple(self._queues.values())
+            teams = load.teams if load.has_shares else {}
+            self.workload.adopt_config(
+                CellConfig(1, {"front": queues}, {}, teams=teams)
+            )
 
     async def run(self) -> list[JobOutcome]:
         self._wake = asyncio.Event()
         dispatcher = self._make_dispatcher()
         scheduler = Scheduler(self, dispatcher)
         began_at = self.clock.now()
-        arriving = asyncio.create_task(self._submit_jobs(began_at))
+        arriving = asyncio.gather(
+            self._submit_jobs(began_at), self._submit_hot_jobs(began_at)
+        )
         ends_at = began_at + self._load.duration_s + MAX_TAIL_S
         while self.clock.now() < ends_at:
             try:
@@ -253,6 +297,7 @@
                 self._ends.get(job.id, float("inf")) - job.accepted_at,
                 objective_s,
                 core_s,
+                job.team,
             )
             for pattern, job, objective_s, core_s in self._jobs
         ]
@@ -316,10 +361,35 @@
             await asyncio.sleep(rng.expovariate(rate))
             number += 1
             weights = [p.jobs_per_s for p in load.patterns]
-            self._submit(rng.choices(load.patterns, weights)[0], number)
+            pattern = rng.choices(load.patterns, weights)[0]
+            shares = [team.weight for team in load.teams.values()]
+            team = rng.choices(list(load.teams), shares)[0] if shares else ""
+            self._submit(pattern, f"{pattern.name}-{number}", rng, team)
+
+    async def _submit_hot_jobs(self, began_at: float) -> None:
+        """Submits what a team sends beyond its usual load."""
+        load = self._load
+        if load.hot_factor <= 1.0:
+            return
+        # Draws of its own leave those of the other jobs unchanged.
+        rng = random.Random(load.seed + 2)
+        total = sum(team.weight for team in load.teams.values())
+        share = load.teams[load.hot_team].weight / total
+        weights = [p.jobs_per_s for p in load.patterns]
+        rate = sum(weights) * share * (load.hot_factor - 1.0)
+        await asyncio.sleep(load.hot[0])
+        for number in itertools.count(1):
+            await asyncio.sleep(rng.expovariate(rate))
+            if self.clock.now() - began_at >= load.hot[1]:
+                break
+            pattern = rng.choices(load.patterns, weights)[0]
+            name = f"{pattern.name}-hot{number}"
+            self._submit(pattern, name, rng, load.hot_team)
 
-    def _submit(self, pattern: WorkPattern, number: int) -> None:
-        rng, now = self._rng, self.clock.now()
+    def _submit(
+        self, pattern: WorkPattern, name: str, rng: random.Random, team: str
+    ) -> None:
+        now = self.clock.now()
         count = max(1, min(120, round(_draw(rng, pattern.width, 0.8))))
         cores = max(0.5, min(30.0, _draw(rng, pattern.cores, 0.4)))
         run_s = _draw(rng, pattern.run_s, 0.5)
@@ -330,7 +400,7 @@
             gang=rng.random() < pattern.gang_share,
         )
         queue = self._queues[pattern.name]
-        job = Job(f"{pattern.name}-{number}", queue, "", (spec,), now)
+        job = Job(name, queue, "", (spec,), now, team=team)
         state = self.workload.add(
             job,
             Progress(),
@@ -377,11 +447,19 @@
         self.wake()
 
 
-def summarise(outcomes: Iterable[JobOutcome]) -> dict[str, tuple[int, float]]:
-    """Returns the number of jobs and the share in time, by queue."""
+def summarise(
+    outcomes: Iterable[JobOutcome],
+    key: Callable[[JobOutcome], str] = operator.attrgetter("queue"),
+) -> dict[str, tuple[int, float]]:
+    """Returns the number of jobs and the share in time, by queue.
+
+    Args:
+        outcomes: The outcomes.
+        key: Returns what to group by instead of the queue.
+    """
     by_queue = collections.defaultdict(list)
     for outcome in outcomes:
-        by_queue[outcome.queue].append(outcome.is_in_time)
+        by_queue[key(outcome)].append(outcome.is_in_time)
     return {
         queue: (len(found), sum(found) / len(found))
         for queue, found in by_queue.items()
