--- a/libs/cell/dragonflybank/cell/placement.py
+++ b/libs/cell/dragonflybank/cell/placement.py
@@ -10,6 +10,7 @@
     "PlacementPlan",
     "accepting_executors",
     "candidate_executors",
+    "good_executors",
     "has_attainable_room",
     "plan_placement",
 ]
@@ -193,3 +194,15 @@
     free = [e for e in executors if placeable[e.info.id] > 0]
     # If the task failed on all of them, it is tried again on one of those.
     return next((e for e in free if not is_avoided(e)), next(iter(free), None))
+
+
+def good_executors(
+    step: StepState, accepting: Mapping[str, Executor]
+) -> list[Executor]:
+    """Returns those executors that advice has found good for a step."""
+    good = [
+        accepting[name]
+        for name, advice in step.advice_by_executor.items()
+        if advice.ticket and name in accepting
+    ]
+    return candidate_executors(step, good)
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -38,6 +38,7 @@
 from dragonflybank.cell.placement import (
     PlacementPlan,
     candidate_executors,
+    good_executors,
     has_attainable_room,
     plan_placement,
 )
@@ -188,7 +189,7 @@
         if not is_advised:
             allowed = candidate_executors(step, accepting.values())
         else:
-            allowed = _good_executors(step, accepting)
+            allowed = good_executors(step, accepting)
         if is_advised and step.advice_pending:
             # Valid tickets are used while a call for advice is in progress.
             allowed = [
@@ -222,7 +223,7 @@
         if step.awaiting_tickets or len(tasks) < step.unfinished_count:
             return
         service = step.job_state.queue.service
-        good = _good_executors(step, current.accepting.get(service, {}))
+        good = good_executors(step, current.accepting.get(service, {}))
         current.reserve_for_gang(step, tasks, good)
 
     def _must_wait(
@@ -240,9 +241,21 @@
             return is_full and not spec.gang
         needs_long_call = is_long_call(queue.advised.base_s)
         if not step.advice_by_executor:
+            if self._must_leave_slots(step, current):
+                return True
             return (queue.priority, needs_long_call) in current.refused
         return is_full and not spec.gang and needs_long_call
 
+    def _must_leave_slots(
+        self, step: StepState, current: DecisionRound
+    ) -> bool:
+        """Returns whether the slots are left to teams that keep their rates."""
+        return (
+            is_beyond_rate(step)
+            and SPARE_SLOTS_FACTOR * self.idle_advice_slots <= self.advice_slots
+            and not current.is_overdue(step)
+        )
+
     def _needs_more(
         self, step: StepState, tasks: list[Task], good: list[Executor]
     ) -> bool:
@@ -301,12 +314,7 @@
     ) -> AdviceSlot | None:
         queue = step.job_state.queue
         duration_s = advice_call_s(queue.advised, names)
-        if (
-            is_beyond_rate(step)
-            and not current.is_overdue(step)
-            and SPARE_SLOTS_FACTOR * self.idle_advice_slots <= self.advice_slots
-        ):
-            # The slots left are for the work of teams that keep their rates.
+        if self._must_leave_slots(step, current):
             return None
         slot = self._advice_dispatcher.acquire_slot(
             priority=queue.priority, duration_s=duration_s, now=current.now
@@ -491,15 +499,3 @@
                 self._leader.attempts.stop(attempt, "over the cap of its team")
             usable = [a for a in usable if a.phase is AttemptPhase.RESERVED]
         self._start(step, usable, now)
-
-
-def _good_executors(
-    step: StepState, accepting: Mapping[str, Executor]
-) -> list[Executor]:
-    """Returns those executors that advice has found good for a step."""
-    good = [
-        accepting[name]
-        for name, advice in step.advice_by_executor.items()
-        if advice.ticket and name in accepting
-    ]
-    return candidate_executors(step, good)
--- a/libs/cell/dragonflybank/cell/team_shares.py
+++ b/libs/cell/dragonflybank/cell/team_shares.py
@@ -23,8 +23,9 @@
 # A team may send this many seconds of its rate at once. Arrivals of a team that
 # keeps its rate on average vary by a few jobs.
 RATE_BURST_S = 3.0
-# A team with a small weight may send this many jobs at once.
-MIN_BURST_JOBS = 2.0
+# A team with a small weight may send this many jobs at once. Of independent
+# arrivals at 0.8 of the rate, 20% are beyond it with 2 jobs, and 0.4% with 10.
+MIN_BURST_JOBS = 10.0
 
 
 class RateMeter:
--- a/libs/cell/dragonflybank/cell/team_usage.py
+++ b/libs/cell/dragonflybank/cell/team_usage.py
@@ -63,6 +63,7 @@
         self._orphans: dict[str, UsedAmount] = {}
         self._version: int | None = None
         self._teams: dict[str, Team] = {}
+        self._capped: set[str] = set()
         self._average_weight = 1.0
 
     @property
@@ -72,7 +73,9 @@
 
     def is_limited(self, team: str) -> bool:
         """Returns whether starts of a team have to be checked."""
-        return team in self._teams or bool(team) and self._version is None
+        if self._version is None:
+            return bool(team)
+        return team in self._capped
 
     @property
     def teams(self) -> Mapping[str, Team]:
@@ -94,6 +97,9 @@
         self._version = cfg.version
         known = self._teams if cfg.teams else {}
         self._teams = {**known, **cfg.teams}
+        self._capped = {
+            name for name, t in self._teams.items() if t.cap != ResourceCap()
+        }
         weights = [team.weight for team in self._teams.values()]
         self._average_weight = sum(weights) / len(weights) if weights else 1.0
 
--- a/libs/cell/dragonflybank/cell/tests/test_team_properties.py
+++ b/libs/cell/dragonflybank/cell/tests/test_team_properties.py
@@ -105,9 +105,22 @@
                 and not other.spec.gang
                 and self._fits(other)
                 and self._usage.room_for(rival.job.team, other.spec, 1)
+                and not self._waits_for_gang(other)
             ):
                 self.unfair.append((step.name, other.name))
 
+    def _waits_for_gang(self, step):
+        """Returns whether a gang of the same team needs the rest of its cap."""
+        team = step.job_state.job.team
+        return any(
+            gang.spec.gang
+            and gang.job_state.job.team == team
+            and gang.job_state.queue.priority < step.job_state.queue.priority
+            and gang.waiting_tasks()
+            and not self._usage.room_for(team, gang.spec, gang.spec.count)
+            for gang in self._steps
+        )
+
     def _fits(self, step):
         return any(
             e.free_millicores >= step.spec.millicores for e in self._executors
