--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -18,7 +18,7 @@
 
 import asyncio
 import logging
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import TYPE_CHECKING
 
 from returns.result import Failure, Success
@@ -42,6 +42,7 @@
 from dragonflybank.cell.placement import (
     PlacementPlan,
     candidate_executors,
+    good_executors,
     has_attainable_room,
     plan_placement,
 )
@@ -52,12 +53,17 @@
     StepState,
     Task,
 )
-from dragonflybank.cell.step_holds import is_start_within_cap, tasks_within_cap
+from dragonflybank.cell.step_holds import (
+    is_start_within_cap,
+    log_wait,
+    tasks_within_cap,
+)
 from dragonflybank.cell.step_order import (
     is_restart,
     step_rank,
     tasks_in_turn,
 )
+from dragonflybank.cell.team_shares import fair_order, is_beyond_rate
 from dragonflybank.cell.tickets import (
     TICKET_MARGIN_S,
     advice_call_s,
@@ -81,6 +87,9 @@
 # A waiting gang asks about no further executors while the good ones that it
 # knows have this multiple of the capacity that it needs.
 GANG_CAPACITY_FACTOR = 2
+# Work beyond its team's rate asks for advice only while more than this part of
+# the hosts, as a divisor, makes no call.
+SPARE_SLOTS_FACTOR = 4
 
 
 class Scheduler:
@@ -139,12 +148,8 @@
             current.continue_after(self._last_round)
         self._last_round = current
         leader.workload.count_orphans(running_orphans(executors, now))
-        ready = sorted(
-            (s for s in leader.workload.ready if s not in self._considered),
-            key=lambda s: step_rank(s, unix_time),
-        )
         until = leader.clock.now() + ROUND_BUDGET_S
-        for step in ready:
+        for step in self._in_order(current, unix_time):
             if leader.clock.now() >= until:
                 leader.wake()
                 return
@@ -158,11 +163,30 @@
             if not tasks:
                 continue
             if self._is_placeable(step, tasks, now):
-                self._place_step(step, tasks, current)
+                if not self._place_step(step, tasks, current):
+                    log_wait(step, current)
             elif step.spec.gang and step.advice_pending:
                 self._keep_reservation(step, tasks, current)
         self._considered.clear()
 
+    def _in_order(
+        self, current: DecisionRound, unix_time: float
+    ) -> Iterable[StepState]:
+        """Returns the ready steps in the order in which they are placed."""
+        workload = self._leader.workload
+        usage = workload.team_usage
+        ready = [s for s in workload.ready if s not in self._considered]
+        if not usage.is_active:
+            return sorted(ready, key=lambda s: step_rank(s, unix_time))
+        workload.rate_meter.judge_new(usage.teams)
+        return fair_order(
+            ready,
+            usage,
+            current.capacity,
+            is_overdue=current.is_overdue,
+            unix_time=unix_time,
+        )
+
     def _is_placeable(
         self, step: StepState, tasks: list[Task], now: float
     ) -> bool:
@@ -176,18 +200,23 @@
 
     def _place_step(
         self, step: StepState, tasks: list[Task], current: DecisionRound
-    ) -> None:
+    ) -> bool:
+        """Places tasks of a step, or asks for advice about it.
+
+        Returns:
+            Whether anything was started or asked for.
+        """
         queue = step.job_state.queue
         is_advised = (
             queue.advised is not None and self._advice_dispatcher is not None
         )
         if self._must_wait(step, is_advised, current):
-            return
+            return False
         accepting = current.accepting.get(queue.service, {})
         if not is_advised:
             good = candidate_executors(step, accepting.values())
         else:
-            good = _good_executors(step, accepting)
+            good = good_executors(step, accepting)
         allowed = good
         if is_advised and step.advice_pending:
             # Valid tickets are used while a call for advice is in progress.
@@ -203,7 +232,7 @@
         if plan.pairs and self._execute_plan(
             step, tasks, plan, allowed, current
         ):
-            return
+            return True
         if not plan.pairs:
             current.update_free_millicores(queue.service)
         is_asking = (
@@ -215,6 +244,7 @@
         )
         if (step.spec.gang or is_restart(step)) and not is_asking:
             current.reserve_for_gang(step, tasks, good)
+        return is_asking
 
     def _keep_reservation(
         self, step: StepState, tasks: list[Task], current: DecisionRound
@@ -223,7 +253,7 @@
         if step.awaiting_tickets or len(tasks) < step.unfinished_count:
             return
         service = step.job_state.queue.service
-        good = _good_executors(step, current.accepting.get(service, {}))
+        good = good_executors(step, current.accepting.get(service, {}))
         current.reserve_for_gang(step, tasks, good)
 
     def _must_wait(
@@ -243,9 +273,21 @@
             return is_full
         needs_long_call = is_long_call(queue.advised.base_s)
         if not step.advice_by_executor:
+            if self._must_leave_slots(step, current):
+                return True
             return (queue.priority, needs_long_call) in current.refused
         return is_full and needs_long_call
 
+    def _must_leave_slots(
+        self, step: StepState, current: DecisionRound
+    ) -> bool:
+        """Returns whether the slots are left to teams that keep their rates."""
+        return (
+            is_beyond_rate(step)
+            and SPARE_SLOTS_FACTOR * self.idle_advice_slots <= self.advice_slots
+            and not current.is_overdue(step)
+        )
+
     def _needs_more(
         self, step: StepState, tasks: list[Task], good: list[Executor]
     ) -> bool:
@@ -304,6 +346,8 @@
     ) -> AdviceSlot | None:
         queue = step.job_state.queue
         duration_s = advice_call_s(queue.advised, names)
+        if self._must_leave_slots(step, current):
+            return None
         slot = self._advice_dispatcher.acquire_slot(
             priority=queue.priority, duration_s=duration_s, now=current.now
         )
@@ -487,15 +531,3 @@
                 self._leader.attempts.stop(attempt, "over the cap of its team")
             usable = [a for a in usable if a.phase is AttemptPhase.RESERVED]
         self._start(step, usable, now)
-
-
-def _good_executors(
-    step: StepState, accepting: Mapping[str, Executor]
-) -> list[Executor]:
-    """Returns those executors that advice has found good for a step."""
-    good = [
-        accepting[name]
-        for name, advice in step.advice_by_executor.items()
-        if advice.ticket and name in accepting
-    ]
-    return candidate_executors(step, good)
