Take one pass over a service for the reservations of all gangs

Whether a service is mostly idle was worked out for each waiting gang that a step could run before, with a pass over all executors. It is worked out once for a step, and only if it matters. Decisions are the same.

--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -42,14 +42,16 @@
         itself, for those that come before it. In a mostly idle service, a step
         may use it that will have ended when the gang starts.
         """
+        preceding = [r for r in self.gang_reservations if r.precedes(step)]
+        binding = [r for r in preceding if not r.allows_backfill(step)]
+        # A pass over the service, made once and only if it matters.
+        if len(binding) < len(preceding) and not self._is_mostly_idle(
+            step.job_state.queue.service
+        ):
+            binding = preceding
         return {
             executor: cores
-            for reservation in self.gang_reservations
-            if reservation.precedes(step)
-            and not (
-                reservation.allows_backfill(step)
-                and self._is_mostly_idle(step.job_state.queue.service)
-            )
+            for reservation in binding
             for executor, cores in reservation.millicores.items()
         }
 
--- a/libs/cell/dragonflybank/cell/tests/test_leader_cost.py
+++ b/libs/cell/dragonflybank/cell/tests/test_leader_cost.py
@@ -14,7 +14,9 @@
     count_executors_to_name,
 )
 from dragonflybank.cell.capacity import count_fitting_tasks, reserve
+from dragonflybank.cell.decision_round import begin_round
 from dragonflybank.cell.fleet import Fleet
+from dragonflybank.cell.gang_reservation import GangReservation
 from dragonflybank.cell.jobs import Step
 from dragonflybank.cell.limits import CellLimits
 from dragonflybank.cell.state import AttemptPhase
@@ -113,3 +115,49 @@
     assert released == []
     fleet.release_expired_unclaimed(30.0)
     assert released == ["b"]
+
+
+class CountingServices(dict):
+    """Executors by service, which counts the passes over a service."""
+
+    passes = 0
+
+    def get(self, service, default=None):
+        type(self).passes += 1
+        return super().get(service, default)
+
+
+class LateGang(GangReservation):
+    """A gang that can start only in a minute."""
+
+    @property
+    def wait_s(self) -> float:
+        """See `GangReservation.wait_s`."""
+        return 60.0
+
+
+@pytest.mark.parametrize(
+    ("used_cores", "reserved"), [(0, False), (31, False), (33, True)]
+)
+def test_a_step_takes_one_pass_for_the_reservations_of_all_gangs(
+    used_cores, reserved
+):
+    """Guards against a pass over the cell for each waiting gang.
+
+    In a mostly idle service a short step still uses reserved executors.
+    """
+    executors = [make_executor(f"e{n}") for n in range(20)]
+    for executor in executors:
+        executor.used_millicores = 1000 * used_cores
+    current = begin_round(executors, 0.0)
+    current.gang_reservations = [
+        LateGang(-1, Step(1, millicores=64_000), ((e, 1),), 0.0)
+        for e in executors[:10]
+    ]
+    CountingServices.passes = 0
+    current.accepting = CountingServices(current.accepting)
+    job = add_job(Workload(), 1, Step(1, millicores=1000, estimate_s=1.0))
+    found = current.reserved_against(get_step(job))
+    assert bool(found) is reserved
+    assert len(found) in (0, 10)
+    assert CountingServices.passes == 1
