Tell hosts of the end of a term during the delay of their sync request

A loss of the leadership wakes the sync requests that wait for changes. A request that was still in the delay that collects changes began to wait after it, for 0.7 s, and its host could not stand for election until then. Under load most requests are in that delay. The leadership is checked again after the delay.

--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -348,10 +348,7 @@
     async def _hand_over(self, leader: Leader) -> None:
         _log.warning(
             "resigning because another host is fitter to lead",
-            extra={
-                "executors": self._fitness.executors,
-                "shortfall": round(self._fitness.own_shortfall, 2),
-            },
+            extra=self._fitness.log_fields,
         )
         self._fitness.record_handover()
         leader.leadership.lost.set()
@@ -381,6 +378,9 @@
             await self._host_clock.sleep(
                 sync_batch_delay_s(len(self._last_sync_at))
             )
+        # A loss during the delay has not woken this request.
+        if not self._is_leading(self._host_clock.now()):
+            return Success(SyncReply(0, over_term=self._last_ended_term))
         reply = await self._phase_cache.wait_for_changes(
             req.epoch,
             req.number,
--- a/libs/cell/dragonflybank/cell/leader_fitness.py
+++ b/libs/cell/dragonflybank/cell/leader_fitness.py
@@ -123,6 +123,14 @@
         """Shortfall for the leader; `UNFIT` while the size is not known."""
         return round(self.own_shortfall, 2) if self.executors else UNFIT
 
+    @property
+    def log_fields(self) -> dict[str, float]:
+        """Fields of log lines about the fitness of the host."""
+        return {
+            "executors": self.executors,
+            "shortfall": round(self.own_shortfall, 2),
+        }
+
     def record_peer(self, address: str, peer_shortfall: float) -> None:
         """Records the shortfall that another host has announced."""
         self._shortfalls[address] = peer_shortfall
--- a/libs/standins/dragonflybank/standins/cell/large_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/large_cell.py
@@ -55,7 +55,7 @@
         calls: Number of calls by kind.
         bytes_sent: Bytes of the messages that hosts sent as answers, by kind.
         bytes_received: Bytes of the messages that hosts received, by kind.
-        open_calls: Calls in progress to executors, by kind.
+        open_calls: Number of calls in progress to executors.
         max_open_calls: Largest number of calls in progress to executors.
     """
 
@@ -150,15 +150,20 @@
         return attrs.evolve(job, spec="s" * SPEC_BYTES)
 
     async def run_pattern_load(
-        self, *, factor: float, duration_s: float
+        self,
+        *,
+        factor: float,
+        duration_s: float,
+        settling_s: float = SETTLING_S,
     ) -> LoadFigures:
         """Runs a load of the patterns.
 
         Args:
             factor: Factor of the rates of the patterns.
             duration_s: Time in which jobs are submitted, in seconds.
+            settling_s: Time before the first job, in seconds.
         """
-        await asyncio.sleep(SETTLING_S)
+        await asyncio.sleep(settling_s)
         rate = factor * sum(p.jobs_per_s for p in self.patterns.values())
         ends_at = self._clock.now() + duration_s
         callers = []
--- a/libs/standins/dragonflybank/standins/cell/tests/test_leader_choice.py
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_leader_choice.py
@@ -13,6 +13,8 @@
 HOSTS = [f"host-{n}" for n in range(5)]
 SEEDS = range(1, 6)
 FACTOR = 0.2
+# Handovers are made 1.5 s after an election, when tasks already run.
+SETTLING_S = 0.3
 
 
 async def watch_leaders(cell: LargeCell, leaders: list[str]) -> None:
@@ -24,8 +26,24 @@
         await asyncio.sleep(0.01)
 
 
-def play(seed: int, executors: int, fast: list[str], *, kill: bool = False):
-    """Plays a load and returns its figures and the leaders in turn."""
+def play(
+    seed: int,
+    executors: int,
+    fast: list[str],
+    *,
+    kill: bool = False,
+    late_share: float = 0.0,
+):
+    """Plays a load and returns its figures and the leaders in turn.
+
+    Args:
+        seed: Seed of the cell.
+        executors: Number of executors.
+        fast: Names of the hosts with a fast link.
+        kill: Whether the leader is killed under load.
+        late_share: Share of the commands that are executed 2 to 12 s late, and
+            of those whose answers are lost.
+    """
 
     async def run():
         cell = LargeCell(
@@ -34,11 +52,16 @@
             executors=executors,
             capacities={h: FAST if h in fast else SLOW for h in HOSTS},
         )
+        for executor in cell.executors.values():
+            executor.faults.late_share = late_share
+            executor.faults.lost_share = late_share
         await cell.start()
         leaders: list[str] = []
         watching = asyncio.create_task(watch_leaders(cell, leaders))
         loading = asyncio.create_task(
-            cell.run_pattern_load(factor=FACTOR, duration_s=6.0)
+            cell.run_pattern_load(
+                factor=FACTOR, duration_s=6.0, settling_s=SETTLING_S
+            )
         )
         if kill:
             await asyncio.sleep(6.0)
@@ -64,6 +87,19 @@
     assert figures.completed == figures.accepted == figures.jobs
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_late_commands_of_the_slow_host_start_nothing_twice(seed):
+    """Guards against orders by two hosts around a handover.
+
+    Commands of the former leader arrive seconds after the next one has claimed
+    the executors.
+    """
+    figures, leaders = play(seed, 176, ["host-4"], late_share=0.1)
+    assert leaders[-1] == "host-4"
+    rules = {line.split()[0] for line in figures.violations}
+    assert not rules & {"TWICE", "LIMIT", "UNASKED", "REFUSED", "ORDER"}
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_the_fast_host_that_is_left_succeeds_a_killed_leader(seed):
     """Guards against an election that a slow host wins by chance."""
@@ -83,3 +119,31 @@
     """Guards against handovers in cells that any host can lead."""
     _, leaders = play(1, 60, ["host-4"])
     assert len(leaders) == 1
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_hosts_learn_of_the_end_of_a_term_under_load_at_once(seed):
+    """Guards against requests to the former leader that wait in vain.
+
+    Under load a request is often in the delay that collects changes, and was
+    not woken by the loss of the leadership; its host could not be elected for
+    0.7 s.
+    """
+
+    async def run():
+        cell = LargeCell(seed, hosts=len(HOSTS), executors=60)
+        await cell.start()
+        loading = asyncio.create_task(
+            cell.run_pattern_load(factor=FACTOR, duration_s=3.0)
+        )
+        await asyncio.sleep(5.0)
+        leader = cell.leader()
+        stopping = asyncio.create_task(cell.hosts[leader].on_stop())
+        await asyncio.sleep(0.3)
+        others = {n: h.leader for n, h in cell.hosts.items() if n != leader}
+        cell.kill_host(leader)
+        await stopping
+        await loading
+        return any(others.values())
+
+    assert run_in_virtual_time(run())
