Release attempts only by what their executor itself says

One at another address without a newer incarnation of the same service is unusable: no new work, the executor is polled where it answers. A newer incarnation at the same address is left to the next reply. Before an executor has answered a new leader, entries, their removal and a 421 release nothing, and the newest entry counts. Calls under way when the address changes end in a stop at the new one.

Ruled out: dropping entries of services that no configuration names. Accepted jobs of a dropped queue keep its service, so their executors must stay usable.

Costs: an executor that a new leader never reached, and whose address another one has taken over, counts as running until no lease can be left.

--- a/libs/cell/dragonflybank/cell/fleet.py
+++ b/libs/cell/dragonflybank/cell/fleet.py
@@ -2,6 +2,11 @@
 
 Executors are added and removed according to the platform's list, their replies
 and failed calls. Each has a link that renews its lease and polls its lists.
+
+An entry may be another writer's. It adds an executor and tells where to reach
+it, but attempts are over only by what the executor itself says: its lists, a
+reply of a newer incarnation, an entry of a newer incarnation at another
+address, or the end of its lease.
 """
 
 __all__ = ["Fleet"]
@@ -21,7 +26,7 @@
 )
 from dragonflybank.cell.ports import AttemptEnd, ExecutorInfo, PollReply
 from dragonflybank.cell.state import Executor
-from dragonflybank.model.codes import Problem
+from dragonflybank.model.codes import Code, Problem
 
 if TYPE_CHECKING:
     from dragonflybank.cell.leader import Leader
@@ -80,23 +85,45 @@
                 extra={"executor": info.id, "zone": info.zone},
             )
         else:
-            known = executor.info.incarnation
-            if not info.incarnation:
-                info = attrs.evolve(info, incarnation=known)
-            if info.incarnation < known:
+            self._update(executor, info, written_after)
+        self._leader.wake()
+
+    def _update(
+        self, executor: Executor, info: ExecutorInfo, written_after: float
+    ) -> None:
+        """Updates a known executor from an entry."""
+        known = executor.info
+        info = attrs.evolve(
+            info, incarnation=info.incarnation or known.incarnation
+        )
+        has_moved = info.address != known.address
+        is_newer = info.incarnation > known.incarnation
+        if executor.is_identified:
+            if info.incarnation < known.incarnation:
                 # A delayed entry of an earlier incarnation.
                 return
-            is_new = executor.info.id not in self._links
-            has_moved = not is_new and info.address != executor.info.address
-            if has_moved or info.incarnation > known > 0:
-                self.on_new_incarnation(executor, has_left_address=has_moved)
-            if info.draining:
-                self._record_draining(executor, info, written_after)
-            executor.info = info
-            executor.is_listed = True
-            if is_new or has_moved:
-                self._connect(executor)
-        self._leader.wake()
+            if is_newer and not has_moved:
+                # Its next reply shows whether it has a new incarnation.
+                info = attrs.evolve(info, incarnation=known.incarnation)
+            elif has_moved and not (is_newer and info.service == known.service):
+                # It is at its address, and one that restarts elsewhere has a
+                # new incarnation of the same service.
+                self.on_entry_unusable(info.id)
+                return
+            elif has_moved:
+                self.on_new_incarnation(executor, has_left_address=True)
+        elif (
+            info.incarnation < known.incarnation
+            and executor.answered_incarnation
+            and executor.silent_since is None
+        ):
+            return
+        if info.draining:
+            self._record_draining(executor, info, written_after)
+        executor.info = info
+        executor.is_listed = True
+        if has_moved or info.id not in self._links:
+            self._connect(executor)
 
     def on_entry_unusable(self, executor_id: str) -> None:
         """Handles an entry that cannot be decoded.
@@ -122,7 +149,7 @@
         if executor is None or not executor.is_listed:
             return
         executor.is_listed = False
-        is_gone = has_left(
+        is_gone = executor.is_identified and has_left(
             executor, self._leader.limits, self._leader.clock.now()
         )
         _log.info(
@@ -153,6 +180,20 @@
         if executor.claimed and has_lease_expired(executor, now):
             self._leader.attempts.release_lost(executor, "lease over")
 
+    def on_other_instance(self, executor: Executor) -> None:
+        """Handles a reply of another executor at the known address.
+
+        If this executor has never answered there, the address may be another
+        writer's, and the reply proves nothing.
+        """
+        if executor.answered_incarnation:
+            self.on_new_incarnation(executor, has_left_address=True)
+        else:
+            self.on_call_failed(
+                executor,
+                Problem(Code.UNREACHABLE, "another executor answers"),
+            )
+
     def on_new_incarnation(
         self, executor: Executor, *, has_left_address: bool = False
     ) -> None:
@@ -201,11 +242,13 @@
         if reply.incarnation < known:
             return False
         if reply.incarnation > known:
-            if known:
+            # Before its first reply, its lists show what has ended.
+            if executor.answered_incarnation:
                 self.on_new_incarnation(executor)
             executor.info = attrs.evolve(
                 executor.info, incarnation=reply.incarnation
             )
+        executor.answered_incarnation = reply.incarnation
         if executor.silent_since is not None:
             executor.silent_since = None
             _log.info(
@@ -316,6 +359,7 @@
         link = ExecutorLink(self._leader, executor, client)
         self._links[executor.info.id] = link
         link.start_polling()
+        link.resume()
 
     def _record_draining(
         self, executor: Executor, info: ExecutorInfo, written_after: float
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -102,6 +102,17 @@
         """Starts to poll the executor in the background."""
         self._background.spawn(self._poll_forever())
 
+    def resume(self) -> None:
+        """Stops attempts to which calls of an earlier link were under way."""
+        for attempt in list(self._executor.attempts.values()):
+            if attempt.phase is AttemptPhase.STARTING and attempt.is_start_sent:
+                self.stop(attempt)
+            elif (
+                attempt.phase is AttemptPhase.STOPPING
+                and attempt.absence_conclusive_after is None
+            ):
+                self._background.spawn(self._stop(attempt))
+
     async def close(self) -> None:
         """Ends all calls."""
         await self._background.close()
@@ -194,9 +205,7 @@
                     leader.on_fenced(executor)
                     return
                 case Success(PollReply(status=CommandReply.OTHER_INSTANCE)):
-                    leader.fleet.on_new_incarnation(
-                        executor, has_left_address=True
-                    )
+                    leader.fleet.on_other_instance(executor)
                     await leader.clock.sleep(RETRY_DELAY_S)
                 case Success(reply):
                     _log.warning(
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -297,6 +297,8 @@
         claimed: Whether it has accepted this leader's epoch.
         restart_seen_at: Time at which a new incarnation was detected.
         is_listed: Whether it has an entry in the platform's list.
+        answered_incarnation: Incarnation in its last poll reply to this leader;
+            0 before the first one.
         last_reply_at: Time of its last poll reply.
         clock_s: Its clock at that time.
         lease_until_s: Latest expiry of its lease ever requested, on its
@@ -325,6 +327,7 @@
     claimed: bool = False
     restart_seen_at: float = float("-inf")
     is_listed: bool = True
+    answered_incarnation: int = 0
     last_reply_at: float = 0.0
     clock_s: float = 0.0
     lease_until_s: float = 0.0
@@ -337,6 +340,15 @@
     drain_written_after: float = float("-inf")
     failed_jobs: set[str] = attrs.field(factory=set)
 
+    @property
+    def is_identified(self) -> bool:
+        """Whether it has answered as the incarnation that ``info`` names.
+
+        Until then nothing but an entry, which may be another writer's, says
+        where it is.
+        """
+        return self.answered_incarnation == self.info.incarnation > 0
+
     @property
     def free_millicores(self) -> int:
         """CPU cores that are free, in thousandths of a core."""
--- a/libs/standins/dragonflybank/standins/cell/fault_scenarios.py
+++ b/libs/standins/dragonflybank/standins/cell/fault_scenarios.py
@@ -9,6 +9,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import attrs
+
 from dragonflybank.standins.cell.simulated_cell import (
     SERVICE_NAME,
     SimulatedCell,
@@ -299,6 +301,49 @@
     cell.write_executor_entry(first)
 
 
+async def entries_replaced(cell: SimulatedCell) -> None:
+    """Another writer stores sound entries under keys of running executors.
+
+    They name another address, and another service, incarnation or state. Each
+    executor's next heartbeat replaces its entry. A new leader finds some of
+    them before any other, and some are removed before they are replaced.
+    """
+    changes = [
+        {"service": "archive"},
+        {"service": "archive", "incarnation": 0},
+        {"incarnation": 0, "draining": True, "drain_remaining_s": 1.0},
+        {"draining": True, "drain_remaining_s": 30.0},
+        {"service": "archive", "incarnation": 9},
+        {"service": "archive", "incarnation": 9, "draining": True},
+        # These are at the executor's address.
+        {"incarnation": 9, "address": None},
+        {"service": "archive", "incarnation": 0, "address": None},
+    ]
+    await asyncio.sleep(3.0)
+    for number in range(2 * len(changes)):
+        executors = list(cell.executors.values())
+        change = changes[number % len(changes)]
+        for executor in executors[number % 3 :: 3]:
+            foreign = {"address": "10.9.9.9:80", **change}
+            if foreign["address"] is None:
+                foreign["address"] = executor.info.address
+            cell.write_executor_entry(
+                executor, attrs.evolve(executor.info, **foreign)
+            )
+        leader = cell.leader()
+        if number % 4 == 3 and leader:
+            cell.kill_host(leader)
+        await asyncio.sleep(0.9)
+        for executor in executors[number % 3 :: 3]:
+            if number % 2:
+                cell.remove_executor_entry(executor)
+                await asyncio.sleep(0.2)
+            cell.write_executor_entry(executor)
+        if number % 4 == 3 and leader:
+            await cell.start_host(leader)
+        await asyncio.sleep(0.5)
+
+
 async def queues_moved(cell: SimulatedCell) -> None:
     """Queues are moved between two services, some together with new leaders.
 
@@ -355,6 +400,7 @@
         leader_broken,
         entries_broken,
         entries_turn_odd,
+        entries_replaced,
         queues_moved,
     )
 }
--- a/libs/standins/dragonflybank/standins/cell/simulated_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/simulated_cell.py
@@ -155,10 +155,17 @@
         for queue in queues:
             self.history.record_service(queue, self._clock.now())
 
-    def write_executor_entry(self, executor: MemoryExecutor) -> None:
-        """Writes an executor's entry to the store."""
+    def write_executor_entry(
+        self, executor: MemoryExecutor, info: ExecutorInfo | None = None
+    ) -> None:
+        """Writes an executor's entry to the store.
+
+        Args:
+            executor: The executor.
+            info: Another writer's entry; its own one if None.
+        """
         key = "executors/" + executor.info.id
-        self.store.put(key, msgspec.json.encode(executor.info))
+        self.store.put(key, msgspec.json.encode(info or executor.info))
 
     def drain_executor(
         self, executor: MemoryExecutor, *, remaining_s: float = 30.0
