Let a stand-in executor that has ended carry out no late command

The stand-in now drops late commands to a process that has ended. The schedule is a regression test, which failed before.

--- a/libs/standins/dragonflybank/standins/cell/executors.py
+++ b/libs/standins/dragonflybank/standins/cell/executors.py
@@ -327,7 +327,8 @@
     def _execute_late(self, operation, incarnation: int) -> None:
         async def execute_after_delay() -> None:
             await asyncio.sleep(self._rng.uniform(2.0, 12.0))
-            if self.info.incarnation == incarnation:
+            has_ended = self.faults.is_crashed or self.faults.is_replaced
+            if self.info.incarnation == incarnation and not has_ended:
                 operation(True)
 
         self._spawn(execute_after_delay())
--- a/libs/standins/dragonflybank/standins/cell/tests/test_schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_schedules.py
@@ -55,6 +55,15 @@
             ScheduledFault(7.659723805921226, "executor_crashed", 58, 0.2),
         ],
     ),
+    # The cause was in the stand-in: a process that had ended carried it out.
+    "start_command_in_transit_to_an_executor_that_was_replaced": (
+        173,
+        [
+            ScheduledFault(5.84556767361677, "orders_late", 76, 2.5),
+            ScheduledFault(10.661665397549491, "executor_replaced", 52, 0.2),
+            ScheduledFault(4.186065825594045, "answers_lost", 19, 5.0),
+        ],
+    ),
     "stop_of_an_attempt_whose_executor_was_replaced_at_its_address": (
         117,
         [
