--- a/libs/bench/dragonflybank/bench/matrix/runner.py
+++ b/libs/bench/dragonflybank/bench/matrix/runner.py
@@ -103,7 +103,10 @@
     finally:
         await deployment.stop_hosts()
         if problems and logs is not None:
-            deployment.keep_logs(logs / cell.name)
+            folder = logs / cell.name
+            deployment.keep_logs(folder)
+            (folder / "problems.txt").write_text("\n".join(problems) + "\n")
+            problems.append(f"logs: {folder}")
         await deployment.close()
     return CellResult(cell, tuple(problems), loop.time() - started_at)
 
--- a/libs/host/dragonflybank/host/tests/test_daemon.py
+++ b/libs/host/dragonflybank/host/tests/test_daemon.py
@@ -14,6 +14,7 @@
     write_config,
 )
 from dragonflybank.standins.invariants import check_all
+from dragonflybank.standins.kept_logs import keep_logs_on_failure
 from dragonflybank.standins.records import TaskStarted
 
 
@@ -124,8 +125,17 @@
     """Guards against batch work that makes lookups wait at a load peak."""
 
     def test_checkpointed_tasks_are_preempted_and_finish_later(self):
+        deployments = []
+        keep_logs_on_failure(
+            self,
+            more_lines=lambda: (
+                str(record) for d in deployments for record in d.log.all()
+            ),
+        )
+
         async def run():
             async with running_deployment("a", workers=1) as deployment:
+                deployments.append(deployment)
                 host = deployment.hosts["a"]
                 for number in range(6):
                     await deployment.submit(
