--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -18,7 +18,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 from returns.result import Failure, Success
@@ -37,6 +37,7 @@
     count_attainable_tasks,
 )
 from dragonflybank.cell.decision_round import DecisionRound, begin_round
+from dragonflybank.cell.isolation import set_step_aside
 from dragonflybank.cell.jobs import Queue
 from dragonflybank.cell.links import running_orphans
 from dragonflybank.cell.placement import (
@@ -46,6 +47,7 @@
     has_attainable_room,
     plan_placement,
 )
+from dragonflybank.cell.round_order import steps_in_order
 from dragonflybank.cell.state import (
     Attempt,
     AttemptPhase,
@@ -58,12 +60,8 @@
     log_wait,
     tasks_within_cap,
 )
-from dragonflybank.cell.step_order import (
-    is_restart,
-    step_rank,
-    tasks_in_turn,
-)
-from dragonflybank.cell.team_shares import fair_order, is_beyond_rate
+from dragonflybank.cell.step_order import is_restart, tasks_in_turn
+from dragonflybank.cell.team_shares import is_beyond_rate
 from dragonflybank.cell.tickets import (
     TICKET_MARGIN_S,
     advice_call_s,
@@ -149,43 +147,33 @@
         self._last_round = current
         leader.workload.count_orphans(running_orphans(executors, now))
         until = leader.clock.now() + ROUND_BUDGET_S
-        for step in self._in_order(current, unix_time):
+        for step in steps_in_order(
+            leader, current, self._considered, unix_time
+        ):
             if leader.clock.now() >= until:
                 leader.wake()
                 return
             self._considered.add(step)
-            tasks = step.waiting_tasks()
-            if not tasks:
-                leader.workload.ready.pop(step, None)
-                continue
-            tasks = tasks_in_turn(step, tasks)
-            tasks = tasks_within_cap(step, tasks, current)
-            if not tasks:
-                continue
-            if self._is_placeable(step, tasks, now):
-                if not self._place_step(step, tasks, current):
-                    log_wait(step, current)
-            elif step.spec.gang and step.advice_pending:
-                self._keep_reservation(step, tasks, current)
+            try:
+                self._consider(step, current)
+            except Exception:
+                set_step_aside(leader, step, now)
         self._considered.clear()
 
-    def _in_order(
-        self, current: DecisionRound, unix_time: float
-    ) -> Iterable[StepState]:
-        """Returns the ready steps in the order in which they are placed."""
-        workload = self._leader.workload
-        usage = workload.team_usage
-        ready = [s for s in workload.ready if s not in self._considered]
-        if not usage.is_active:
-            return sorted(ready, key=lambda s: step_rank(s, unix_time))
-        workload.rate_meter.judge_new(usage.teams)
-        return fair_order(
-            ready,
-            usage,
-            current.capacity,
-            is_overdue=current.is_overdue,
-            unix_time=unix_time,
-        )
+    def _consider(self, step: StepState, current: DecisionRound) -> None:
+        tasks = step.waiting_tasks()
+        if not tasks:
+            self._leader.workload.ready.pop(step, None)
+            return
+        tasks = tasks_in_turn(step, tasks)
+        tasks = tasks_within_cap(step, tasks, current)
+        if not tasks:
+            return
+        if self._is_placeable(step, tasks, current.now):
+            if not self._place_step(step, tasks, current):
+                log_wait(step, current)
+        elif step.spec.gang and step.advice_pending:
+            self._keep_reservation(step, tasks, current)
 
     def _is_placeable(
         self, step: StepState, tasks: list[Task], now: float
--- a/libs/cell/dragonflybank/cell/team_shares.py
+++ b/libs/cell/dragonflybank/cell/team_shares.py
@@ -13,10 +13,9 @@
 __all__ = ["RateMeter", "fair_order", "is_beyond_rate"]
 
 import heapq
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from dragonflybank.cell.state import JobState, StepState
-from dragonflybank.cell.step_order import step_rank
 from dragonflybank.cell.team_usage import TeamUsage
 from dragonflybank.cell.teams import ResourceCap, Team
 
@@ -77,12 +76,11 @@
 
 
 def fair_order(
-    steps: Iterable[StepState],
+    ranks: Mapping[StepState, tuple],
     usage: TeamUsage,
     capacity: Callable[[str], ResourceCap],
     *,
     is_overdue: Callable[[StepState], bool],
-    unix_time: float,
 ) -> Iterator[StepState]:
     """Yields steps in the order in which they are placed.
 
@@ -90,16 +88,14 @@
     of a step grows with the logarithm of the number of teams.
 
     Args:
-        steps: Ready steps; they may be changed between two steps.
+        ranks: Ready steps and their keys of `step_order.step_rank`.
         usage: What the teams use.
         capacity: Returns the resources of a service.
         is_overdue: Returns whether a step counts as within its team's rate
             since its job has waited too long.
-        unix_time: Current time, seconds since 1970.
     """
     groups: dict[tuple, dict[tuple[str, str], list]] = {}
-    for number, step in enumerate(steps):
-        rank = step_rank(step, unix_time)
+    for number, (step, rank) in enumerate(ranks.items()):
         is_last = is_beyond_rate(step) and not is_overdue(step)
         team, service = step.job_state.job.team, step.job_state.queue.service
         # Restarts come first, whoever sent the job.
--- a/libs/cell/dragonflybank/cell/tests/test_leader_cost.py
+++ b/libs/cell/dragonflybank/cell/tests/test_leader_cost.py
@@ -151,7 +151,7 @@
         executor.used_millicores = 1000 * used_cores
     current = begin_round(executors, 0.0)
     current.gang_reservations = [
-        LateGang(-1, Step(1, millicores=64_000), ((e, 1),), 0.0)
+        LateGang((False, -1), Step(1, millicores=64_000), ((e, 1),), 0.0)
         for e in executors[:10]
     ]
     CountingServices.passes = 0
