Send counts of pending jobs to hosts that have none

Seen: in a cell of two versions, a host that followed a leader of the earlier version and is then elected answers with no counts of pending jobs, so other hosts report 0 pending jobs and no start delays, for as long as the counts do not change.

Cause: the leader has the number -1 then, which also stands for an asking host without counts, so both were taken to have the same counts.

Change: -1 never counts as an equal number.

Evidence: the new test failed before with {} instead of {'a': 7}. Ran: pytest test_phase_packing.

--- a/libs/cell/dragonflybank/cell/phase_cache.py
+++ b/libs/cell/dragonflybank/cell/phase_cache.py
@@ -157,8 +157,9 @@
             if job_id in self._states
         )
         packed, rest = pack_phases(states) if packs else (b"", states)
+        # A leader that followed one of an earlier version has no number yet.
         keeps_pending = (
-            not is_other_epoch and pending_number == self.pending_number
+            not is_other_epoch and 0 <= pending_number == self.pending_number
         )
         return SyncReply(
             self.epoch,
--- a/libs/cell/dragonflybank/cell/tests/test_phase_packing.py
+++ b/libs/cell/dragonflybank/cell/tests/test_phase_packing.py
@@ -134,6 +134,27 @@
     asyncio.run(run())
 
 
+def test_a_leader_that_followed_an_earlier_version_sends_its_counts():
+    """Guards against counts that are left out for hosts that have none."""
+    from_earlier_version = attrs.evolve(
+        changes(cache_with_changes([]), packs=False),
+        pending={"a": 7},
+        pending_number=-1,
+    )
+
+    async def run():
+        leader = JobPhaseCache()
+        leader.apply_changes(from_earlier_version, now=1.0)
+        leader.start_epoch(8)
+        leader.update_pending({"a": 7}, (), hosts=3, now=2.0)
+        reply = await leader.wait_for_changes(
+            8, leader.change_number, wait_s=0.0, pending_number=-1
+        )
+        assert reply.pending == {"a": 7}
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(("hosts", "updates"), [(6, 50), (40, 50), (100, 20)])
 def test_counts_change_less_often_in_a_large_cell(hosts, updates):
     """Guards against bytes that grow with hosts x queues.
