End the check of reserved attempts when a leader closes

Seen: a host can hang for ever, without answering callers, when a leadership ends while a step of a team whose cap was lowered waits for tickets.

Cause: the check before the start stopped attempts until none was above the cap and took their phase as progress. A leader that closes has no links any more, AttemptManager.stop does nothing then, and the loop never awaits.

Change: each pass of the loop drops what it stopped, whatever its phase.

Ruled out: AttemptManager._start, which goes over a fixed list.

Evidence: the new test, in which stops do nothing, did not end before (it fails at the tenth stop). Ran: pytest test_team_usage, test_scheduling, test_lasting_restarts.

--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -482,10 +482,12 @@
         for attempt in rest:
             self._leader.attempts.stop(attempt, "no valid ticket")
         while usable and not is_start_within_cap(step, usable):
-            # The cap was lowered during the call for tickets.
-            for attempt in usable if step.spec.gang else usable[-1:]:
+            # The cap was lowered during the call for tickets. A leader that is
+            # closing has no links and leaves the attempts reserved.
+            kept = 0 if step.spec.gang else len(usable) - 1
+            for attempt in usable[kept:]:
                 self._leader.attempts.stop(attempt, "over the cap of its team")
-            usable = [a for a in usable if a.phase is AttemptPhase.RESERVED]
+            usable = usable[:kept]
         self._start(step, usable, now)
 
 
--- a/libs/cell/dragonflybank/cell/tests/test_team_usage.py
+++ b/libs/cell/dragonflybank/cell/tests/test_team_usage.py
@@ -267,6 +267,20 @@
         self.assertThat(self._cores(), Equals(0))
         self.assertThat(self.leader.attempts.started, Equals([]))
 
+    def test_the_check_of_reservations_ends_though_links_are_closed(self):
+        # A leader that closes has no links, and its attempts are not stopped.
+        for number, is_gang in enumerate((False, True), 1):
+            step = self._add(number, _step(2, 6, gang=is_gang), queue="verify")
+            attempts = self._reserve(step)
+            self._adopt(number + 1, 5)
+            stops = []
+            self.leader.attempts.stop = lambda attempt, _, to=stops: (
+                to.append(attempt) if len(to) < 9 else self.fail("no end")
+            )
+            self.scheduler._start_reserved(step, attempts, 0.0)
+            self.assertThat(len(stops), Equals(2))
+            self.assertThat(self.leader.attempts.started, Equals([]))
+
     def test_a_cap_lowered_while_a_placement_is_stored_stops_its_start(self):
         step = self._add(1, _step(3, 6))
         sending = _Sending(lambda: self._adopt(2, 14))
