Consider urgent steps again while a long round goes on

Seen: when a round exceeds its budget of 0.1 s, an urgent step that was considered in its first part waits until all other steps were considered, though its advice has arrived or capacity has become free, and steps of lower priorities take that capacity in between.

Cause: steps that were considered were left out of all later parts, and so were classes that got no slot for advice in the first part.

Change: a quarter of the budget of a continued round goes to steps that were considered before, in their order. The rest goes to the other steps, so each part makes progress. Gangs and restarts are left out as before, since their own reservations would count against them. Refused calls are asked for again in each part. Rounds within the budget are unchanged.

Ruled out: starting each part at the first step, since steps at the end would never be considered; a mark that only new advice removes, which leaves freed capacity to later steps.

--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -100,9 +100,11 @@
         )
 
     def continue_after(self, earlier: "DecisionRound") -> None:
-        """Takes over what steps of an earlier part of the round wait for."""
+        """Takes over what steps of an earlier part of the round wait for.
+
+        Slots for calls may have become free since then.
+        """
         self.gang_reservations = earlier.gang_reservations
-        self.refused = earlier.refused
         self.cap_waits = earlier.cap_waits
 
     def update_free_millicores(self, service: str) -> None:
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -76,6 +76,9 @@
 # Time after which a round is continued in the next one. The leader reads its
 # key every 0.4 s and starts nothing if the last confirmation is older than 1 s.
 ROUND_BUDGET_S = 0.1
+# The part of it in which a continued round considers steps once more. Without
+# it, urgent steps would wait while later ones take what becomes free.
+RECONSIDERATION_BUDGET_S = 0.025
 # Time for which a step is not placed after a failed call for advice.
 ADVICE_RETRY_DELAY_S = 0.2
 # A waiting gang asks about no further executors while the good ones that it
@@ -123,8 +126,10 @@
         """Runs one round: places all waiting steps that can be placed now.
 
         A round that exceeds its budget of time wakes the leader and goes on
-        with the next call, which considers steps that are new first if they
-        come first.
+        with the next call. That call considers new steps, and for a part of the
+        budget the steps that were considered before, in their order among the
+        others. Gangs and restarts wait for the next round, since what is
+        reserved for them would count against them.
 
         Args:
             now: Current time of the leader's monotonic clock, in seconds.
@@ -140,14 +145,21 @@
         self._last_round = current
         leader.workload.count_orphans(running_orphans(executors, now))
         ready = sorted(
-            (s for s in leader.workload.ready if s not in self._considered),
+            (s for s in leader.workload.ready if self._may_consider(s)),
             key=lambda s: step_rank(s, unix_time),
         )
-        until = leader.clock.now() + ROUND_BUDGET_S
+        began_at = leader.clock.now()
+        is_reconsidering = True
         for step in ready:
-            if leader.clock.now() >= until:
+            if step in self._considered and not is_reconsidering:
+                continue
+            took_s = leader.clock.now() - began_at
+            if took_s >= ROUND_BUDGET_S:
                 leader.wake()
                 return
+            if step in self._considered and took_s >= RECONSIDERATION_BUDGET_S:
+                is_reconsidering = False
+                continue
             self._considered.add(step)
             tasks = step.waiting_tasks()
             if not tasks:
@@ -163,6 +175,11 @@
                 self._keep_reservation(step, tasks, current)
         self._considered.clear()
 
+    def _may_consider(self, step: StepState) -> bool:
+        return step not in self._considered or not (
+            step.spec.gang or is_restart(step)
+        )
+
     def _is_placeable(
         self, step: StepState, tasks: list[Task], now: float
     ) -> bool:
--- a/libs/cell/dragonflybank/cell/tests/test_large_jobs.py
+++ b/libs/cell/dragonflybank/cell/tests/test_large_jobs.py
@@ -3,6 +3,7 @@
 Work is counted in function calls, which do not depend on the machine.
 """
 
+import asyncio
 import itertools
 import sys
 
@@ -19,7 +20,12 @@
     get_step,
     make_executor,
 )
-from dragonflybank.cell.tests.scheduler_fakes import FakeLeader
+from dragonflybank.cell.tests.scheduler_fakes import (
+    CALL_S,
+    FakeAdviceDispatcher,
+    FakeLeader,
+)
+from dragonflybank.standins.cell.virtual_time import run_in_virtual_time
 
 LAYERS, WIDTH = 8, 16
 STEPS = LAYERS * WIDTH
@@ -221,6 +227,33 @@
         self._place()
         self.assertThat(urgent.waiting_tasks(), Equals([]))
 
+    def test_a_step_that_gets_advice_does_not_wait_for_the_end_of_a_round(self):
+        self.scheduler = Scheduler(self.leader, FakeAdviceDispatcher())
+        advised = self._add("verify")
+        sweeps = [self._add("sweep") for _ in range(200)]
+
+        async def run():
+            self._place()
+            await asyncio.sleep(2 * CALL_S)
+            self._place()
+
+        run_in_virtual_time(run())
+        self.assertThat(any(s.waiting_tasks() for s in sweeps), Equals(True))
+        self.assertThat(advised.waiting_tasks(), Equals([]))
+
+    def test_an_urgent_step_gets_what_becomes_free_during_a_round(self):
+        full = [self._add("lookup", millicores=64_000) for _ in range(4)]
+        self._place()
+        urgent = self._add("lookup", millicores=60_000)
+        sweeps = [self._add("sweep", millicores=60_000) for _ in range(200)]
+        self._place()
+        release(full[0].tasks[0].attempts[0])
+        self._place()
+        self.assertThat(urgent.waiting_tasks(), Equals([]))
+        self.assertThat(
+            [s for s in sweeps if not s.waiting_tasks()], Equals([])
+        )
+
     def test_steps_in_a_later_part_leave_what_a_gang_waits_for(self):
         self._add("lookup", millicores=40_000)
         self._place()
