Do not resign for a host that the store turns away

Seen: 5 hosts, 176 executors, one fast host that the store turns away: each slow leader resigns 1.6 s after its election, the fast host cannot be elected, and the cell is without a leader for 0.4 s, up to once for each slow host.

Cause: a host that reaches the leader but not the store announced its capacity like any other.

Change: it announces itself as unfit, as draining hosts do.

Evidence: the new test failed before, term 5 instead of 4. Ran: pytest test_leader_choice, test_leader_fitness, test_key_changes.

--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -355,18 +355,19 @@
         await self._candidate.resign()
 
     def _make_sync_request(self) -> SyncRequest:
+        has_store = self._config_watcher.is_store_answering
         return SyncRequest(
             self._peers.address,
             self._phase_cache.epoch,
             self._phase_cache.change_number,
             self.config.version if self.config else 0,
-            needs_config=(
-                self._is_stored_config_unsound
-                or not self._config_watcher.is_store_answering
-            ),
+            needs_config=self._is_stored_config_unsound or not has_store,
             accepts_packed=True,
+            # Neither kind of host would be elected after a handover.
             shortfall=(
-                UNFIT if self.draining else self._fitness.announced_shortfall
+                UNFIT
+                if self.draining or not has_store
+                else self._fitness.announced_shortfall
             ),
             pending_number=self._phase_cache.pending_number,
         )
--- a/libs/standins/dragonflybank/standins/cell/tests/test_leader_choice.py
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_leader_choice.py
@@ -83,3 +83,30 @@
     """Guards against handovers in cells that any host can lead."""
     _, leaders = play(1, 60, ["host-4"])
     assert len(leaders) == 1
+
+
+def test_a_leader_does_not_resign_for_a_host_that_the_store_turns_away():
+    """Guards against handovers to a host that cannot be elected."""
+
+    async def run():
+        cell = LargeCell(
+            1,
+            hosts=len(HOSTS),
+            executors=176,
+            capacities={h: FAST if h == "host-4" else SLOW for h in HOSTS},
+        )
+        await cell.start()
+        await asyncio.sleep(6.0)
+        assert cell.leader() == "host-4"
+        cell.store.faults.cut_hosts.add("host-4")
+        await asyncio.sleep(8.0)
+        # Its successor may have handed over to it before.
+        cell.kill_host(cell.leader())
+        await asyncio.sleep(1.5)
+        terms = [cell.hosts[cell.leader()].leader.leadership.term]
+        await asyncio.sleep(6.0)
+        terms.append(cell.hosts[cell.leader()].leader.leadership.term)
+        return terms
+
+    first, last = run_in_virtual_time(run())
+    assert first == last
