Let a starved gang hold back urgent work of its team

Seen: a team with a cap of 20 cores runs two urgent tasks of 2 cores at any time; its gang of 18 cores is not started within 60 s, with 252 of 256 cores free. Jobs must not wait 3 s with nothing running while team and service are below half.

Cause: a gang that waits for room under the cap held back only work of lower priorities and later gangs of its team. Urgent work took each part that became free.

Change: a gang that is overdue in a round holds back all other work of its team in the next one. That work goes on when it is overdue itself, after 1.5 s, so its wait is bounded.

Ruled out: starting the gang above the cap, which the specification allows only while its team runs nothing else. Teams above half of their cap, busy services and deployments without teams are unchanged.

--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -17,6 +17,8 @@
 # and its service are below half of their capacity. The rest of this time is for
 # advice and the start.
 OVERDUE_AFTER_S = 1.5
+# Less than any priority, so that all of them wait.
+ABOVE_PRIORITIES = float("-inf")
 
 
 @attrs.define
@@ -34,6 +36,7 @@
             whether the call is a long one.
         cap_waits: Highest priority of the gangs that wait for room under the
             cap of their team, by team.
+        starved_teams: Teams with an overdue gang among these.
     """
 
     now: float
@@ -41,7 +44,8 @@
     free_millicores: dict[str, int]
     gang_reservations: list[GangReservation] = attrs.field(factory=list)
     refused: set[tuple[int, bool]] = attrs.field(factory=set)
-    cap_waits: dict[str, int] = attrs.field(factory=dict)
+    cap_waits: dict[str, float] = attrs.field(factory=dict)
+    starved_teams: set[str] = attrs.field(factory=set)
     _idle_services: dict[str, bool] = attrs.field(factory=dict)
 
     def reserved_against(self, step: StepState) -> dict[str, int]:
@@ -106,6 +110,15 @@
         """
         self.gang_reservations = earlier.gang_reservations
         self.cap_waits = earlier.cap_waits
+        self.starved_teams = earlier.starved_teams
+
+    def make_room_for_gangs(self, earlier: "DecisionRound") -> None:
+        """Holds back all work of teams whose gangs were overdue in a round.
+
+        Urgent work of the team would otherwise take the room that the gang
+        needs for as long as it arrives. It waits until it is overdue itself.
+        """
+        self.cap_waits = dict.fromkeys(earlier.starved_teams, ABOVE_PRIORITIES)
 
     def update_free_millicores(self, service: str) -> None:
         """Lowers the bound of a service after placements in this round."""
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -142,6 +142,8 @@
         current = begin_round(executors, now)
         if self._considered:
             current.continue_after(self._last_round)
+        elif self._last_round is not None:
+            current.make_room_for_gangs(self._last_round)
         self._last_round = current
         leader.workload.count_orphans(running_orphans(executors, now))
         ready = sorted(
--- a/libs/cell/dragonflybank/cell/step_holds.py
+++ b/libs/cell/dragonflybank/cell/step_holds.py
@@ -43,6 +43,8 @@
         is_whole_gang = spec.gang and len(tasks) == step.unfinished_count
         if not room and is_whole_gang and usage.may_ever_fit(team, spec):
             current.cap_waits.setdefault(team, state.queue.priority)
+            if current.is_overdue(step):
+                current.starved_teams.add(team)
     if not room:
         log_hold(step, "cap", current.now)
     return tasks[:room]
--- a/libs/cell/dragonflybank/cell/tests/test_team_usage.py
+++ b/libs/cell/dragonflybank/cell/tests/test_team_usage.py
@@ -156,6 +156,34 @@
             self._decide()
         self.assertThat(gang.waiting_tasks(), Equals([]))
 
+    def _run_urgent_load(self, steps, *, until, cores):
+        """Runs rounds beside urgent tasks of 1 s, two of them at a time."""
+        for turn in range(10 * until):
+            now = turn / 10
+            self.leader.clock.time_s = now
+            if turn % 5 == 0:
+                spec = _step(1, cores)
+                steps.append(self._add(turn + 100, spec, at=now))
+            for attempt in list(self.workload.attempts()):
+                if attempt.began_at <= now - 1.0:
+                    release(attempt)
+                    self.workload.finish_task(attempt.task, 1, now)
+            self._decide(now)
+            yield now
+
+    def test_urgent_work_of_the_same_team_does_not_starve_its_gang(self):
+        urgent = []
+        gang = None
+        for now in self._run_urgent_load(urgent, until=10, cores=2):
+            if now == 2.0:
+                gang = self._add(1, _step(3, 6, gang=True), queue="sweep")
+            if gang and gang.tasks[0].attempts:
+                break
+        self.assertThat(now, LessThan(2.0 + 3.0))
+        # No urgent task has waited as long as the gang.
+        held = [s.ready_at for s in urgent if s.waiting_tasks()]
+        self.assertThat(now - min(held), LessThan(1.5))
+
     def test_a_gang_that_can_never_fit_holds_back_nothing(self):
         self._add(1, _step(3, 10, gang=True))
         step = self._add(2, _step(1, 5), queue="sweep")
