Log held steps less often the longer they wait

Seen: 2,000 steps over the cap of a team give 2,000 log lines a second. That is the limit of the log handler, so the lines of starts, ends and load are dropped while the cell is overloaded.

Cause: each held step was logged once a second.

Change: the time between the lines of a step doubles.

Evidence: 100 steps held for 30 s gave about 2,900 lines after their first ones, now less than 600; the new test failed before. Ran: pytest test_team_usage.

--- a/libs/cell/dragonflybank/cell/step_holds.py
+++ b/libs/cell/dragonflybank/cell/step_holds.py
@@ -14,7 +14,8 @@
 
 _log = logging.getLogger(__name__)
 
-# Shortest time between two log lines that say why a step waits.
+# Shortest time between two log lines that say why a step waits. It doubles from
+# line to line, or a long backlog would crowd out all other lines of the log.
 HOLD_LOG_INTERVAL_S = 1.0
 
 
@@ -65,14 +66,16 @@
 
 
 def log_hold(step: StepState, reason: str, now: float) -> None:
-    """Logs why a step waits, at most once a second for each step.
+    """Logs why a step waits, less and less often while it goes on waiting.
 
     Args:
         step: The step.
         reason: ``cap``, ``share`` or ``rate``.
         now: Current time of the leader's monotonic clock, in seconds.
     """
-    if now - step.hold_logged_at < HOLD_LOG_INTERVAL_S:
+    ready_at = now if step.ready_at is None else step.ready_at
+    interval_s = max(HOLD_LOG_INTERVAL_S, step.hold_logged_at - ready_at)
+    if now - step.hold_logged_at < interval_s:
         return
     step.hold_logged_at = now
     team = step.job_state.job.team
--- a/libs/cell/dragonflybank/cell/tests/test_team_usage.py
+++ b/libs/cell/dragonflybank/cell/tests/test_team_usage.py
@@ -220,6 +220,24 @@
         self.assertThat(len(job.attempts()), Equals(1))
 
 
+class TestHoldLog(_Case):
+    """Guards against a backlog that fills the log of the leader."""
+
+    def test_a_step_is_logged_less_often_the_longer_it_waits(self):
+        self._add(1, _step(1, 20))
+        self._decide()
+        for number in range(2, 102):
+            self._add(number, _step(1, 5))
+        name = "dragonflybank.cell.step_holds"
+        with self.assertLogs(name, logging.INFO) as first:
+            self._decide(0.1)
+        self.assertThat(len(first.records), Equals(100))
+        with self.assertLogs(name, logging.INFO) as later:
+            for turn in range(2, 300):
+                self._decide(turn / 10)
+        self.assertThat(len(later.records), LessThan(6 * 100))
+
+
 class TestChangedCaps(_Case):
     """Guards against starts by a cap that is no longer in force."""
 
