--- a/libs/cell/dragonflybank/cell/leader_fitness.py
+++ b/libs/cell/dragonflybank/cell/leader_fitness.py
@@ -18,10 +18,7 @@
 
 import attrs
 
-# Measured on the users' platform with 176 to 3,000 executors: the leader sent
-# 1.3 MB/s to 302 executors (0.034 Mbit/s each, mean of a day, doubled for load
-# peaks), held up to 8.6 connections for each, used 72 MB with 302 executors
-# and 118 MB with 1,002, and 0.0026 of a core for each at its peak.
+# What the leader needs for each executor at load peaks, see docs/CAPACITY.md.
 LINK_MBPS_PER_EXECUTOR = 0.07
 DESCRIPTORS_PER_EXECUTOR = 8
 MEMORY_MB_PER_EXECUTOR = 0.1
