Count the attempts of cancelled jobs after a takeover

Seen: a leader dies after a cancel is stored and before the final state is. The next leader counts none of the job's attempts on an executor that it does not reach, so its team may start work above its cap while they run.

Cause: stored cancels were applied before the stored placements were restored. The job had no attempts then and was dropped. A notice of a cancel that arrived during the loading did the same.

Change: cancels are applied after placements are restored, and a leader that is still loading leaves notices to its watch, which begins at an earlier revision. The job is dropped when its last attempt has ended. An attempt that an executor lists after its job has ended is stopped; before, it was an orphan attempt and was stopped as such.

Ruled out: two attempts of a task; a job that was cancelled starts nothing. A notice of a new job during the loading; it has no progress that could be lost.

--- a/libs/cell/dragonflybank/cell/attempts.py
+++ b/libs/cell/dragonflybank/cell/attempts.py
@@ -362,6 +362,9 @@
             # An earlier leader may have started it and failed before it
             # recorded the job as running.
             self._leader.on_task_started(attempt.task.step.job_state)
+        if attempt.task.step.job_state.phase.is_final:
+            # Its executor had no address when the job ended.
+            self.stop(attempt, "job ended")
 
     def _mark_running(self, attempt: Attempt, now: float) -> None:
         if attempt.phase is AttemptPhase.STARTING:
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -423,8 +423,13 @@
         return Success(KeyWrittenReply())
 
     def _load_written_key(self, epoch: int, item: Item) -> None:
+        # A leader that is still loading finds the key with its watch.
         leader = self.leader
-        if leader is not None and leader.leadership.epoch == epoch:
+        if (
+            leader is not None
+            and leader.is_loaded
+            and leader.leadership.epoch == epoch
+        ):
             add_stored_jobs(leader, (item,))
 
     def _notify_leader(self, epoch: int, item: Item) -> None:
--- a/libs/cell/dragonflybank/cell/takeover.py
+++ b/libs/cell/dragonflybank/cell/takeover.py
@@ -20,7 +20,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import attrs
 from returns.result import Failure, Result, Success
@@ -72,12 +72,20 @@
     for got in (jobs, progress, listed):
         if isinstance(got, Failure):
             return got
+    items = jobs.unwrap().items
+    cancels = [i for i in items if parse_job_key(i.key)[1]]
     # Ends can only be processed after their jobs are loaded.
-    await load_stored_jobs(leader, jobs.unwrap().items, progress.unwrap().items)
+    await load_stored_jobs(
+        leader,
+        [i for i in items if not parse_job_key(i.key)[1]],
+        progress.unwrap().items,
+    )
     list_executors(
         leader, decode_executors(leader, listed.unwrap().items).infos
     )
     placed = leader.attempts.restore_placed()
+    # A cancelled job is dropped unless its attempts are known.
+    add_stored_jobs(leader, cancels)
     leader.is_loaded = True
     _log.info(
         "taken over",
@@ -95,8 +103,8 @@
 
 async def load_stored_jobs(
     leader: Leader,
-    items: tuple[Item, ...],
-    progress: tuple[Item, ...] = (),
+    items: Sequence[Item],
+    progress: Iterable[Item] = (),
 ) -> None:
     """Adds many jobs as `add_stored_jobs` does, a few at a time.
 
