--- a/libs/cell/dragonflybank/cell/jobs.py
+++ b/libs/cell/dragonflybank/cell/jobs.py
@@ -287,11 +287,7 @@
         ...                  Step(1, estimate_s=1.0, after=(0,))))
         3.0
     """
-    ends: list[float] = []
-    for step in steps:
-        begin = max((ends[n] for n in step.after if n < len(ends)), default=0.0)
-        ends.append(begin + step.estimate_s)
-    return max(ends, default=0.0)
+    return max(remaining_paths_s(steps), default=0.0)
 
 
 def remaining_paths_s(steps: Sequence[Step]) -> tuple[float, ...]:
--- a/libs/cell/dragonflybank/cell/limits.py
+++ b/libs/cell/dragonflybank/cell/limits.py
@@ -1,9 +1,11 @@
 """Durations and limits that the platform sets for a cell."""
 
-__all__ = ["CellLimits"]
+__all__ = ["DEFAULT_QUOTA_OVERAGE", "CellLimits"]
 
 import attrs
 
+DEFAULT_QUOTA_OVERAGE = 0.1
+
 
 @attrs.frozen
 class CellLimits:
@@ -29,4 +31,4 @@
     max_early_start_s: float = 0.25
     status_retention_s: float = 120.0
     heartbeat_interval_s: float = 1.5
-    quota_overage: float = 0.1
+    quota_overage: float = DEFAULT_QUOTA_OVERAGE
--- a/libs/cell/dragonflybank/cell/team_usage.py
+++ b/libs/cell/dragonflybank/cell/team_usage.py
@@ -9,7 +9,7 @@
 configuration no longer has keeps its last known cap.
 """
 
-__all__ = ["DEFAULT_OVERAGE", "TeamUsage", "UsedAmount"]
+__all__ = ["TeamUsage", "UsedAmount"]
 
 import heapq
 import operator
@@ -18,10 +18,9 @@
 import attrs
 
 from dragonflybank.cell.jobs import CellConfig, Step
+from dragonflybank.cell.limits import DEFAULT_QUOTA_OVERAGE
 from dragonflybank.cell.teams import ResourceCap, Team
 
-DEFAULT_OVERAGE = 0.1
-
 
 @attrs.define
 class UsedAmount:
@@ -55,7 +54,7 @@
             exceed its cap, as a fraction of the cap.
     """
 
-    def __init__(self, overage: float = DEFAULT_OVERAGE):
+    def __init__(self, overage: float = DEFAULT_QUOTA_OVERAGE):
         self._overage = overage
         self._used: dict[str, UsedAmount] = {}
         self._lasting: dict[str, UsedAmount] = {}
--- a/libs/cell/dragonflybank/cell/workload.py
+++ b/libs/cell/dragonflybank/cell/workload.py
@@ -16,12 +16,13 @@
     Step,
     TaskId,
 )
+from dragonflybank.cell.limits import DEFAULT_QUOTA_OVERAGE
 from dragonflybank.cell.queue_definitions import (
     QueueDefinitions,
     is_redefined,
 )
 from dragonflybank.cell.state import Attempt, JobState, StepState, Task
-from dragonflybank.cell.team_usage import DEFAULT_OVERAGE, TeamUsage
+from dragonflybank.cell.team_usage import TeamUsage
 
 
 class Workload:
@@ -40,7 +41,7 @@
         quota_overage: See `CellLimits.quota_overage`.
     """
 
-    def __init__(self, quota_overage: float = DEFAULT_OVERAGE):
+    def __init__(self, quota_overage: float = DEFAULT_QUOTA_OVERAGE):
         self.jobs: dict[str, JobState] = {}
         self.ended: dict[str, tuple[JobPhase, float]] = {}
         self.ready: dict[StepState, None] = {}
