--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -18,6 +18,8 @@
 # and its service are below half of their capacity. The rest of this time is for
 # advice and the start.
 OVERDUE_AFTER_S = 1.5
+# Less than any priority, so that all of them wait.
+ABOVE_PRIORITIES = float("-inf")
 
 
 @attrs.define
@@ -35,6 +37,7 @@
             whether the call is a long one.
         cap_waits: Highest priority of the gangs that wait for room under the
             cap of their team, by team.
+        starved_teams: Teams with an overdue gang among these.
     """
 
     now: float
@@ -42,7 +45,8 @@
     free_millicores: dict[str, int]
     gang_reservations: list[GangReservation] = attrs.field(factory=list)
     refused: set[tuple[int, bool]] = attrs.field(factory=set)
-    cap_waits: dict[str, int] = attrs.field(factory=dict)
+    cap_waits: dict[str, float] = attrs.field(factory=dict)
+    starved_teams: set[str] = attrs.field(factory=set)
     _idle_services: dict[str, bool] = attrs.field(factory=dict)
     _capacities: dict[str, ResourceCap] = attrs.field(factory=dict)
 
@@ -115,10 +119,21 @@
         )
 
     def continue_after(self, earlier: "DecisionRound") -> None:
-        """Takes over what steps of an earlier part of the round wait for."""
+        """Takes over what steps of an earlier part of the round wait for.
+
+        Slots for calls may have become free since then.
+        """
         self.gang_reservations = earlier.gang_reservations
-        self.refused = earlier.refused
         self.cap_waits = earlier.cap_waits
+        self.starved_teams = earlier.starved_teams
+
+    def make_room_for_gangs(self, earlier: "DecisionRound") -> None:
+        """Holds back all work of teams whose gangs were overdue in a round.
+
+        Urgent work of the team would otherwise take the room that the gang
+        needs for as long as it arrives. It waits until it is overdue itself.
+        """
+        self.cap_waits = dict.fromkeys(earlier.starved_teams, ABOVE_PRIORITIES)
 
     def update_free_millicores(self, service: str) -> None:
         """Lowers the bound of a service after placements in this round."""
--- a/libs/cell/dragonflybank/cell/round_order.py
+++ b/libs/cell/dragonflybank/cell/round_order.py
@@ -8,7 +8,7 @@
 from dragonflybank.cell.decision_round import DecisionRound
 from dragonflybank.cell.isolation import set_step_aside
 from dragonflybank.cell.state import StepState
-from dragonflybank.cell.step_order import step_rank
+from dragonflybank.cell.step_order import is_restart, step_rank
 from dragonflybank.cell.team_shares import fair_order
 
 if TYPE_CHECKING:
@@ -29,11 +29,15 @@
         leader: The leader.
         current: The round.
         considered: Steps that an earlier part of the round has considered.
+            Gangs and restarts among them are left out, since their own
+            reservations would count against them.
         unix_time: Current time, seconds since 1970.
     """
     ranks = {}
     for step in list(leader.workload.ready):
-        if step in considered or _is_set_aside(step, current.now):
+        if _is_set_aside(step, current.now) or (
+            step in considered and (step.spec.gang or is_restart(step))
+        ):
             continue
         try:
             ranks[step] = step_rank(step, unix_time)
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -80,6 +80,9 @@
 # Time after which a round is continued in the next one. The leader reads its
 # key every 0.4 s and starts nothing if the last confirmation is older than 1 s.
 ROUND_BUDGET_S = 0.1
+# The part of it in which a continued round considers steps once more. Without
+# it, urgent steps would wait while later ones take what becomes free.
+RECONSIDERATION_BUDGET_S = 0.025
 # Time for which a step is not placed after a failed call for advice.
 ADVICE_RETRY_DELAY_S = 0.2
 # A waiting gang asks about no further executors while the good ones that it
@@ -130,8 +133,10 @@
         """Runs one round: places all waiting steps that can be placed now.
 
         A round that exceeds its budget of time wakes the leader and goes on
-        with the next call, which considers steps that are new first if they
-        come first.
+        with the next call. That call considers new steps, and for a part of the
+        budget the steps that were considered before, in their order among the
+        others. Gangs and restarts wait for the next round, since what is
+        reserved for them would count against them.
 
         Args:
             now: Current time of the leader's monotonic clock, in seconds.
@@ -144,15 +149,24 @@
         current = begin_round(executors, now)
         if self._considered:
             current.continue_after(self._last_round)
+        elif self._last_round is not None:
+            current.make_room_for_gangs(self._last_round)
         self._last_round = current
         leader.workload.count_orphans(running_orphans(executors, now))
-        until = leader.clock.now() + ROUND_BUDGET_S
+        began_at = leader.clock.now()
+        is_reconsidering = True
         for step in steps_in_order(
             leader, current, self._considered, unix_time
         ):
-            if leader.clock.now() >= until:
+            if step in self._considered and not is_reconsidering:
+                continue
+            took_s = leader.clock.now() - began_at
+            if took_s >= ROUND_BUDGET_S:
                 leader.wake()
                 return
+            if step in self._considered and took_s >= RECONSIDERATION_BUDGET_S:
+                is_reconsidering = False
+                continue
             self._considered.add(step)
             try:
                 self._consider(step, current)
@@ -514,8 +528,10 @@
         for attempt in rest:
             self._leader.attempts.stop(attempt, "no valid ticket")
         while usable and not is_start_within_cap(step, usable):
-            # The cap was lowered during the call for tickets.
-            for attempt in usable if step.spec.gang else usable[-1:]:
+            # The cap was lowered during the call for tickets. A leader that is
+            # closing has no links and leaves the attempts reserved.
+            kept = 0 if step.spec.gang else len(usable) - 1
+            for attempt in usable[kept:]:
                 self._leader.attempts.stop(attempt, "over the cap of its team")
-            usable = [a for a in usable if a.phase is AttemptPhase.RESERVED]
+            usable = usable[:kept]
         self._start(step, usable, now)
--- a/libs/cell/dragonflybank/cell/step_holds.py
+++ b/libs/cell/dragonflybank/cell/step_holds.py
@@ -20,7 +20,8 @@
 
 _log = logging.getLogger(__name__)
 
-# Shortest time between two log lines that say why a step waits.
+# Shortest time between two log lines that say why a step waits. It doubles from
+# line to line, or a long backlog would crowd out all other lines of the log.
 HOLD_LOG_INTERVAL_S = 1.0
 
 
@@ -49,6 +50,8 @@
         is_whole_gang = spec.gang and len(tasks) == step.unfinished_count
         if not room and is_whole_gang and usage.may_ever_fit(team, spec):
             current.cap_waits.setdefault(team, state.queue.priority)
+            if current.is_overdue(step):
+                current.starved_teams.add(team)
     if not room:
         _log_hold(step, "cap", current.now)
     return tasks[:room]
@@ -102,7 +105,7 @@
 def _log_hold(
     step: StepState, reason: str, now: float, share: float | None = None
 ) -> None:
-    """Logs why a step waits, at most once a second for each step.
+    """Logs why a step waits, less and less often while it goes on waiting.
 
     Args:
         step: The step.
@@ -110,7 +113,9 @@
         now: Current time of the leader's monotonic clock, in seconds.
         share: Share of the service that the team uses, if it is the reason.
     """
-    if now - step.hold_logged_at < HOLD_LOG_INTERVAL_S:
+    ready_at = now if step.ready_at is None else step.ready_at
+    interval_s = max(HOLD_LOG_INTERVAL_S, step.hold_logged_at - ready_at)
+    if now - step.hold_logged_at < interval_s:
         return
     step.hold_logged_at = now
     team = step.job_state.job.team
