Let only gangs that executors can hold keep back their team

Seen: a gang that needs a label that no executor has, or more than all executors have, and that is above what is left of its team's cap, holds back the team's work of lower priorities in each round in which it has no room.

Cause: it was checked whether the cap can hold the gang, but not the executors.

Change: a gang keeps room under the cap only if the accepting executors of its service can hold it once all tasks with an end have ended.

Ruled out: a gang that merely waits for busy executors; it counts as before (test_small_work_of_the_same_team_does_not_starve_its_gang).

Evidence: the new test failed before.

--- a/libs/cell/dragonflybank/cell/step_holds.py
+++ b/libs/cell/dragonflybank/cell/step_holds.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 
 from dragonflybank.cell.decision_round import DecisionRound
+from dragonflybank.cell.placement import has_attainable_room
 from dragonflybank.cell.state import Attempt, StepState, Task
 
 _log = logging.getLogger(__name__)
@@ -41,8 +42,7 @@
         room = usage.room_for(
             team, spec, len(tasks), is_job_idle=not state.attempts()
         )
-        is_whole_gang = spec.gang and len(tasks) == step.unfinished_count
-        if not room and is_whole_gang and usage.may_ever_fit(team, spec):
+        if not room and _can_start_later(step, tasks, current):
             current.cap_waits.setdefault(team, state.queue.priority)
             if current.is_overdue(step):
                 current.starved_teams.add(team)
@@ -51,6 +51,20 @@
     return tasks[:room]
 
 
+def _can_start_later(
+    step: StepState, tasks: list[Task], current: DecisionRound
+) -> bool:
+    """Returns whether a gang starts once its team and others use less."""
+    state, spec = step.job_state, step.spec
+    accepting = current.accepting.get(state.queue.service, {})
+    return (
+        spec.gang
+        and len(tasks) == step.unfinished_count
+        and state.team_usage.may_ever_fit(state.job.team, spec)
+        and has_attainable_room(step, len(tasks), accepting.values())
+    )
+
+
 def is_start_within_cap(step: StepState, attempts: Sequence[Attempt]) -> bool:
     """Returns whether reserved attempts of a step may still be started.
 
--- a/libs/cell/dragonflybank/cell/tests/test_team_usage.py
+++ b/libs/cell/dragonflybank/cell/tests/test_team_usage.py
@@ -190,6 +190,15 @@
         self._decide()
         self.assertThat(step.waiting_tasks(), Equals([]))
 
+    def test_a_gang_without_suitable_executors_holds_back_nothing(self):
+        self._add(1, _step(1, 8), queue="sweep")
+        self._decide()
+        self._add(2, _step(3, 6, gang=True, label="absent"))
+        for now in (0.1, 2.0, 2.1):
+            step = self._add(int(10 * now) + 3, _step(1, 2), queue="sweep")
+            self._decide(now)
+            self.assertThat(step.waiting_tasks(), Equals([]))
+
     def test_a_large_task_starts_below_half_of_the_cap(self):
         self._add(1, _step(1, 9))
         large = self._add(2, _step(2, 15), queue="sweep")
