--- a/libs/cell/dragonflybank/cell/step_holds.py
+++ b/libs/cell/dragonflybank/cell/step_holds.py
@@ -15,6 +15,7 @@
 from collections.abc import Sequence
 
 from dragonflybank.cell.decision_round import DecisionRound
+from dragonflybank.cell.placement import has_attainable_room
 from dragonflybank.cell.state import Attempt, StepState, Task
 from dragonflybank.cell.team_shares import is_beyond_rate
 
@@ -47,8 +48,7 @@
         room = usage.room_for(
             team, spec, len(tasks), is_job_idle=not state.attempts()
         )
-        is_whole_gang = spec.gang and len(tasks) == step.unfinished_count
-        if not room and is_whole_gang and usage.may_ever_fit(team, spec):
+        if not room and _can_start_later(step, tasks, current):
             current.cap_waits.setdefault(team, state.queue.priority)
             if current.is_overdue(step):
                 current.starved_teams.add(team)
@@ -57,6 +57,20 @@
     return tasks[:room]
 
 
+def _can_start_later(
+    step: StepState, tasks: list[Task], current: DecisionRound
+) -> bool:
+    """Returns whether a gang starts once its team and others use less."""
+    state, spec = step.job_state, step.spec
+    accepting = current.accepting.get(state.queue.service, {})
+    return (
+        spec.gang
+        and len(tasks) == step.unfinished_count
+        and state.team_usage.may_ever_fit(state.job.team, spec)
+        and has_attainable_room(step, len(tasks), accepting.values())
+    )
+
+
 def tasks_ahead(step: StepState) -> int:
     """Returns how many waiting tasks of a step may delay other teams' jobs.
 
