Bound answers that hosts read, and document the limits of clients

HttpClient read answers of any size, so a faulty executor or store could use all memory of a host. An answer above 16 MiB, 16 times the largest page, now ends the call with TIMED_OUT, since the call may have had an effect. aiohttp has no setting for it. Ruled out: Content-Length alone, which chunked answers lack.

Messages of nng peers are bounded already, by MAX_MESSAGE_BYTES.

--- a/libs/platform/dragonflybank/platform/http_client.py
+++ b/libs/platform/dragonflybank/platform/http_client.py
@@ -17,6 +17,9 @@
 # times out, although new connections work.
 TIMEOUTS_BEFORE_RECONNECT = 2
 CONNECTIONS_PER_PEER = 64
+# The largest answers, pages of the store, have 1 MB. aiohttp has no setting for
+# the size of an answer.
+MAX_ANSWER_BYTES = 16 * 2**20
 
 
 @attrs.frozen
@@ -56,16 +59,25 @@
     Args:
         url: Base URL of the server.
         timeout_s: Default timeout of a call in seconds.
+        max_answer_bytes: Largest body of an answer; a larger one ends the call
+            with ``TIMED_OUT``, since the call may have had an effect.
 
     Attributes:
         url: Base URL of the server.
         reconnects: Number of times the pool was closed after timeouts.
     """
 
-    def __init__(self, url: str, *, timeout_s: float):
+    def __init__(
+        self,
+        url: str,
+        *,
+        timeout_s: float,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+    ):
         self.url = url
         self.reconnects = 0
         self._timeout_s = timeout_s
+        self._max_answer_bytes = max_answer_bytes
         self._timeouts = 0
         self._session: aiohttp.ClientSession | None = None
 
@@ -97,7 +109,7 @@
         limit_s = (timeout_s or self._timeout_s) + server_wait_s
         try:
             async with asyncio.timeout(limit_s):
-                reply = await _send_request(
+                reply = await self._send_request(
                     session, method, self.url + path, kwargs
                 )
         except aiohttp.ClientConnectorError as exc:
@@ -137,6 +149,20 @@
             )
         return self._session
 
+    async def _send_request(
+        self, session: aiohttp.ClientSession, method: str, url: str, kwargs
+    ) -> HttpResponse:
+        limit = self._max_answer_bytes
+        async with session.request(method, url, **kwargs) as resp:
+            parts, size = [], 0
+            while part := await resp.content.readany():
+                size += len(part)
+                if size > limit:
+                    # Leaving the block without the rest closes the connection.
+                    raise _AnswerTooLargeError(f"more than {limit} bytes")
+                parts.append(part)
+            return HttpResponse(resp.status, resp.headers, b"".join(parts))
+
     async def _on_timeout(self, session: aiohttp.ClientSession) -> None:
         if session is not self._session:
             return
@@ -147,6 +173,10 @@
             await self.close()
 
 
+class _AnswerTooLargeError(aiohttp.ClientError):
+    """The answer is larger than the limit."""
+
+
 class _ConnectionLostError(aiohttp.ClientError):
     """The connection was closed after the request may have been received."""
 
@@ -161,8 +191,3 @@
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
         raise _ConnectionLostError(str(exc)) from exc
-
-
-async def _send_request(session, method, url, kwargs) -> HttpResponse:
-    async with session.request(method, url, **kwargs) as resp:
-        return HttpResponse(resp.status, resp.headers, await resp.read())
--- a/libs/platform/dragonflybank/platform/tests/test_http_client.py
+++ b/libs/platform/dragonflybank/platform/tests/test_http_client.py
@@ -51,6 +51,19 @@
         self.assertThat(codes[0].failure().code, Equals(Code.TIMED_OUT))
         self.assertThat(codes[2].unwrap(), Equals(200))
 
+    def test_answer_above_the_limit_is_not_read(self):
+        async def run(limit):
+            server, url = await _serve_after_unresponsive(0)
+            client = HttpClient(url, timeout_s=5.0, max_answer_bytes=limit)
+            outcome = await client.call("GET", "/")
+            await client.close()
+            server.close()
+            return outcome
+
+        self.assertThat(asyncio.run(run(2)).unwrap().body, Equals(b"{}"))
+        failed = asyncio.run(run(1)).failure()
+        self.assertThat(failed.code, Equals(Code.TIMED_OUT))
+
     def test_refused_connection_is_reported_as_unreachable(self):
         async def run():
             server, url = await _serve_after_unresponsive(0)
