Let work start that gangs hold back for too long beside idle executors

The users' rule is that no job waits for 3 s with nothing running while there is room for it twice.

Cause: only work that will have ended when the gang is expected to start may use its executors in a mostly idle service.

Change: there, one task of a job that has waited for 2 s with nothing running starts all the same. Executors reserved for restarts stay reserved, and in a busier service gangs keep theirs.

--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -8,9 +8,14 @@
 
 from dragonflybank.cell.gang_reservation import (
     GangReservation,
+    is_held_too_long,
     reserve_executors,
 )
-from dragonflybank.cell.placement import accepting_executors
+from dragonflybank.cell.placement import (
+    PlacementPlan,
+    accepting_executors,
+    plan_placement,
+)
 from dragonflybank.cell.state import Executor, StepState, Task
 
 
@@ -54,6 +59,37 @@
             for executor, cores in reservation.millicores.items()
         }
 
+    def plan_after_wait(
+        self, step: StepState, tasks: list[Task], allowed: list[Executor]
+    ) -> PlacementPlan:
+        """Plans one task of a job that gangs have held back for too long.
+
+        In a mostly idle service it may use executors that are reserved for
+        gangs; what is reserved for restarts stays reserved.
+
+        Args:
+            step: A step that fits nowhere else.
+            tasks: Its waiting tasks.
+            allowed: Executors that may run it.
+        """
+        if (
+            not self.gang_reservations
+            or not is_held_too_long(step, self.now)
+            or not self._is_mostly_idle(step.job_state.queue.service)
+        ):
+            return PlacementPlan(reason="no capacity")
+        return plan_placement(
+            step,
+            tasks if step.spec.gang else tasks[:1],
+            allowed,
+            reserved_millicores={
+                executor: cores
+                for reservation in self.gang_reservations
+                if reservation.is_restart
+                for executor, cores in reservation.millicores.items()
+            },
+        )
+
     def continue_after(self, earlier: "DecisionRound") -> None:
         """Takes over what steps of an earlier part of the round wait for."""
         self.gang_reservations = earlier.gang_reservations
--- a/libs/cell/dragonflybank/cell/gang_reservation.py
+++ b/libs/cell/dragonflybank/cell/gang_reservation.py
@@ -10,7 +10,7 @@
 would start later.
 """
 
-__all__ = ["GangReservation", "reserve_executors"]
+__all__ = ["GangReservation", "is_held_too_long", "reserve_executors"]
 
 import functools
 from collections.abc import Iterable
@@ -26,6 +26,9 @@
 # estimate and a margin for its start and the report of its end.
 BACKFILL_ESTIMATE_FACTOR = 2.0
 BACKFILL_MARGIN_S = 1.0
+# The users' rule: no job waits for 3 s with nothing running while less than
+# half of its service is in use and there is room for it twice.
+MAX_HOLD_S = 2.0
 
 
 @attrs.frozen
@@ -82,6 +85,15 @@
         return ends_after_s <= self.wait_s
 
 
+def is_held_too_long(step: StepState, now: float) -> bool:
+    """Returns whether a step's job has waited too long with nothing running."""
+    return (
+        step.ready_at is not None
+        and now - step.ready_at >= MAX_HOLD_S
+        and not step.job_state.open_attempts
+    )
+
+
 def reserve_executors(
     step: StepState, tasks: int, allowed: Iterable[Executor], now: float
 ) -> GangReservation | None:
--- a/libs/cell/dragonflybank/cell/isolation.py
+++ b/libs/cell/dragonflybank/cell/isolation.py
@@ -6,7 +6,12 @@
 that ends by an exception is started again.
 """
 
-__all__ = ["IsolatedExecutorClient", "run_supervised", "set_step_aside"]
+__all__ = [
+    "IsolatedExecutorClient",
+    "is_set_aside",
+    "run_supervised",
+    "set_step_aside",
+]
 
 import logging
 from collections.abc import Awaitable, Callable
@@ -137,6 +142,11 @@
             await clock.sleep(RESTART_DELAY_S)
 
 
+def is_set_aside(step: StepState, now: float) -> bool:
+    """Returns whether a step waits after an exception."""
+    return step.fault_count > 0 and step.blocked_until > now
+
+
 def set_step_aside(leader: "Leader", step: StepState, now: float) -> None:
     """Handles an exception that the placement of a step has raised.
 
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -37,7 +37,7 @@
     count_attainable_tasks,
 )
 from dragonflybank.cell.decision_round import DecisionRound, begin_round
-from dragonflybank.cell.isolation import set_step_aside
+from dragonflybank.cell.isolation import is_set_aside, set_step_aside
 from dragonflybank.cell.jobs import Queue
 from dragonflybank.cell.placement import (
     PlacementPlan,
@@ -138,7 +138,7 @@
         self._last_round = current
         ranks = {}
         for step in list(leader.workload.ready):
-            if step not in self._considered and not _is_set_aside(step, now):
+            if step not in self._considered and not is_set_aside(step, now):
                 try:
                     ranks[step] = step_rank(step, unix_time)
                 except Exception:
@@ -201,6 +201,8 @@
             allowed,
             reserved_millicores=current.reserved_against(step),
         )
+        if not plan.pairs:
+            plan = current.plan_after_wait(step, tasks, allowed)
         if plan.pairs and self._execute_plan(step, plan, allowed, current):
             return
         if not plan.pairs:
@@ -482,10 +484,6 @@
         self._start(step, usable, now)
 
 
-def _is_set_aside(step: StepState, now: float) -> bool:
-    return step.fault_count > 0 and step.blocked_until > now
-
-
 def _good_executors(
     step: StepState, accepting: Mapping[str, Executor]
 ) -> list[Executor]:
--- a/libs/cell/dragonflybank/cell/tests/test_scheduling.py
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -203,9 +203,11 @@
                 now=1000.0,
             )
 
-    def _place(self) -> None:
+    def _place(self, *, waited_s: float = 0.0) -> None:
         async def main():
-            self.scheduler.place_waiting_steps(1000.0, 1000.1)
+            self.scheduler.place_waiting_steps(
+                1000.0 + waited_s, 1000.1 + waited_s
+            )
             # Calls for advice that were started begin.
             await asyncio.sleep(0)
 
@@ -328,7 +330,14 @@
         named = sorted(itertools.chain(*dispatcher.named))
         self.assertThat(named, Equals([f"e{n}" for n in range(8)]))
 
-    def _is_let_in(self, *, busy_s: float, busy: int = 1, **kwargs) -> bool:
+    def _is_let_in(
+        self,
+        *,
+        busy_s: float,
+        busy: int = 1,
+        waited_s: float = 0.0,
+        **kwargs,
+    ) -> bool:
         """Returns whether a sweep uses an executor that a gang waits for.
 
         The gang needs all eight executors, of which some are busy.
@@ -336,7 +345,7 @@
         self._occupy(*range(busy), estimate_s=busy_s)
         gang = self._add(8)
         sweep = self._add(1, queue="sweep", gang=False, **kwargs)
-        self._place()
+        self._place(waited_s=waited_s)
         self.assertThat(self._started(gang), Equals(0))
         return self._started(sweep) == 1
 
@@ -357,3 +366,27 @@
             self.assertThat(
                 (changes, self._is_let_in(**changes)), Equals((changes, False))
             )
+
+    def test_no_job_waits_three_seconds_beside_idle_executors(self):
+        for changes in (
+            {"estimate_s": 30.0},
+            {"estimate_s": 0.0},
+            {"estimate_s": 1.0, "lasting": True},
+        ):
+            self._set_up_cell()
+            is_let_in = self._is_let_in(busy_s=36.0, waited_s=2.5, **changes)
+            self.assertThat((changes, is_let_in), Equals((changes, True)))
+
+    def test_a_gang_keeps_a_busy_service_from_work_that_waits(self):
+        is_let_in = self._is_let_in(
+            busy_s=36.0, busy=4, waited_s=9.0, estimate_s=30.0
+        )
+        self.assertThat(is_let_in, Equals(False))
+
+    def test_only_a_job_with_nothing_running_is_let_in_after_a_wait(self):
+        self._occupy(0, estimate_s=36.0)
+        self._add(8)
+        sweep = self._add(7, queue="sweep", gang=False, estimate_s=30.0)
+        for _ in range(3):
+            self._place(waited_s=2.5)
+        self.assertThat(self._started(sweep), Equals(1))
