--- a/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
+++ b/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
@@ -66,9 +66,13 @@
     cluster_work_messages.FinishedReply: "journalled",
     cluster_work_messages.ListWork: "table limit",
     cluster_work_messages.WorkRows: "columns rows",
-    cell_messages.SyncRequest: ("address epoch number version needs_config"),
+    cell_messages.SyncRequest: (
+        "address epoch number version needs_config accepts_packed shortfall "
+        "pending_number"
+    ),
     cell_messages.SyncReply: (
-        "epoch number is_whole states pending config over_term start_delays"
+        "epoch number is_whole states pending config over_term start_delays "
+        "peers packed executors pending_number"
     ),
     cell_messages.StartDelay: "service priority seconds",
     cell_messages.AdviceRequest: "step executors timeout_s",
@@ -87,10 +91,10 @@
     cell_jobs.AdviceTiming: "base_s each_s valid_s",
     cell_jobs.Queue: (
         "name host prefix service priority objective_s slack "
-        "max_attempts advised version"
+        "max_attempts advised version is_public"
     ),
     cell_jobs.Job: (
-        "id queue spec steps accepted_at start_at interval_s repeat"
+        "id queue spec steps accepted_at start_at interval_s repeat team"
     ),
     cell_jobs.Progress: "phase done failed saved placed ended_at queue",
     cell_election.LeaderRecord: "name address term",
@@ -174,12 +178,12 @@
     standins_records.FaultSet: "at server fault",
     adapter_settings.StoreSettings: "address writes_per_s reads_per_s",
     adapter_settings.PlatformBounds: (
-        "max_lease_ms stop_grace_ms early_ms status_s grace_s"
+        "max_lease_ms stop_grace_ms early_ms status_s grace_s quota_overage"
     ),
     adapter_settings.AdapterSettings: (
         "name zone ip callers_address ready_address metrics_address "
         "peer_ports store region zones advice_address cores core_share "
-        "memory_mb heartbeat_ms bounds"
+        "memory_mb heartbeat_ms bounds link_mbps max_fds"
     ),
     config_settings.Address: "address port",
     config_settings.Seed: "name region address port",
@@ -243,6 +247,7 @@
         ("BAD_COMMAND", 102),
         ("BAD_REQUEST", 103),
         ("BAD_CONFIGURATION", 104),
+        ("UNKNOWN_KEY", 105),
         ("OVER_QUOTA", 201),
         ("OVERLOADED", 202),
         ("CAN_NEVER_RUN", 203),
@@ -336,12 +341,15 @@
 )
 METRICS = (
     "dragonflybank_answers_total",
+    "dragonflybank_keys_refused_total",
+    "dragonflybank_keys_refused_created",
     "dragonflybank_starts_total",
     "dragonflybank_ends_total",
     "dragonflybank_jobs_ended_total",
     "dragonflybank_executors_lost_total",
     "dragonflybank_malformed_inputs_total",
     "dragonflybank_isolated_faults_total",
+    "dragonflybank_client_limits_total",
     "dragonflybank_elections_total",
     "dragonflybank_elections_created",
     "dragonflybank_store_calls_total",
@@ -353,6 +361,8 @@
     "dragonflybank_executors",
     "dragonflybank_free_cores",
     "dragonflybank_start_delay_seconds",
+    "dragonflybank_team_used_cores",
+    "dragonflybank_team_waiting_steps",
     "dragonflybank_config_version",
     "dragonflybank_board_age_seconds",
     "dragonflybank_answers_total",
--- a/libs/cell/dragonflybank/cell/capacity.py
+++ b/libs/cell/dragonflybank/cell/capacity.py
@@ -11,7 +11,12 @@
 ]
 
 from dragonflybank.cell.jobs import Step
-from dragonflybank.cell.state import Attempt, AttemptPhase, Executor, Task
+from dragonflybank.cell.state import (
+    Attempt,
+    AttemptPhase,
+    Executor,
+    Task,
+)
 
 
 def reserve(
@@ -24,11 +29,12 @@
 ) -> Attempt:
     """Adds an attempt to its executor and task and reserves its resources."""
     attempt = Attempt(task, number, executor, phase, now, advanced_at=now)
+    attempt.service = executor.info.service
     executor.attempts[task.id, number] = attempt
     task.attempts.append(attempt)
     task.step.job_state.open_attempts[attempt] = None
     task.last_attempt = max(task.last_attempt, number)
-    _change_usage(executor, task.step.spec, 1)
+    _change_usage(attempt, 1)
     return attempt
 
 
@@ -40,7 +46,7 @@
     attempt.phase = AttemptPhase.OVER
     attempt.task.attempts.remove(attempt)
     attempt.task.step.job_state.open_attempts.pop(attempt, None)
-    _change_usage(attempt.executor, attempt.task.step.spec, -1)
+    _change_usage(attempt, -1)
 
 
 def count_fitting_tasks(executor: Executor, step: Step) -> int:
@@ -149,7 +155,9 @@
     return max(0, min(counts, default=step.count))
 
 
-def _change_usage(executor: Executor, step: Step, sign: int) -> None:
+def _change_usage(attempt: Attempt, sign: int) -> None:
+    executor, step = attempt.executor, attempt.task.step.spec
+    state = attempt.task.step.job_state
     millicores = 0 if step.filling else sign * step.millicores
     memory_mb = sign * step.memory_mb
     accelerators = sign * step.accelerators
@@ -160,3 +168,4 @@
         executor.lasting_millicores += millicores
         executor.lasting_memory_mb += memory_mb
         executor.lasting_accelerators += accelerators
+    state.team_usage.change(state.job.team, step, sign, attempt.service)
--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -17,6 +17,12 @@
     plan_placement,
 )
 from dragonflybank.cell.state import Executor, StepState, Task
+from dragonflybank.cell.teams import ResourceCap
+
+# A job of a team may not wait for 3 s with nothing running while both its team
+# and its service are below half of their capacity. The rest of this time is for
+# advice and the start.
+OVERDUE_AFTER_S = 1.5
 
 
 @attrs.define
@@ -32,6 +38,8 @@
             No executor is reserved twice.
         refused: Steps that got no slot for a call, as their priority and
             whether the call is a long one.
+        cap_waits: Highest priority of the gangs that wait for room under the
+            cap of their team, by team.
     """
 
     now: float
@@ -39,23 +47,31 @@
     free_millicores: dict[str, int]
     gang_reservations: list[GangReservation] = attrs.field(factory=list)
     refused: set[tuple[int, bool]] = attrs.field(factory=set)
+    cap_waits: dict[str, int] = attrs.field(factory=dict)
+    _idle_services: dict[str, bool] = attrs.field(factory=dict)
+    _capacities: dict[str, ResourceCap] = attrs.field(factory=dict)
 
     def reserved_against(self, step: StepState) -> dict[str, int]:
         """Returns the capacity that a step must leave, by executor.
 
         It is reserved for gangs of a higher priority and, if the step is a gang
         itself, for those that come before it, and for restarts of long-running
-        tasks. In a mostly idle service, a step
-        may use it that will have ended when the gang or the restart begins.
+        tasks. In a mostly idle service, a step may use it that will have ended
+        when the gang or the restart begins. A step of an overdue job may use it
+        in any case.
         """
+        if not self.gang_reservations or self.is_overdue(step):
+            return {}
+        preceding = [r for r in self.gang_reservations if r.precedes(step)]
+        binding = [r for r in preceding if not r.allows_backfill(step)]
+        # A pass over the service, made once and only if it matters.
+        if len(binding) < len(preceding) and not self._is_mostly_idle(
+            step.job_state.queue.service
+        ):
+            binding = preceding
         return {
             executor: cores
-            for reservation in self.gang_reservations
-            if reservation.precedes(step)
-            and not (
-                reservation.allows_backfill(step)
-                and self._is_mostly_idle(step.job_state.queue.service)
-            )
+            for reservation in binding
             for executor, cores in reservation.millicores.items()
         }
 
@@ -90,10 +106,55 @@
             },
         )
 
+    def is_overdue(self, step: StepState) -> bool:
+        """Returns whether a step of a team waits too long beside idle capacity.
+
+        This is so if nothing of its job has run for a while and both its team
+        and its service are below half of their capacity.
+        """
+        state, team = step.job_state, step.job_state.job.team
+        if not team or not state.team_usage.is_active:
+            return False
+        ready_at = self.now if step.ready_at is None else step.ready_at
+        if self.now - ready_at < OVERDUE_AFTER_S:
+            return False
+        service = state.queue.service
+        if service not in self._idle_services:
+            self._idle_services[service] = self._is_mostly_idle(service)
+        return (
+            self._idle_services[service]
+            and state.team_usage.is_below_half(team)
+            and not state.attempts()
+        )
+
+    def capacity(self, service: str) -> ResourceCap:
+        """Returns the resources of a service's executors that accept work."""
+        if service not in self._capacities:
+            infos = [e.info for e in self.accepting.get(service, {}).values()]
+            self._capacities[service] = ResourceCap(
+                sum(info.millicores for info in infos),
+                sum(info.memory_mb for info in infos),
+                sum(info.accelerators for info in infos),
+            )
+        return self._capacities[service]
+
+    def waits_for_gang_of_team(self, step: StepState) -> bool:
+        """Returns whether a gang of the same team needs the rest of its cap.
+
+        Small work of a team that takes each freed part of the cap would starve
+        the gang.
+        """
+        priority = self.cap_waits.get(step.job_state.job.team)
+        own = step.job_state.queue.priority
+        return priority is not None and (
+            priority < own or (step.spec.gang and priority == own)
+        )
+
     def continue_after(self, earlier: "DecisionRound") -> None:
         """Takes over what steps of an earlier part of the round wait for."""
         self.gang_reservations = earlier.gang_reservations
         self.refused = earlier.refused
+        self.cap_waits = earlier.cap_waits
 
     def update_free_millicores(self, service: str) -> None:
         """Lowers the bound of a service after placements in this round."""
--- a/libs/cell/dragonflybank/cell/election.py
+++ b/libs/cell/dragonflybank/cell/election.py
@@ -29,6 +29,7 @@
 from returns.result import Failure, Success
 
 from dragonflybank.cell.lag import LoopLag
+from dragonflybank.cell.leader_fitness import LeaderFitness
 from dragonflybank.cell.ports import Item, Store, Txn, TxnReply
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.model.decoding import DecodeError
@@ -131,6 +132,7 @@
         address: Address of its peer socket.
         clock: Clock of the host.
         has_few_cores: Whether hosts with more cores should be elected first.
+        fitness: How well this host can lead the cell.
         rng: Seeded random generator.
         is_leader_responsive: Returns whether the leader has answered this host
             recently and its leadership was confirmed then.
@@ -149,6 +151,7 @@
         *,
         clock: Clock,
         has_few_cores: bool,
+        fitness: LeaderFitness,
         rng: random.Random,
         is_leader_responsive: Callable[[float], bool],
         has_process_exited: Callable[[str], Awaitable[bool]],
@@ -162,6 +165,7 @@
         self._address = address
         self._clock = clock
         self._has_few_cores = has_few_cores
+        self._fitness = fitness
         self._rng = rng
         self._is_leader_responsive = is_leader_responsive
         self._has_process_exited = has_process_exited
@@ -176,6 +180,7 @@
             asked_at = self._clock.now()
             found = await self._store.get(LEADER_KEY)
             if isinstance(found, Failure):
+                await self._find_leader_through_peers()
                 await self._clock.sleep(RETRY_DELAY_S)
                 continue
             round_trip_s = self._clock.now() - asked_at
@@ -189,6 +194,19 @@
             if won is not None:
                 return won
 
+    async def _find_leader_through_peers(self) -> None:
+        """Reads the leader's key through other hosts.
+
+        If the store turns away this host alone, it learns of a new leader only
+        by them. With a leader that answers, nothing is read, so that an outage
+        of the store does not multiply the reads.
+        """
+        if self._is_leader_responsive(self._clock.now()):
+            return
+        item = await self._read_through_peers(LEADER_KEY)
+        if item is not None:
+            self._update_record(item)
+
     def record_ended_term(self, term: int) -> None:
         """Records that the leader of a term has reported its end."""
         self._last_ended_term = max(self._last_ended_term, term)
@@ -311,6 +329,7 @@
         delay_s += min(LAG_DELAY_MAX_S, LAG_DELAY_FACTOR * self._lag.mean_s)
         if self._has_few_cores:
             delay_s += FEW_CORES_DELAY_S
+        delay_s += self._fitness.candidacy_delay_s
         await self._clock.sleep(delay_s + self._rng.uniform(0.0, 0.02))
         revision = former.revision if former else 0
         leader_item, term_item = await asyncio.gather(
--- a/libs/cell/dragonflybank/cell/gang_reservation.py
+++ b/libs/cell/dragonflybank/cell/gang_reservation.py
@@ -36,14 +36,15 @@
     """Executors reserved for a waiting gang or a restart in one round.
 
     Attributes:
-        priority: Priority of its queue.
+        rank: Whether it is beyond the rate of its team, and the priority of its
+            queue.
         spec: Its declaration.
         places: Executors and the number of its tasks that each will run.
         now: Time of the round.
         is_restart: Whether its tasks are long-running and have run before.
     """
 
-    priority: int
+    rank: tuple[bool, int]
     spec: Step
     places: tuple[tuple[Executor, int], ...]
     now: float
@@ -67,11 +68,11 @@
 
     def precedes(self, step: StepState) -> bool:
         """Returns whether a step must leave the reserved executors."""
-        priority = step.job_state.queue.priority
+        rank = _rank(step)
         return (
             self.is_restart
-            or self.priority < priority
-            or (step.spec.gang and self.priority == priority)
+            or self.rank < rank
+            or (step.spec.gang and self.rank == rank)
         )
 
     def allows_backfill(self, step: StepState) -> bool:
@@ -129,9 +130,9 @@
     if not places or (missing > 0 and step.spec.gang):
         return None
     return GangReservation(
-        step.job_state.queue.priority,
-        step.spec,
-        tuple(places),
-        now,
-        is_restart=restarts,
+        _rank(step), step.spec, tuple(places), now, is_restart=restarts
     )
+
+
+def _rank(step: StepState) -> tuple[bool, int]:
+    return step.job_state.is_beyond_rate, step.job_state.queue.priority
--- a/libs/cell/dragonflybank/cell/messages.py
+++ b/libs/cell/dragonflybank/cell/messages.py
@@ -39,7 +39,13 @@
         number: Number of the last change that the asking host has.
         version: Version of the asking host's configuration.
         needs_config: Whether the asking host needs a newer configuration from
-            the leader, since the store does not answer it.
+            the leader, since the store does not answer it or has one that
+            cannot be decoded.
+        accepts_packed: Whether the asking host reads `SyncReply.packed`.
+        shortfall: Share of what a leader needs that the asking host lacks; see
+            `leader_fitness.shortfall`.
+        pending_number: Number of the last numbers of pending jobs that the
+            asking host has; -1 if it needs them in each answer.
     """
 
     address: str
@@ -47,6 +53,9 @@
     number: int
     version: int
     needs_config: bool = True
+    accepts_packed: bool = False
+    shortfall: float = 1.0
+    pending_number: int = -1
 
 
 @attrs.frozen
@@ -78,8 +87,13 @@
         config: The operators' configuration, compressed by `pack_config`, if
             the asking host needs a newer one.
         start_delays: Delays of new jobs that the leader expects.
+        peers: Addresses of some hosts that were alive recently.
         over_term: Last term in which the answering host led, if that term has
             ended; otherwise 0.
+        packed: Further ``states`` in the form of `pack_phases`.
+        executors: Number of executors of the cell; 0 if it is not known.
+        pending_number: Number of ``pending`` and ``start_delays``, -1 if they
+            have none. Both are left out if the asking host has them.
     """
 
     epoch: int
@@ -90,6 +104,10 @@
     config: bytes = b""
     over_term: int = 0
     start_delays: tuple[StartDelay, ...] = ()
+    peers: tuple[str, ...] = ()
+    packed: bytes = b""
+    executors: int = 0
+    pending_number: int = -1
 
 
 @attrs.frozen
--- a/libs/cell/dragonflybank/cell/metrics.py
+++ b/libs/cell/dragonflybank/cell/metrics.py
@@ -14,6 +14,7 @@
 
     To keep the number of time series small, labels are result codes, kinds of
     ends and calls, and queue priorities, but never names of jobs or executors.
+    A bounded number of teams is named, see `team_report`.
     """
 
     def __init__(self):
@@ -21,6 +22,9 @@
         self.answers = self._counter(
             "answers", "Answers to callers", "call", "code"
         )
+        self.keys_refused = self._counter(
+            "keys_refused", "Calls that were refused for their API key"
+        )
         self.starts = self._counter(
             "starts", "Answers of executors to orders to start", "reply"
         )
@@ -37,6 +41,11 @@
             "Unexpected exceptions that were isolated from other work",
             "place",
         )
+        self.client_limits = self._counter(
+            "client_limits",
+            "Requests and connections of clients that met a limit",
+            "reason",
+        )
         self.elections = self._counter("elections", "Elections won")
         self.store_calls = self._counter(
             "store_calls", "Calls to the store", "call", "outcome"
@@ -67,6 +76,12 @@
             "start_delay_seconds",
             "Expected wait of a new job under overload, 0 without overload",
         )
+        self.team_used_cores = self._gauge(
+            "team_used_cores", "Processors that a team's attempts use", "team"
+        )
+        self.team_waiting_steps = self._gauge(
+            "team_waiting_steps", "Steps of a team with tasks to place", "team"
+        )
         self.config_version = self._gauge(
             "config_version", "Version of the configuration in force"
         )
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -37,14 +37,17 @@
     count_attainable_tasks,
 )
 from dragonflybank.cell.decision_round import DecisionRound, begin_round
-from dragonflybank.cell.isolation import is_set_aside, set_step_aside
+from dragonflybank.cell.isolation import set_step_aside
 from dragonflybank.cell.jobs import Queue
+from dragonflybank.cell.links import running_orphans
 from dragonflybank.cell.placement import (
     PlacementPlan,
     candidate_executors,
+    good_executors,
     has_attainable_room,
     plan_placement,
 )
+from dragonflybank.cell.round_order import steps_in_order
 from dragonflybank.cell.state import (
     Attempt,
     AttemptPhase,
@@ -52,11 +55,13 @@
     StepState,
     Task,
 )
-from dragonflybank.cell.step_order import (
-    is_restart,
-    step_rank,
-    tasks_in_turn,
+from dragonflybank.cell.step_holds import (
+    is_start_within_cap,
+    log_wait,
+    tasks_within_cap,
 )
+from dragonflybank.cell.step_order import is_restart, tasks_in_turn
+from dragonflybank.cell.team_shares import is_beyond_rate
 from dragonflybank.cell.tickets import (
     TICKET_MARGIN_S,
     advice_call_s,
@@ -80,6 +85,9 @@
 # A waiting gang asks about no further executors while the good ones that it
 # knows have this multiple of the capacity that it needs.
 GANG_CAPACITY_FACTOR = 2
+# Work beyond its team's rate asks for advice only while more than this part of
+# the hosts, as a divisor, makes no call.
+SPARE_SLOTS_FACTOR = 4
 
 
 class Scheduler:
@@ -132,19 +140,16 @@
         leader = self._leader
         if not leader.leadership.may_start_attempts(now):
             return
-        current = begin_round(leader.fleet.executors.values(), now)
+        executors = leader.fleet.executors.values()
+        current = begin_round(executors, now)
         if self._considered:
             current.continue_after(self._last_round)
         self._last_round = current
-        ranks = {}
-        for step in list(leader.workload.ready):
-            if step not in self._considered and not is_set_aside(step, now):
-                try:
-                    ranks[step] = step_rank(step, unix_time)
-                except Exception:
-                    set_step_aside(leader, step, now)
+        leader.workload.count_orphans(running_orphans(executors, now))
         until = leader.clock.now() + ROUND_BUDGET_S
-        for step in sorted(ranks, key=ranks.get):
+        for step in steps_in_order(
+            leader, current, self._considered, unix_time
+        ):
             if leader.clock.now() >= until:
                 leader.wake()
                 return
@@ -159,8 +164,14 @@
         tasks = step.waiting_tasks()
         if not tasks:
             self._leader.workload.ready.pop(step, None)
-        elif self._is_placeable(step, tasks, current.now):
-            self._place_step(step, tasks_in_turn(step, tasks), current)
+            return
+        tasks = tasks_in_turn(step, tasks)
+        tasks = tasks_within_cap(step, tasks, current)
+        if not tasks:
+            return
+        if self._is_placeable(step, tasks, current.now):
+            if not self._place_step(step, tasks, current):
+                log_wait(step, current)
         elif step.spec.gang and step.advice_pending:
             self._keep_reservation(step, tasks, current)
 
@@ -177,18 +188,23 @@
 
     def _place_step(
         self, step: StepState, tasks: list[Task], current: DecisionRound
-    ) -> None:
+    ) -> bool:
+        """Places tasks of a step, or asks for advice about it.
+
+        Returns:
+            Whether anything was started or asked for.
+        """
         queue = step.job_state.queue
         is_advised = (
             queue.advised is not None and self._advice_dispatcher is not None
         )
         if self._must_wait(step, is_advised, current):
-            return
+            return False
         accepting = current.accepting.get(queue.service, {})
         if not is_advised:
             good = candidate_executors(step, accepting.values())
         else:
-            good = _good_executors(step, accepting)
+            good = good_executors(step, accepting)
         allowed = good
         if is_advised and step.advice_pending:
             # Valid tickets are used while a call for advice is in progress.
@@ -203,8 +219,10 @@
         )
         if not plan.pairs:
             plan = current.plan_after_wait(step, tasks, allowed)
-        if plan.pairs and self._execute_plan(step, plan, allowed, current):
-            return
+        if plan.pairs and self._execute_plan(
+            step, tasks, plan, allowed, current
+        ):
+            return True
         if not plan.pairs:
             current.update_free_millicores(queue.service)
         is_asking = (
@@ -216,6 +234,7 @@
         )
         if (step.spec.gang or is_restart(step)) and not is_asking:
             current.reserve_for_gang(step, tasks, good)
+        return is_asking
 
     def _keep_reservation(
         self, step: StepState, tasks: list[Task], current: DecisionRound
@@ -224,7 +243,7 @@
         if step.awaiting_tickets or len(tasks) < step.unfinished_count:
             return
         service = step.job_state.queue.service
-        good = _good_executors(step, current.accepting.get(service, {}))
+        good = good_executors(step, current.accepting.get(service, {}))
         current.reserve_for_gang(step, tasks, good)
 
     def _must_wait(
@@ -244,9 +263,21 @@
             return is_full
         needs_long_call = is_long_call(queue.advised.base_s)
         if not step.advice_by_executor:
+            if self._must_leave_slots(step, current):
+                return True
             return (queue.priority, needs_long_call) in current.refused
         return is_full and needs_long_call
 
+    def _must_leave_slots(
+        self, step: StepState, current: DecisionRound
+    ) -> bool:
+        """Returns whether the slots are left to teams that keep their rates."""
+        return (
+            is_beyond_rate(step)
+            and SPARE_SLOTS_FACTOR * self.idle_advice_slots <= self.advice_slots
+            and not current.is_overdue(step)
+        )
+
     def _needs_more(
         self, step: StepState, tasks: list[Task], good: list[Executor]
     ) -> bool:
@@ -305,6 +336,8 @@
     ) -> AdviceSlot | None:
         queue = step.job_state.queue
         duration_s = advice_call_s(queue.advised, names)
+        if self._must_leave_slots(step, current):
+            return None
         slot = self._advice_dispatcher.acquire_slot(
             priority=queue.priority, duration_s=duration_s, now=current.now
         )
@@ -315,6 +348,7 @@
     def _execute_plan(
         self,
         step: StepState,
+        tasks: list[Task],
         plan: PlacementPlan,
         allowed: list[Executor],
         current: DecisionRound,
@@ -344,7 +378,7 @@
         if not named:
             self._start(step, self._reserve(step, rest, now), now)
             return bool(plan.pairs)
-        if len(step.waiting_tasks()) > len(rest):
+        if len(tasks) > len(plan.pairs):
             others = [
                 e
                 for e in allowed
@@ -481,16 +515,9 @@
             usable, rest = [], [*usable, *rest]
         for attempt in rest:
             self._leader.attempts.stop(attempt, "no valid ticket")
+        while usable and not is_start_within_cap(step, usable):
+            # The cap was lowered during the call for tickets.
+            for attempt in usable if step.spec.gang else usable[-1:]:
+                self._leader.attempts.stop(attempt, "over the cap of its team")
+            usable = [a for a in usable if a.phase is AttemptPhase.RESERVED]
         self._start(step, usable, now)
-
-
-def _good_executors(
-    step: StepState, accepting: Mapping[str, Executor]
-) -> list[Executor]:
-    """Returns those executors that advice has found good for a step."""
-    good = [
-        accepting[name]
-        for name, advice in step.advice_by_executor.items()
-        if advice.ticket and name in accepting
-    ]
-    return candidate_executors(step, good)
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -25,6 +25,7 @@
     remaining_paths_s,
 )
 from dragonflybank.cell.ports import ExecutorInfo
+from dragonflybank.cell.team_usage import TeamUsage
 
 
 class AttemptPhase(enum.Enum):
@@ -65,6 +66,7 @@
             the attempt proves that it does not run; None while a start may
             still arrive.
         is_start_sent: Whether a command to start it was sent.
+        service: Service of its executor when it was placed.
     """
 
     task: "Task"
@@ -78,6 +80,7 @@
     speed_percent: int = 100
     absence_conclusive_after: float | None = None
     is_start_sent: bool = False
+    service: str = ""
 
     @property
     def may_run_on_newer_incarnation(self) -> bool:
@@ -184,6 +187,7 @@
         advice_pending: Whether a call for advice is in progress.
         awaiting_tickets: Reserved attempts that wait for new tickets.
         blocked_until: Time before which its tasks are not placed.
+        hold_logged_at: Time at which the last log line said why it waits.
         fault_count: Number of exceptions that its placement has raised.
     """
 
@@ -199,6 +203,7 @@
     advice_pending: bool = False
     awaiting_tickets: list[Attempt] = attrs.field(factory=list)
     blocked_until: float = 0.0
+    hold_logged_at: float = float("-inf")
     fault_count: int = 0
 
     @property
@@ -241,6 +246,8 @@
         progress_revision: Revision of the stored progress; 0 if none.
         queue: Its queue as the configuration in force defines it, or the last
             definition known if the queue no longer exists.
+        team_usage: What the teams have running; shared by all jobs of a leader.
+        is_beyond_rate: Whether its team sent it beyond its rate.
     """
 
     job: Job
@@ -256,6 +263,8 @@
             lambda self: self.progress.queue or self.job.queue, takes_self=True
         )
     )
+    team_usage: TeamUsage = attrs.field(factory=TeamUsage)
+    is_beyond_rate: bool = False
 
     @functools.cached_property
     def paths_s(self) -> tuple[float, ...]:
--- a/libs/cell/dragonflybank/cell/tests/test_isolation.py
+++ b/libs/cell/dragonflybank/cell/tests/test_isolation.py
@@ -6,7 +6,7 @@
 from returns.result import Failure
 from testtools.matchers import Equals, GreaterThan, IsInstance, LessThan
 
-from dragonflybank.cell import scheduling
+from dragonflybank.cell import round_order, scheduling
 from dragonflybank.cell.isolation import IsolatedExecutorClient, run_supervised
 from dragonflybank.cell.ports import ExecutorClient
 from dragonflybank.model.codes import Code
@@ -100,7 +100,8 @@
             Numbers of exceptions and of leaders, and violations of rules.
         """
         raised, leaders = [], set()
-        original = getattr(scheduling, name)
+        module = round_order if name == "step_rank" else scheduling
+        original = getattr(module, name)
 
         def fail_for_one(step, *args, **kwargs):
             poisoned.setdefault("job", step.job_state.job.id)
@@ -111,7 +112,7 @@
             return original(step, *args, **kwargs)
 
         poisoned = {}
-        self.patch(scheduling, name, fail_for_one)
+        self.patch(module, name, fail_for_one)
 
         async def main():
             cell = SimulatedCell(4)
--- a/libs/standins/dragonflybank/standins/cell/checks.py
+++ b/libs/standins/dragonflybank/standins/cell/checks.py
@@ -14,6 +14,11 @@
 - ORDER: a task starts only after the steps that its step depends on are done.
 - ROUTE: a task starts only on executors of a service to which its queue is or
   was sent since `CONFIG_APPLY_S` before its job was submitted.
+- KEY: a submission is admitted or refused by the keys of a configuration that
+  was in force between `KEYS_APPLY_S` before it was sent and its answer.
+- QUOTA: a start brings what a team has running to at most its cap and the
+  allowed overage, and one task more. The greatest cap counts that was in force
+  within `CONFIG_APPLY_S` before the start.
 - MIXED: callers see only one final phase of a job, and a job is
   completed only if its tasks are done.
 
@@ -21,7 +26,7 @@
 in time.
 """
 
-__all__ = ["CallerHistory", "find_violations"]
+__all__ = ["CallerHistory", "KeyDecision", "find_violations"]
 
 import itertools
 from collections.abc import Iterable, Iterator, Mapping
@@ -30,6 +35,7 @@
 
 from dragonflybank.cell.jobs import Job, JobPhase, Queue, TaskId
 from dragonflybank.cell.ports import EndKind
+from dragonflybank.cell.teams import ResourceCap, Team
 from dragonflybank.standins.cell.executors import AttemptRun, MemoryExecutor
 
 # A failure counts as known to the leader this long after it happened, if it is
@@ -38,6 +44,28 @@
 CANCEL_DEADLINE_S = 3.0
 # Time within which hosts have to apply a change of the configuration.
 CONFIG_APPLY_S = 2.5
+# The platform's config_apply_ms.
+KEYS_APPLY_S = 4.0
+
+
+@attrs.frozen
+class KeyDecision:
+    """The answer of a host to a submission with a key.
+
+    Attributes:
+        sent_at: Time at which it was sent.
+        answered_at: Time at which the host decided.
+        key: Key of the caller.
+        is_admitted: Whether the key was accepted.
+    """
+
+    sent_at: float
+    answered_at: float
+    key: str
+    is_admitted: bool
+
+
+QUOTA_OVERAGE = 0.1
 
 
 @attrs.define
@@ -53,6 +81,10 @@
         sent: Times of the first submissions.
         services: Services to which each queue was sent, with the times of the
             configurations.
+        keys: Keys of all teams, with the times of the configurations; empty
+            for one without teams.
+        key_decisions: Answers to submissions with a key.
+        teams: Teams of each configuration, with its time.
     """
 
     jobs: dict[str, Job] = attrs.field(factory=dict)
@@ -64,6 +96,9 @@
     )
     sent: dict[str, float] = attrs.field(factory=dict)
     services: dict[str, list[tuple[float, str]]] = attrs.field(factory=dict)
+    keys: list[tuple[float, frozenset[str]]] = attrs.field(factory=list)
+    key_decisions: list[KeyDecision] = attrs.field(factory=list)
+    teams: list[tuple[float, dict[str, Team]]] = attrs.field(factory=list)
 
     def record_submission(self, job: Job, now: float) -> None:
         """Records the first submission of a job."""
@@ -74,6 +109,17 @@
         """Records the service to which a configuration sends a queue."""
         self.services.setdefault(queue.name, []).append((now, queue.service))
 
+    def record_teams(self, teams: Mapping[str, Team], now: float) -> None:
+        """Records the teams of a configuration."""
+        self.teams.append((now, dict(teams)))
+
+    def caps(self, team: str, now: float) -> list[ResourceCap]:
+        """Returns the caps of a team that may be in force at a time."""
+        known = [teams for at, teams in self.teams if at <= now]
+        applied = sum(at <= now - CONFIG_APPLY_S for at, _ in self.teams)
+        in_force = known[max(0, applied - 1) :]
+        return [teams[team].cap for teams in in_force if team in teams]
+
     def allowed_services(self, job: Job) -> set[str]:
         """Returns the services whose executors may run a job."""
         services = self.services.get(job.queue.name, [])
@@ -105,6 +151,8 @@
         *itertools.chain.from_iterable(
             _check_route(history, executor) for executor in executors
         ),
+        *_check_keys(history),
+        *_check_caps(history, runs),
         *_check_dependencies(history, runs),
         *_check_phases(history, runs),
     ]
@@ -125,6 +173,23 @@
             yield f"ROUTE {run.task} was started on {executor.info.id}"
 
 
+def _check_keys(history: CallerHistory) -> Iterator[str]:
+    for found in history.key_decisions:
+        oldest = found.sent_at - KEYS_APPLY_S
+        applied = [keys for at, keys in history.keys if at <= oldest]
+        later = [
+            keys
+            for at, keys in history.keys
+            if oldest < at <= found.answered_at
+        ]
+        if not any(
+            found.is_admitted == (not keys or found.key in keys)
+            for keys in (*applied[-1:], *later)
+        ):
+            verdict = "admitted" if found.is_admitted else "refused"
+            yield f"KEY {found.key} was {verdict} at {found.answered_at:.2f}"
+
+
 def _check_task(
     history: CallerHistory,
     task: TaskId,
@@ -201,6 +266,39 @@
     return not any(run.ended_at < at < run.acked_at for at in lapses[executor])
 
 
+def _check_caps(
+    history: CallerHistory, runs: Mapping[TaskId, list[AttemptRun]]
+) -> Iterator[str]:
+    """Checks cores and memory of each team after each of its starts."""
+    events = sorted(
+        (
+            (at, sign, run.task)
+            for run in itertools.chain.from_iterable(runs.values())
+            for at, sign in ((run.started_at, 1), (run.ended_at, -1))
+            if at is not None and run.task.job in history.jobs
+        ),
+        key=lambda event: event[:2],
+    )
+    used: dict[str, list[int]] = {}
+    for at, sign, task in events:
+        job = history.jobs[task.job]
+        step = job.steps[task.step]
+        need = (step.millicores, step.memory_mb)
+        amounts = used.setdefault(job.team, [0, 0])
+        amounts[:] = [u + sign * n for u, n in zip(amounts, need, strict=True)]
+        caps = history.caps(job.team, at) if sign > 0 else []
+        limits = [(c.millicores, c.memory_mb) for c in caps]
+        for amount, task_need, values in zip(
+            amounts, need, zip(*limits, strict=True), strict=False
+        ):
+            most = (1 + QUOTA_OVERAGE) * max(values) + task_need
+            if all(values) and amount > most:
+                yield (
+                    f"QUOTA {task} brought {job.team} to {amount} of "
+                    f"{max(values)} at {at:.2f}"
+                )
+
+
 def _check_dependencies(
     history: CallerHistory, runs: Mapping[TaskId, list[AttemptRun]]
 ) -> Iterator[str]:
--- a/libs/standins/dragonflybank/standins/cell/fault_scenarios.py
+++ b/libs/standins/dragonflybank/standins/cell/fault_scenarios.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from dragonflybank.cell.teams import ResourceCap, Team, key_digest
 from dragonflybank.standins.cell.simulated_cell import (
     SERVICE_NAME,
     SimulatedCell,
@@ -24,6 +25,8 @@
 ENTRY_EXPIRY_S = 4.5
 OTHER_SERVICE = "archive"
 LONG_DRAIN_S = 120.0
+# A drawn gang needs up to 60 cores; a cap of 0 is none.
+CAPS_IN_CORES = {"forecast": 80, "research": 100, "survey": 0}
 DEEPLY_NESTED = b'{"not_known": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
 
 
@@ -42,7 +45,12 @@
     scenario: Scenario, seed: int, services: tuple[str, ...]
 ) -> list[str]:
     # Each service alone has the capacity for the load.
-    cell = SimulatedCell(seed, executors=6 * len(services), services=services)
+    cell = SimulatedCell(
+        seed,
+        executors=6 * len(services),
+        services=services,
+        teams=TEAMS_BY_SCENARIO.get(scenario.__name__),
+    )
     await cell.start()
     injecting = asyncio.create_task(scenario(cell))
     found = await cell.run_load(LOAD)
@@ -374,6 +382,60 @@
         left, entered = entered, left
 
 
+async def keys_changed(cell: SimulatedCell) -> None:
+    """Keys are added and withdrawn under faults of hosts and the store."""
+    cell.configure(2, keys={"a": ["a-1"], "b": ["b-1"]})
+    await asyncio.sleep(4.0)
+    first, second, *_ = cell.hosts
+    cell.store.faults.cut_hosts.add(first)
+    await asyncio.sleep(2.0)
+    # The host that the store turns away has to get these in time.
+    cell.configure(3, keys={"a": ["a-1", "a-2"], "b": ["b-1"]})
+    cell.configure(4, keys={"a": ["a-2"], "b": ["b-1"]})
+    await asyncio.sleep(0.5)
+    cell.kill_host(cell.leader())
+    cell.configure(5, keys={"a": ["a-2"], "c": ["b-1"]})
+    await asyncio.sleep(6.0)
+    cell.store.faults.cut_hosts.clear()
+    # An unsound configuration, and a host that restarts with it.
+    cell.store.put("config", b'{"version": 6, "teams": 5}')
+    await asyncio.sleep(1.0)
+    cell.kill_host(second)
+    await cell.start_host(second)
+    await asyncio.sleep(4.0)
+    cell.configure(7, keys={"c": ["c-1"]})
+    await asyncio.sleep(2.0)
+    cell.configure(8, keys={})
+
+
+async def caps_changed(cell: SimulatedCell) -> None:
+    """Caps of teams are lowered and raised while leaders are killed."""
+    for version, (pause_s, percent) in enumerate(
+        ((4.0, 85), (0.3, 100), (4.0, 80), (3.0, 120), (3.0, 90)), 2
+    ):
+        await asyncio.sleep(pause_s)
+        cell.teams = {
+            name: _make_team(name, cores * percent // 100)
+            for name, cores in CAPS_IN_CORES.items()
+        }
+        cell.configure(version)
+        if version % 2:
+            await asyncio.sleep(0.02 * version)
+            leader = cell.leader()
+            cell.kill_host(leader)
+            await asyncio.sleep(0.5)
+            if leader:
+                await cell.start_host(leader)
+
+
+def _make_team(name: str, cores: int) -> Team:
+    return Team(
+        name,
+        (key_digest(name),),
+        cap=ResourceCap(1000 * cores, 1000 * cores),
+    )
+
+
 SCENARIOS: dict[str, Scenario] = {
     fault.__name__: fault
     for fault in (
@@ -402,7 +464,13 @@
         entries_turn_odd,
         entries_replaced,
         queues_moved,
+        keys_changed,
+        caps_changed,
     )
 }
 # The other scenarios have one service.
 SERVICES_BY_SCENARIO = {"queues_moved": (SERVICE_NAME, OTHER_SERVICE)}
+# The other scenarios have no teams.
+TEAMS_BY_SCENARIO = {
+    "caps_changed": {n: _make_team(n, c) for n, c in CAPS_IN_CORES.items()}
+}
--- a/libs/standins/dragonflybank/standins/cell/simulated_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/simulated_cell.py
@@ -3,6 +3,7 @@
 __all__ = ["SimulatedCell", "SubmissionLoad"]
 
 import asyncio
+import functools
 import random
 from collections.abc import Mapping, Sequence
 
@@ -24,7 +25,9 @@
 )
 from dragonflybank.cell.limits import CellLimits
 from dragonflybank.cell.ports import EndKind, ExecutorInfo
+from dragonflybank.cell.teams import Team
 from dragonflybank.model.codes import Code
+from dragonflybank.standins.cell.caller_keys import CallerKeys
 from dragonflybank.standins.cell.checks import CallerHistory, find_violations
 from dragonflybank.standins.cell.executors import AttemptRun, MemoryExecutor
 from dragonflybank.standins.cell.memory_platform import (
@@ -71,6 +74,7 @@
         cut_peers: Hosts that neither reach other hosts nor are reached by them.
         powered_off: Hosts whose machines have lost power.
         handlers_of_host: Handlers of calls from peers, by live host.
+        teams: Teams of the next configuration, by name.
         refusing_hosts: Live hosts whose machines refuse connections, so that
             other hosts take their processes for ended.
 
@@ -81,6 +85,7 @@
         advised: Whether queues other than ``lookup`` need advice.
         services: Services, among which the executors are dealt out in turn;
             all queues begin at the first.
+        teams: Teams by name; jobs are drawn from all of them alike.
     """
 
     def __init__(
@@ -91,6 +96,7 @@
         executors: int = 6,
         advised: bool = True,
         services: Sequence[str] = (SERVICE_NAME,),
+        teams: Mapping[str, Team] | None = None,
     ):
         self.rng = random.Random(seed)
         self.store = MemoryStore(random.Random(seed + 1))
@@ -105,9 +111,13 @@
         self._process_of_host: dict[str, str] = {}
         self._run_times_s: dict[str, float] = {}
         self._failing_jobs: set[str] = set()
+        self._gang_runs: dict[tuple, list[tuple[MemoryExecutor, AttemptRun]]]
+        self._gang_runs = {}
         self._clock = VirtualClock()
         self._services = tuple(services)
+        self.teams = dict(teams or {})
         self._queues = _make_queues(advised, self._services[0])
+        self._caller_keys = CallerKeys(self.history)
         self.executors = {
             name: self._new_executor(name, number)
             for number, name in enumerate(
@@ -129,6 +139,7 @@
         *,
         moved_queues: Mapping[str, str] | None = None,
         dropped_queues: Sequence[str] = (),
+        keys: Mapping[str, Sequence[str]] | None = None,
     ) -> None:
         """Writes a configuration to the store.
 
@@ -137,7 +148,11 @@
             moved_queues: New services by name of the queue; the other queues
                 stay where they are.
             dropped_queues: Queues that are left out of this configuration.
+            keys: API keys by name of the team; None for the same teams as
+                before.
         """
+        if keys is not None:
+            self.teams = self._caller_keys.change(keys, self._clock.now())
         moved = moved_queues or {}
         self._queues = {
             name: attrs.evolve(
@@ -150,10 +165,12 @@
             version,
             {"front": tuple(queues)},
             {name: Service(name) for name in self._services},
+            teams=self.teams,
         )
         self.store.put("config", msgspec.json.encode(cfg))
         for queue in queues:
             self.history.record_service(queue, self._clock.now())
+        self.history.record_teams(self.teams, self._clock.now())
 
     def write_executor_entry(
         self, executor: MemoryExecutor, info: ExecutorInfo | None = None
@@ -202,7 +219,7 @@
         async def start() -> None:
             current_process.set(process)
             host = CellHost(
-                HostSettings(name, limits=CellLimits()),
+                self._host_settings(name),
                 MemoryPlatform(self, name),
                 MemoryPeers(self, name),
                 clock=self._clock,
@@ -213,6 +230,9 @@
 
         await asyncio.create_task(start())
 
+    def _host_settings(self, name: str) -> HostSettings:
+        return HostSettings(name, limits=CellLimits())
+
     def kill_host(self, name: str, *, power_off: bool = False) -> None:
         """Kills the process of a host.
 
@@ -243,19 +263,32 @@
                 return name
             await asyncio.sleep(LEADER_POLL_INTERVAL_S)
 
-    async def submit(self, job: Job) -> bool:
+    async def submit(self, job: Job, *, key: str | None = None) -> bool:
         """Submits a job as a caller does, with retries.
 
+        Args:
+            job: The job.
+            key: API key of the caller; drawn if None.
+
         Returns:
             Whether the job was accepted.
         """
+        if key is None:
+            key = self._caller_keys.draw_key(self.rng)
         self.history.record_submission(job, self._clock.now())
         is_refused = True
         for _ in range(5):
             hosts = list(self.hosts.values())
             if hosts:
                 host = self.rng.choice(hosts)
-                defined = attrs.evolve(job, queue=_defined_queue(host, job))
+                queue = _defined_queue(host, job)
+                team = self._caller_keys.authorize(
+                    host.config, queue, key, self._clock.now()
+                )
+                if team is None:
+                    await asyncio.sleep(1.0)
+                    continue
+                defined = attrs.evolve(job, queue=queue, team=team or job.team)
                 call = asyncio.create_task(
                     host.frontend.submit(defined, timeout_s=CALL_TIMEOUT_S)
                 )
@@ -361,10 +394,18 @@
         run_s *= rng.lognormvariate(0, 0.4)
         if rng.random() < load.failing_share:
             self._failing_jobs.add(job_id)
-        return self.make_job(name, *steps, run_s=run_s, job_id=job_id)
+        team = rng.choice(sorted(self.teams)) if self.teams else ""
+        return self.make_job(
+            name, *steps, run_s=run_s, job_id=job_id, team=team
+        )
 
     def make_job(
-        self, queue: str, *steps: Step, run_s: float, job_id: str = ""
+        self,
+        queue: str,
+        *steps: Step,
+        run_s: float,
+        job_id: str = "",
+        team: str = "",
     ) -> Job:
         """Returns a job that a caller can submit.
 
@@ -373,6 +414,7 @@
             steps: Its steps.
             run_s: Run time of each task on a sound executor, in seconds.
             job_id: Its identifier; drawn if empty.
+            team: Its team.
         """
         job_id = job_id or f"{self.rng.getrandbits(64):016x}"
         self._run_times_s[job_id] = run_s
@@ -382,6 +424,7 @@
             "text of " + job_id,
             steps,
             self._clock.now(),
+            team=team,
         )
 
     async def _run_caller(
@@ -423,6 +466,9 @@
             clock_rate=self.rng.uniform(0.98, 1.0),
             rng=random.Random(self.rng.getrandbits(32)),
         )
+        executor.on_run_started = functools.partial(
+            self._record_gang_run, executor
+        )
         executor.count_gang_members = self._count_gang_members
         executor.on_gang_member_ended = self._end_gang
         return executor
@@ -436,13 +482,19 @@
     ) -> list[tuple[MemoryExecutor, AttemptRun]]:
         return [
             (executor, other)
-            for executor in self.executors.values()
-            for other in executor.running.values()
-            if other.attempt == run.attempt
-            and other.task.job == run.task.job
-            and other.task.step == run.task.step
+            for executor, other in self._gang_runs.get(_gang_key(run), ())
+            if other.ended_at is None
         ]
 
+    def _record_gang_run(
+        self, executor: MemoryExecutor, run: AttemptRun
+    ) -> None:
+        step = self._find_step(run.task)
+        if step is not None and step.gang:
+            self._gang_runs.setdefault(_gang_key(run), []).append(
+                (executor, run)
+            )
+
     def _count_gang_members(self, run: AttemptRun) -> int:
         return len({other.task for _, other in self._running_gang_members(run)})
 
@@ -457,6 +509,10 @@
             )
 
 
+def _gang_key(run: AttemptRun) -> tuple[str, int, int]:
+    return run.task.job, run.task.step, run.attempt
+
+
 def _defined_queue(host: CellHost, job: Job) -> Queue:
     """Returns the queue of a job as the configuration of a host defines it."""
     found = host.config and find_queue(
