--- a/libs/cell/dragonflybank/cell/round_order.py
+++ b/libs/cell/dragonflybank/cell/round_order.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from dragonflybank.cell.decision_round import DecisionRound
-from dragonflybank.cell.isolation import set_step_aside
+from dragonflybank.cell.isolation import is_set_aside, set_step_aside
 from dragonflybank.cell.state import StepState
 from dragonflybank.cell.step_order import is_restart, step_rank
 from dragonflybank.cell.team_shares import fair_order
@@ -35,7 +35,7 @@
     """
     ranks = {}
     for step in list(leader.workload.ready):
-        if _is_set_aside(step, current.now) or (
+        if is_set_aside(step, current.now) or (
             step in considered and (step.spec.gang or is_restart(step))
         ):
             continue
@@ -50,7 +50,3 @@
     return fair_order(
         ranks, usage, current.capacity, is_overdue=current.is_overdue
     )
-
-
-def _is_set_aside(step: StepState, now: float) -> bool:
-    return step.fault_count > 0 and step.blocked_until > now
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -231,6 +231,8 @@
             allowed,
             reserved_millicores=current.reserved_against(step),
         )
+        if not plan.pairs:
+            plan = current.plan_after_wait(step, tasks, allowed)
         if plan.pairs and self._execute_plan(
             step, tasks, plan, allowed, current
         ):
