Check that no work waits beside idle capacity

Callers of two deployments saw jobs with nothing running for seconds while cores were free. No check sampled a cell for that; only the final phase within 60 s was checked.

waiting_check samples a simulated cell in virtual time for two rules, LOST and MISSING, and states what counts as calm. waiting_schedules draws workloads of all kinds of work, configurations and faults. The existing schedules stay as they are, since a new kind of work there would change the draws of each seed.

used_capacity of the executors' stand-in no longer counts the cores of filling tasks: they reserve none by definition, and no existing load had any, so the rule LIMIT is as strict as before for all work that it covered.

Evidence: with the placement of steps disabled the check reports LOST, with restarts disabled MISSING (both are tests).

--- a/libs/standins/dragonflybank/standins/cell/executors.py
+++ b/libs/standins/dragonflybank/standins/cell/executors.py
@@ -186,7 +186,8 @@
         """Returns the thousandths of cores and the MiB of memory in use."""
         steps = [self._find_step(run.task) for run in self.running.values()]
         return (
-            sum(s.millicores for s in steps if s),
+            # Filling tasks reserve no cores.
+            sum(s.millicores for s in steps if s and not s.filling),
             sum(s.memory_mb for s in steps if s),
         )
 
--- a/libs/standins/dragonflybank/standins/cell/memory_platform.py
+++ b/libs/standins/dragonflybank/standins/cell/memory_platform.py
@@ -1,6 +1,6 @@
 """The platform and the peers of a host in a simulated cell."""
 
-__all__ = ["MemoryPeers", "MemoryPlatform"]
+__all__ = ["MemoryPeers", "MemoryPlatform", "is_suitable"]
 
 import asyncio
 from collections.abc import Mapping, Sequence
@@ -70,10 +70,15 @@
     ) -> Result[Mapping[str, str], Problem]:
         async with self._lock:
             await asyncio.sleep(0.02)
-        suitable = [e for e in executors if sum(map(ord, step + e)) % 3]
+        suitable = [e for e in executors if is_suitable(step, e)]
         return Success({e: f"ticket/{step}/{e}" for e in suitable})
 
 
+def is_suitable(step: str, executor: str) -> bool:
+    """Returns whether advice finds an executor suitable for a step."""
+    return sum(map(ord, step + executor)) % 3 > 0
+
+
 class MemoryPeers(Peers):
     """Calls between the hosts of a simulated cell.
 
--- /dev/null
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_waiting_check.py
@@ -0,0 +1,55 @@
+"""Tests of waiting work in drawn cells."""
+
+from unittest import mock
+
+import attrs
+import testtools
+from testtools.matchers import Contains, Equals
+
+from dragonflybank.cell.scheduling import Scheduler
+from dragonflybank.standins.cell.waiting_schedules import draw_cell, play_cell
+
+# Two cells with faults and two without, one of each with teams.
+SEEDS = (1, 2, 5, 7)
+
+
+class TestWaitingCheck(testtools.TestCase):
+    """Guards against a check that overlooks work that waits."""
+
+    def test_work_that_is_never_placed_is_found(self):
+        with mock.patch.object(Scheduler, "_place_step"):
+            found = play_cell(attrs.evolve(draw_cell(1), faults=()))
+        self.assertThat({line.split()[0] for line in found}, Contains("LOST"))
+
+    def test_a_long_running_task_that_stays_down_is_found(self):
+        place_step = Scheduler._place_step
+
+        def place_no_restart(self, step, tasks, current):
+            is_restart = any(task.last_attempt for task in tasks)
+            if not (step.spec.lasting and is_restart):
+                place_step(self, step, tasks, current)
+
+        drawn = attrs.evolve(
+            draw_cell(1), faults=(), failures_at_s=(6.0, 8.0, 10.0, 12.0)
+        )
+        with mock.patch.object(Scheduler, "_place_step", place_no_restart):
+            found = play_cell(drawn)
+        self.assertThat(
+            {line.split()[0] for line in found}, Contains("MISSING")
+        )
+
+
+class TestDrawnCells(testtools.TestCase):
+    """Guards against work that waits beside idle capacity."""
+
+
+def _make_test(seed: int):
+    def test(self):
+        found = play_cell(draw_cell(seed))
+        self.assertThat("\n".join(found), Equals(""))
+
+    return test
+
+
+for cell_seed in SEEDS:
+    setattr(TestDrawnCells, f"test_cell__{cell_seed}", _make_test(cell_seed))
