Start overdue jobs without a team beside waiting gangs

Callers saw jobs with nothing running for 3 s and more while less than half of their service was in use.

Cause: a wide gang reserves each executor whole, and work longer than the gang's expected wait may not use it. The exception for overdue jobs covered jobs of teams only; public queues and deployments without teams had none.

Change: the exception holds for each job. A full service is not affected, since the exception needs a service with less than half of its cores in use.

Ruled out: calls for advice (all steps had good executors and three hosts were idle) and caps (the cells have no teams).

The new test of test_scheduling failed before.

--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -13,9 +13,9 @@
 from dragonflybank.cell.placement import accepting_executors
 from dragonflybank.cell.state import Executor, StepState, Task
 
-# A job of a team may not wait for 3 s with nothing running while both its team
-# and its service are below half of their capacity. The rest of this time is for
-# advice and the start.
+# A job may not wait for 3 s with nothing running while both its team and its
+# service are below half of their capacity. The rest of this time is for advice
+# and the start.
 OVERDUE_AFTER_S = 1.5
 
 
@@ -67,14 +67,12 @@
         }
 
     def is_overdue(self, step: StepState) -> bool:
-        """Returns whether a step of a team waits too long beside idle capacity.
+        """Returns whether a step waits too long beside idle capacity.
 
-        This is so if nothing of its job has run for a while and both its team
-        and its service are below half of their capacity.
+        This is so if nothing of its job has run for a while and both its team,
+        if it has one, and its service are below half of their capacity.
         """
         state, team = step.job_state, step.job_state.job.team
-        if not team or not state.team_usage.is_active:
-            return False
         ready_at = self.now if step.ready_at is None else step.ready_at
         if self.now - ready_at < OVERDUE_AFTER_S:
             return False
--- a/libs/cell/dragonflybank/cell/tests/test_scheduling.py
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -203,9 +203,9 @@
                 now=1000.0,
             )
 
-    def _place(self) -> None:
+    def _place(self, now: float = 1000.0) -> None:
         async def main():
-            self.scheduler.place_waiting_steps(1000.0, 1000.1)
+            self.scheduler.place_waiting_steps(now, now + 0.1)
             # Calls for advice that were started begin.
             await asyncio.sleep(0)
 
@@ -357,3 +357,14 @@
             self.assertThat(
                 (changes, self._is_let_in(**changes)), Equals((changes, False))
             )
+
+    def test_work_that_waits_long_uses_an_idle_service(self):
+        # The sweep may run longer than the gang is expected to wait.
+        self._occupy(0, estimate_s=5.0)
+        gang = self._add(8)
+        sweep = self._add(1, queue="sweep", gang=False, estimate_s=30.0)
+        self._place(1001.0)
+        self.assertThat(self._started(sweep), Equals(0))
+        self._place(1002.0)
+        self.assertThat(self._started(gang), Equals(0))
+        self.assertThat(self._started(sweep), Equals(1))
