Set a job aside that has ended two leaderships

An exception in a round of decisions or in the group commit ends a leadership. The next leader reads the same job and ends by the same exception, so that one job stops the work of all callers for as long as it is stored.

Change: the leader stores which job it was about (key input-faults, expecting the leader's key and the record's revision) before it resigns. From the second time on, no leader starts anything of the job; after a fault in the group commit its record is not written either. If a transaction of several records raises, their jobs are written one by one from then on, so that the second exception names one.

Ruled out: state on hosts, which an election to another host would lose; and setting aside at once, since the state in memory may be half changed.

Evidence: in test_input_faults, a job whose decision, rank or transaction raises ends two leaderships, the third runs all others. Not covered: exceptions in the checks between rounds and in tasks after a call for advice, which end a leadership without naming a job, as before.

--- a/libs/cell/dragonflybank/cell/group_commit.py
+++ b/libs/cell/dragonflybank/cell/group_commit.py
@@ -9,12 +9,13 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 import attrs
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from dragonflybank.cell.election import LEADER_KEY, Leadership
+from dragonflybank.cell.input_faults import FaultPlace, InputFaultError
 from dragonflybank.cell.jobs import Progress, encode_record
 from dragonflybank.cell.keys import (
     cancel_key,
@@ -25,6 +26,7 @@
 from dragonflybank.cell.ports import Store, Txn, TxnReply
 from dragonflybank.cell.state import JobState
 from dragonflybank.cluster.clock import Clock
+from dragonflybank.model.codes import Problem
 
 _log = logging.getLogger(__name__)
 
@@ -63,6 +65,8 @@
     Attributes:
         changes_marked: Number of changes marked so far.
         changes_stored: Number of changes that are known to be stored.
+        set_aside: Jobs whose records are not written; see `input_faults`.
+        suspects: Jobs whose records are written one by one.
 
     Args:
         store: The platform's store.
@@ -89,6 +93,8 @@
         self._waiters: list[tuple[int, asyncio.Future]] = []
         self.changes_marked = 0
         self.changes_stored = 0
+        self.set_aside: set[str] = set()
+        self.suspects: set[str] = set()
 
     def mark_changed(self, job: JobState, *, urgent: bool = False) -> None:
         """Marks the record of a job as changed.
@@ -98,6 +104,8 @@
             urgent: Whether a caller or a task waits until it is stored; final
                 states are always urgent.
         """
+        if job.job.id in self.set_aside:
+            return
         self._dirty[job.job.id] = job
         self.changes_marked += 1
         self._wake.set()
@@ -131,7 +139,7 @@
             await asyncio.gather(
                 *(
                     self._store_records(writes)
-                    for writes in _group_into_txns(jobs)
+                    for writes in _group_into_txns(jobs, self.suspects)
                 )
             )
             self._release_waiters(last_change)
@@ -150,7 +158,7 @@
         while not self._leadership.lost.is_set():
             called_at = self._clock.now()
             txn = self._build_txn(writes)
-            match await self._store.commit(txn):
+            match await self._commit(txn, writes):
                 case Success(TxnReply(revision=int(revision))):
                     self._leadership.confirm(called_at)
                     for write in writes:
@@ -171,6 +179,15 @@
                     )
                     await self._clock.sleep(RETRY_DELAY_S)
 
+    async def _commit(
+        self, txn: Txn, writes: list[_RecordWrite]
+    ) -> Result[TxnReply, Problem]:
+        try:
+            return await self._store.commit(txn)
+        except Exception as exc:
+            jobs = [write.job.job.id for write in writes]
+            raise InputFaultError(FaultPlace.COMMIT, jobs) from exc
+
     def _build_txn(self, writes: list[_RecordWrite]) -> Txn:
         return Txn(
             expected={
@@ -209,11 +226,23 @@
             write.job.progress_revision = found.get(key, 0)
 
 
-def _group_into_txns(jobs: list[JobState]) -> list[list[_RecordWrite]]:
-    """Groups the records of jobs into transactions of limited size."""
-    groups: list[list[_RecordWrite]] = []
+def _group_into_txns(
+    jobs: list[JobState], alone: Set[str]
+) -> list[list[_RecordWrite]]:
+    """Groups the records of jobs into transactions of limited size.
+
+    Args:
+        jobs: The jobs.
+        alone: Jobs whose records get transactions of their own.
+
+    Raises:
+        InputFaultError: The record of a job cannot be encoded.
+    """
+    groups = [[_snapshot(job)] for job in jobs if job.job.id in alone]
     rows = ROWS_PER_TXN
     for job in jobs:
+        if job.job.id in alone:
+            continue
         job_rows = (
             ROWS_PER_ENDED_JOB if job.phase.is_final else ROWS_PER_LIVE_JOB
         )
@@ -230,4 +259,8 @@
     record = job.progress
     if job.phase.is_final:
         record = Progress(job.phase, ended_at=job.progress.ended_at)
-    return _RecordWrite(job, encode_record(record), job.phase.is_final)
+    try:
+        encoded = encode_record(record)
+    except Exception as exc:
+        raise InputFaultError(FaultPlace.COMMIT, [job.job.id]) from exc
+    return _RecordWrite(job, encoded, job.phase.is_final)
--- a/libs/cell/dragonflybank/cell/keys.py
+++ b/libs/cell/dragonflybank/cell/keys.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "ENDED_PREFIX",
+    "INPUT_FAULTS_KEY",
     "JOBS_PREFIX",
     "PROGRESS_PREFIX",
     "cancel_key",
@@ -15,6 +16,8 @@
 PROGRESS_PREFIX = "progress/"
 # Final states. A job with such a key has no other key.
 ENDED_PREFIX = "ended/"
+# Jobs whose handling raised exceptions; see `input_faults`.
+INPUT_FAULTS_KEY = "input-faults"
 _CANCEL_SUFFIX = "/cancel"
 
 
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -22,6 +22,12 @@
 from dragonflybank.cell.fleet import Fleet
 from dragonflybank.cell.group_commit import Committer
 from dragonflybank.cell.health import HealthTracker
+from dragonflybank.cell.input_faults import (
+    FaultPlace,
+    InputFaultError,
+    InputFaults,
+    find_raising_step,
+)
 from dragonflybank.cell.jobs import CellConfig, JobPhase
 from dragonflybank.cell.limits import CellLimits
 from dragonflybank.cell.load_admission import estimate_start_delays
@@ -66,6 +72,7 @@
         record_phase: Called with the identifier of a job and its phase, which
             hosts report to callers from then on.
         background: Tasks beside the rounds; a failure ends the leadership.
+        input_faults: Jobs whose handling ended earlier leaderships.
         has_failed: Whether a background task failed.
         is_loaded: Whether all jobs of earlier leaders are loaded.
         reported_entries: Revisions of executor entries that could not be
@@ -109,6 +116,9 @@
             on_ended=self._on_ended,
         )
         self.scheduler = Scheduler(self, advice_dispatcher)
+        self.input_faults = InputFaults(
+            platform.store, leadership, clock=clock, metrics=metrics
+        )
         self.record_phase = record_phase
         self.has_failed = False
         self.is_loaded = False
@@ -129,11 +139,24 @@
             self._wake.clear()
             now = self.clock.now()
             self._run_timed_checks(now)
-            self.scheduler.place_waiting_steps(now, self.unix_time())
+            self._place_waiting_steps(now, self.unix_time())
             if now - self._load_logged_at >= LOAD_LOG_INTERVAL_S:
                 self._load_logged_at = now
                 self._log_load()
 
+    def _place_waiting_steps(self, now: float, unix_time: float) -> None:
+        try:
+            self.scheduler.place_waiting_steps(now, unix_time)
+        except Exception as exc:
+            step = find_raising_step(
+                self.workload.ready, self.scheduler.considered, unix_time
+            )
+            if step is None:
+                raise
+            raise InputFaultError(
+                FaultPlace.ROUND, [step.job_state.job.id]
+            ) from exc
+
     async def close(self) -> None:
         """Ends all calls to executors and background tasks."""
         await self.fleet.close()
--- a/libs/cell/dragonflybank/cell/leader_session.py
+++ b/libs/cell/dragonflybank/cell/leader_session.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Success
 
 from dragonflybank.cell.election import RETRY_DELAY_S, Candidate
+from dragonflybank.cell.input_faults import find_input_fault
 from dragonflybank.cell.jobs import decode_progress
 from dragonflybank.cell.keys import (
     ENDED_PREFIX,
@@ -61,6 +62,9 @@
                     "background loop of the leader failed, resigning",
                     exc_info=task.exception(),
                 )
+                fault = find_input_fault(task.exception())
+                if fault is not None:
+                    await leader.input_faults.store(fault)
                 # This leader's state may be wrong, so another host takes over.
                 await candidate.resign()
         if leader.has_failed:
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -100,7 +100,7 @@
         self._history = AdviceHistory()
         self._last_round: DecisionRound | None = None
         # Steps considered in a round that is not over yet.
-        self._considered: set[StepState] = set()
+        self.considered: dict[StepState, None] = {}
 
     @property
     def reserved_millicores(self) -> dict[str, int]:
@@ -135,12 +135,12 @@
             return
         executors = leader.fleet.executors.values()
         current = begin_round(executors, now)
-        if self._considered:
+        if self.considered:
             current.continue_after(self._last_round)
         self._last_round = current
         leader.workload.count_orphans(running_orphans(executors, now))
         ready = sorted(
-            (s for s in leader.workload.ready if s not in self._considered),
+            (s for s in leader.workload.ready if s not in self.considered),
             key=lambda s: step_rank(s, unix_time),
         )
         until = leader.clock.now() + ROUND_BUDGET_S
@@ -148,7 +148,7 @@
             if leader.clock.now() >= until:
                 leader.wake()
                 return
-            self._considered.add(step)
+            self.considered[step] = None
             tasks = step.waiting_tasks()
             if not tasks:
                 leader.workload.ready.pop(step, None)
@@ -161,7 +161,7 @@
                 self._place_step(step, tasks, current)
             elif step.spec.gang and step.advice_pending:
                 self._keep_reservation(step, tasks, current)
-        self._considered.clear()
+        self.considered.clear()
 
     def _is_placeable(
         self, step: StepState, tasks: list[Task], now: float
--- a/libs/cell/dragonflybank/cell/takeover.py
+++ b/libs/cell/dragonflybank/cell/takeover.py
@@ -25,6 +25,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from dragonflybank.cell.input_faults import FaultPlace
 from dragonflybank.cell.jobs import Progress, decode_job, decode_progress
 from dragonflybank.cell.keys import (
     JOBS_PREFIX,
@@ -64,14 +65,16 @@
         The revisions from which to watch jobs and executors.
     """
     store = leader.platform.store
-    jobs, progress, listed = await asyncio.gather(
+    jobs, progress, listed, faults = await asyncio.gather(
         store.scan(JOBS_PREFIX),
         store.scan(PROGRESS_PREFIX),
         store.scan(leader.platform.executors_prefix),
+        leader.input_faults.load(),
     )
-    for got in (jobs, progress, listed):
+    for got in (jobs, progress, listed, faults):
         if isinstance(got, Failure):
             return got
+    _set_aside_faulty_jobs(leader, jobs.unwrap().items)
     # Ends can only be processed after their jobs are loaded.
     await load_stored_jobs(leader, jobs.unwrap().items, progress.unwrap().items)
     list_executors(
@@ -93,6 +96,14 @@
     return Success((jobs.unwrap().revision, listed.unwrap().revision))
 
 
+def _set_aside_faulty_jobs(leader: Leader, items: Iterable[Item]) -> None:
+    faults = leader.input_faults
+    faults.forget_ended({parse_job_key(item.key)[0] for item in items})
+    leader.workload.set_aside = faults.set_aside()
+    leader.committer.set_aside = faults.set_aside(FaultPlace.COMMIT)
+    leader.committer.suspects = faults.suspects()
+
+
 async def load_stored_jobs(
     leader: Leader,
     items: tuple[Item, ...],
--- a/libs/cell/dragonflybank/cell/workload.py
+++ b/libs/cell/dragonflybank/cell/workload.py
@@ -34,6 +34,7 @@
             became ready.
         recurring: Recurring jobs with occurrences that are not due yet.
         ended_steps: Team and steps of ended jobs that have a team.
+        set_aside: Jobs of which nothing is started; see `input_faults`.
         team_usage: What the teams have running, and their caps.
 
     Args:
@@ -47,6 +48,7 @@
         self.recurring: dict[str, JobState] = {}
         self.ended_steps: dict[str, tuple[str, tuple[Step, ...]]] = {}
         self.team_usage = TeamUsage(quota_overage)
+        self.set_aside: set[str] = set()
         self._definitions = QueueDefinitions()
 
     def adopt_config(self, cfg: CellConfig) -> list[JobState]:
@@ -223,7 +225,7 @@
     def requeue(self, step: StepState) -> None:
         """Makes the tasks of a step eligible for placement again."""
         if step.ready_at is not None and not step.job_state.phase.is_final:
-            self.ready[step] = None
+            self._make_ready(step)
 
     def record_placement(self, attempt: Attempt) -> None:
         """Records the executor on which an attempt may run from now on."""
@@ -367,7 +369,11 @@
             if step.ready_at is None and not step.blocking_count:
                 step.ready_at = now
                 if step.unfinished_count:
-                    self.ready[step] = None
+                    self._make_ready(step)
+
+    def _make_ready(self, step: StepState) -> None:
+        if step.job_state.job.id not in self.set_aside:
+            self.ready[step] = None
 
 
 def _all_steps(state: JobState) -> Iterator[StepState]:
