Try work on a quarantined executor that is its only one

Callers saw jobs with nothing running for up to 24 s beside an idle executor: the only one with their label, or the last one of a service.

Cause: a quarantine lasts 3 to 24 s after the last failure, also when the executor is sound again, and nothing asks whether the work has another place.

A success that began during the quarantine ends it. A reserved attempt is still not started if a quarantine began after its reservation.

Ruled out: shorter quarantines for all, which send work of a cell with sound executors to the sick ones; reservations of gangs, of which there were none.

--- a/libs/cell/dragonflybank/cell/attempts.py
+++ b/libs/cell/dragonflybank/cell/attempts.py
@@ -135,12 +135,12 @@
             case CommandReply.NO_TICKET:
                 attempt.task.step.advice_by_executor.pop(executor.info.id, None)
             case CommandReply.UNHEALTHY:
-                executor.quarantined_until = (
-                    now + self._leader.health.unhealthy_quarantine_s
+                executor.quarantine(
+                    now, self._leader.health.unhealthy_quarantine_s
                 )
             case CommandReply.NO_ROOM:
-                executor.quarantined_until = (
-                    now + self._leader.health.no_capacity_quarantine_s
+                executor.quarantine(
+                    now, self._leader.health.no_capacity_quarantine_s
                 )
             case CommandReply.BAD:
                 attempt.task.step.blocked_until = now + BAD_START_BACKOFF_S
--- a/libs/cell/dragonflybank/cell/capacity.py
+++ b/libs/cell/dragonflybank/cell/capacity.py
@@ -2,9 +2,11 @@
 
 __all__ = [
     "accepts_new_work",
+    "accepts_reserved",
     "count_attainable_tasks",
     "count_fitting_tasks",
     "fits_beside_lasting",
+    "is_available",
     "release",
     "reserve",
     "time_to_room_s",
@@ -124,7 +126,23 @@
 
 
 def accepts_new_work(executor: Executor, now: float) -> bool:
-    """Returns whether new attempts may be started on an executor now.
+    """Returns whether new attempts may be started on an executor now."""
+    return is_available(executor) and executor.quarantined_until <= now
+
+
+def accepts_reserved(attempt: Attempt) -> bool:
+    """Returns whether a reserved attempt may still be started.
+
+    It may have been reserved during a quarantine, but not before one.
+    """
+    executor = attempt.executor
+    return is_available(executor) and (
+        attempt.began_at > executor.quarantined_at
+    )
+
+
+def is_available(executor: Executor) -> bool:
+    """Returns whether nothing but a quarantine keeps work off an executor.
 
     The size of orphan attempts is not known, so nothing is added to an
     executor that lists one.
@@ -135,7 +153,6 @@
         and not executor.info.draining
         and executor.silent_since is None
         and not executor.orphan_attempts
-        and executor.quarantined_until <= now
     )
 
 
--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -2,7 +2,7 @@
 
 __all__ = ["DecisionRound", "begin_round"]
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
@@ -11,6 +11,10 @@
     reserve_executors,
 )
 from dragonflybank.cell.placement import accepting_executors
+from dragonflybank.cell.quarantine_trials import (
+    quarantined_executors,
+    trial_executors,
+)
 from dragonflybank.cell.state import Executor, StepState, Task
 
 # A job may not wait for 3 s with nothing running while both its team and its
@@ -26,6 +30,8 @@
     Attributes:
         now: Time of the round.
         accepting: Executors that accept new work, by service and identifier.
+        quarantined: Executors that only a quarantine keeps from new work, by
+            service and identifier.
         free_millicores: Upper bound of the free CPU cores of any executor, by
             service, in thousandths of a core.
         gang_reservations: What is reserved for each waiting gang and restart.
@@ -42,8 +48,21 @@
     gang_reservations: list[GangReservation] = attrs.field(factory=list)
     refused: set[tuple[int, bool]] = attrs.field(factory=set)
     cap_waits: dict[str, int] = attrs.field(factory=dict)
+    quarantined: dict[str, dict[str, Executor]] = attrs.field(factory=dict)
     _idle_services: dict[str, bool] = attrs.field(factory=dict)
 
+    def executors_for(self, step: StepState) -> dict[str, Executor]:
+        """Returns the executors of its service that a step may use now."""
+        service = step.job_state.queue.service
+        accepting = self.accepting.get(service, {})
+        quarantined = self.quarantined.get(service)
+        if not quarantined or not self.is_overdue(step):
+            return accepting
+        return {
+            **accepting,
+            **trial_executors(step, accepting, quarantined, self.now),
+        }
+
     def reserved_against(self, step: StepState) -> dict[str, int]:
         """Returns the capacity that a step must leave, by executor.
 
@@ -105,17 +124,23 @@
 
     def update_free_millicores(self, service: str) -> None:
         """Lowers the bound of a service after placements in this round."""
-        executors = self.accepting.get(service, {}).values()
         self.free_millicores[service] = max(
-            (e.free_millicores for e in executors), default=0
+            (e.free_millicores for e in self._available(service)), default=0
         )
 
     def _is_mostly_idle(self, service: str) -> bool:
         """Returns whether less than half of a service's cores are in use."""
-        executors = self.accepting.get(service, {}).values()
+        executors = self._available(service)
         used = sum(e.used_millicores for e in executors)
         return 2 * used < sum(e.info.millicores for e in executors)
 
+    def _available(self, service: str) -> list[Executor]:
+        """Returns the executors of a service, with the quarantined ones."""
+        return [
+            *self.accepting.get(service, {}).values(),
+            *self.quarantined.get(service, {}).values(),
+        ]
+
     def reserved(self) -> dict[str, int]:
         """Returns the capacity that is reserved for any step, by executor."""
         return {
@@ -141,14 +166,11 @@
             self.gang_reservations.append(reservation)
 
 
-def begin_round(executors: Iterable[Executor], now: float) -> DecisionRound:
+def begin_round(executors: Collection[Executor], now: float) -> DecisionRound:
     """Returns the state at the begin of a round."""
     accepting = accepting_executors(executors, now)
-    return DecisionRound(
-        now,
-        accepting,
-        {
-            service: max(e.free_millicores for e in found.values())
-            for service, found in accepting.items()
-        },
-    )
+    quarantined = quarantined_executors(executors, now)
+    current = DecisionRound(now, accepting, {}, quarantined=quarantined)
+    for service in accepting.keys() | quarantined.keys():
+        current.update_free_millicores(service)
+    return current
--- a/libs/cell/dragonflybank/cell/health.py
+++ b/libs/cell/dragonflybank/cell/health.py
@@ -56,7 +56,12 @@
     def record_success(
         self, executor: Executor, attempt: Attempt | None, now: float
     ) -> None:
-        """Clears the evidence against an executor after a success on it."""
+        """Clears the evidence against an executor after a success on it.
+
+        A success that began during a quarantine ends it.
+        """
+        if attempt is not None and attempt.began_at > executor.quarantined_at:
+            executor.quarantined_until = min(executor.quarantined_until, now)
         executor.failed_jobs.clear()
         self._next_quarantine_s.pop(executor.info.id, None)
 
@@ -75,7 +80,7 @@
         self._next_quarantine_s[executor.info.id] = min(
             MAX_QUARANTINE_S, 2 * quarantine_s
         )
-        executor.quarantined_until = now + quarantine_s
+        executor.quarantine(now, quarantine_s)
         _log.warning(
             "executor quarantined",
             extra={
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -352,9 +352,10 @@
         for attempt, reason in self.health.find_stuck(
             self.workload.attempts(), now
         ):
-            attempt.executor.quarantined_until = max(
-                attempt.executor.quarantined_until,
-                now + self.health.stuck_quarantine_s,
+            executor = attempt.executor
+            rest_s = executor.quarantined_until - now
+            executor.quarantine(
+                now, max(rest_s, self.health.stuck_quarantine_s)
             )
             self.attempts.stop(attempt, reason)
-            attempt.task.avoided_executors.add(attempt.executor.info.id)
+            attempt.task.avoided_executors.add(executor.info.id)
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -33,7 +33,7 @@
     pending_demand,
 )
 from dragonflybank.cell.capacity import (
-    accepts_new_work,
+    accepts_reserved,
     count_attainable_tasks,
 )
 from dragonflybank.cell.decision_round import DecisionRound, begin_round
@@ -183,7 +183,7 @@
         )
         if self._must_wait(step, is_advised, current):
             return
-        accepting = current.accepting.get(queue.service, {})
+        accepting = current.executors_for(step)
         if not is_advised:
             good = candidate_executors(step, accepting.values())
         else:
@@ -472,7 +472,7 @@
             executor = attempt.executor
             is_usable = (
                 valid_ticket(step, executor.info.id, now)
-                and accepts_new_work(executor, now)
+                and accepts_reserved(attempt)
                 # The queue may have been moved during the call for tickets.
                 and executor.info.service == step.job_state.queue.service
             )
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -312,6 +312,7 @@
         is_ack_blocked: Whether no further ends are acknowledged to it, since
             one could not be processed.
         quarantined_until: Time before which nothing is placed on it.
+        quarantined_at: Time at which its last quarantine began.
         leaves_at: Earliest time at which a draining executor leaves.
         drain_written_after: Time after which it wrote its last draining
             entry.
@@ -338,10 +339,21 @@
     seen_end: int = 0
     is_ack_blocked: bool = False
     quarantined_until: float = 0.0
+    quarantined_at: float = float("-inf")
     leaves_at: float = float("inf")
     drain_written_after: float = float("-inf")
     failed_jobs: set[str] = attrs.field(factory=set)
 
+    def quarantine(self, now: float, duration_s: float) -> None:
+        """Keeps new work away for some time.
+
+        Args:
+            now: Current time.
+            duration_s: Duration of the quarantine in seconds.
+        """
+        self.quarantined_at = now
+        self.quarantined_until = now + duration_s
+
     @property
     def free_millicores(self) -> int:
         """CPU cores that are free, in thousandths of a core."""
