Let drawn cells be full

waiting_schedules has an option for cells with more load than their services can do, in which long-running tasks must be restarted. The draws of the existing seeds are the same.

--- a/libs/standins/dragonflybank/standins/cell/waiting_schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/waiting_schedules.py
@@ -2,10 +2,11 @@
 
 ``python -m dragonflybank.standins.cell.waiting_schedules FIRST LAST`` plays the
 cells of a range of seeds and prints those that violated a rule of `checks` or
-of `waiting_check`.
+of `waiting_check`. With the option ``--full``, the services of these cells are
+full most of the time.
 """
 
-__all__ = ["DrawnCell", "draw_cell", "play_cell"]
+__all__ = ["DrawnCell", "draw_cell", "fill_cell", "play_cell"]
 
 import asyncio
 import random
@@ -38,6 +39,7 @@
 OBSERVATION_S = 14.0
 # With the schedule of a seed, or without a fault.
 FAULT_SHARE = 0.6
+FULL_JOBS_PER_S = 12.0
 
 
 @attrs.frozen
@@ -97,6 +99,16 @@
     )
 
 
+def fill_cell(drawn: DrawnCell) -> DrawnCell:
+    """Returns a cell with more load than its services can do."""
+    executors = min(drawn.executors, 6 * len(drawn.services))
+    return attrs.evolve(
+        drawn,
+        executors=executors,
+        jobs_per_s=FULL_JOBS_PER_S * executors / 6,
+    )
+
+
 def play_cell(drawn: DrawnCell) -> list[str]:
     """Plays a drawn cell and returns a line for each violation of a rule."""
     return run_in_virtual_time(_run(drawn))
@@ -318,15 +330,21 @@
 WEIGHTS: Sequence[int] = (6, 1, 2, 2, 2, 2, 2, 2, 1, 3, 2)
 
 
-def main(first: int, last: int) -> int:
+def main(first: int, last: int, *, is_full: bool = False) -> int:
     """Plays the cells of a range of seeds.
 
+    Args:
+        first: First seed.
+        last: Last seed.
+        is_full: Whether their services are full most of the time.
+
     Returns:
         The number of cells that violated a rule.
     """
     violating = 0
     for seed in range(first, last + 1):
-        found = play_cell(draw_cell(seed))
+        drawn = draw_cell(seed)
+        found = play_cell(fill_cell(drawn) if is_full else drawn)
         violating += bool(found)
         if found:
             print(f"seed {seed}: {len(found)} {found[:3]}", flush=True)
@@ -335,4 +353,7 @@
 
 
 if __name__ == "__main__":
-    sys.exit(1 if main(int(sys.argv[1]), int(sys.argv[2])) else 0)
+    found_any = main(
+        int(sys.argv[1]), int(sys.argv[2]), is_full="--full" in sys.argv[3:]
+    )
+    sys.exit(1 if found_any else 0)
