Set aside a recurring job that cannot be opened

Due occurrences are opened between the rounds of decisions; an exception there ended each leader in turn, as it did in the rounds.

Change: the exception names the job, so that it is counted and set aside as in the rounds. Evidence: the new test of test_input_faults; before, the exception named no job. Tests of the workload and of queue definitions pass.

--- a/libs/cell/dragonflybank/cell/tests/test_input_faults.py
+++ b/libs/cell/dragonflybank/cell/tests/test_input_faults.py
@@ -10,6 +10,7 @@
 from dragonflybank.cell import group_commit, scheduling
 from dragonflybank.cell.jobs import JobPhase, Step
 from dragonflybank.cell.keys import INPUT_FAULTS_KEY, progress_key
+from dragonflybank.cell.workload import Workload
 from dragonflybank.standins.cell.simulated_cell import SimulatedCell
 from dragonflybank.standins.cell.store import MemoryStore
 from dragonflybank.standins.cell.virtual_time import run_in_virtual_time
@@ -40,12 +41,13 @@
 class TestInputFaults(testtools.TestCase):
     """Guards against an input that ends every leader in turn."""
 
-    def _play(self, place: str, *, jobs: int = 4) -> _Outcome:
+    def _play(self, place: str, *, jobs: int = 4, **changes) -> _Outcome:
         async def main() -> _Outcome:
             cell = SimulatedCell(1)
             await cell.start()
             await cell.wait_for_leader()
             bad = cell.make_job("lookup", STEP, run_s=0.5, job_id=BAD_JOB)
+            bad = attrs.evolve(bad, **changes)
             others = [
                 cell.make_job("lookup", STEP, run_s=0.5) for _ in range(jobs)
             ]
@@ -107,6 +109,21 @@
         ):
             self._assert_set_aside(self._play("round of decisions"))
 
+    def test_a_recurring_job_that_cannot_be_opened_is_set_aside(self):
+        open_due = Workload._open_due
+
+        def raise_for_bad_job(self, state, until, now):
+            if state.job.id == BAD_JOB and state.occurrences:
+                raise MemoryError
+            open_due(self, state, until, now)
+
+        with mock.patch.object(Workload, "_open_due", raise_for_bad_job):
+            found = self._play(
+                "round of decisions", start_at=1002.0, interval_s=1.0, repeat=5
+            )
+        self.assertThat(found.phases, Equals({JobPhase.COMPLETED}))
+        self.assertThat((found.later_terms, found.counted), Equals((3, 2.0)))
+
     def test_a_record_that_cannot_be_encoded_is_set_aside(self):
         encode_record = group_commit.encode_record
 
--- a/libs/cell/dragonflybank/cell/workload.py
+++ b/libs/cell/dragonflybank/cell/workload.py
@@ -8,6 +8,7 @@
 import itertools
 from collections.abc import Iterable, Iterator
 
+from dragonflybank.cell.input_faults import FaultPlace, InputFaultError
 from dragonflybank.cell.jobs import (
     CellConfig,
     Job,
@@ -132,14 +133,25 @@
     def open_due_occurrences(
         self, unix_time: float, *, max_early_start_s: float, now: float
     ) -> None:
-        """Creates the steps of occurrences that are due."""
+        """Creates the steps of occurrences that are due.
+
+        Raises:
+            InputFaultError: It failed for a job.
+        """
         for state in list(self.recurring.values()):
-            while (number := len(state.occurrences)) < state.job.repeat:
-                if state.job.due_at(number) - max_early_start_s > unix_time:
-                    break
-                self._open_occurrence(state, number, now)
-            else:
-                del self.recurring[state.job.id]
+            if state.job.id in self.set_aside:
+                continue
+            try:
+                self._open_due(state, unix_time + max_early_start_s, now)
+            except Exception as exc:
+                raise InputFaultError(FaultPlace.ROUND, [state.job.id]) from exc
+
+    def _open_due(self, state: JobState, until: float, now: float) -> None:
+        while (number := len(state.occurrences)) < state.job.repeat:
+            if state.job.due_at(number) > until:
+                return
+            self._open_occurrence(state, number, now)
+        del self.recurring[state.job.id]
 
     def find_task(self, task_id: TaskId) -> Task | None:
         """Returns a task of a known job whose occurrence is open."""
