Let drawn cells have slow advice

waiting_schedules has an option for calls for advice of 0.3 s, after which tickets expire while steps wait. The draws of the existing seeds are the same.

--- a/libs/standins/dragonflybank/standins/cell/memory_platform.py
+++ b/libs/standins/dragonflybank/standins/cell/memory_platform.py
@@ -1,6 +1,6 @@
 """The platform and the peers of a host in a simulated cell."""
 
-__all__ = ["MemoryPeers", "MemoryPlatform", "is_suitable"]
+__all__ = ["MemoryAdvice", "MemoryPeers", "MemoryPlatform", "is_suitable"]
 
 import asyncio
 from collections.abc import Mapping, Sequence
@@ -38,7 +38,7 @@
         self._cell = cell
         self._name = name
         self.store = cell.store.client(name)
-        self.advice = _MemoryAdvice()
+        self.advice = MemoryAdvice()
 
     def decode_config(self, value: bytes) -> Result[CellConfig, Problem]:
         """See `Platform.decode_config`."""
@@ -59,17 +59,23 @@
         """Does nothing, since there is no connection."""
 
 
-class _MemoryAdvice(AdviceService):
-    """Finds two of three executors suitable for a step on average."""
+class MemoryAdvice(AdviceService):
+    """Finds two of three executors suitable for a step on average.
+
+    Attributes:
+        call_s: Duration of a call in seconds.
+    """
 
     def __init__(self):
+        self.call_s = 0.02
         self._lock = asyncio.Lock()
 
     async def advise(
         self, step: str, executors: Sequence[str], *, timeout_s: float
     ) -> Result[Mapping[str, str], Problem]:
+        """See `AdviceService.advise`."""
         async with self._lock:
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(self.call_s)
         suitable = [e for e in executors if is_suitable(step, e)]
         return Success({e: f"ticket/{step}/{e}" for e in suitable})
 
--- a/libs/standins/dragonflybank/standins/cell/waiting_schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/waiting_schedules.py
@@ -3,7 +3,7 @@
 ``python -m dragonflybank.standins.cell.waiting_schedules FIRST LAST`` plays the
 cells of a range of seeds and prints those that violated a rule of `checks` or
 of `waiting_check`. With the option ``--full``, the services of these cells are
-full most of the time.
+full most of the time. With ``--slow-advice``, calls for advice take 0.3 s.
 """
 
 __all__ = ["DrawnCell", "draw_cell", "fill_cell", "play_cell"]
@@ -15,7 +15,7 @@
 
 import attrs
 
-from dragonflybank.cell.jobs import Job, Step
+from dragonflybank.cell.jobs import AdviceTiming, Job, Step
 from dragonflybank.cell.ports import EndKind
 from dragonflybank.cell.teams import ResourceCap, Team, key_digest
 from dragonflybank.standins.cell.checks import find_violations
@@ -40,6 +40,9 @@
 # With the schedule of a seed, or without a fault.
 FAULT_SHARE = 0.6
 FULL_JOBS_PER_S = 12.0
+# Tickets are valid for 2 s, as those of the users' platform.
+TICKETS_VALID_S = 2.0
+SLOW_ADVICE_S = 0.3
 
 
 @attrs.frozen
@@ -58,6 +61,7 @@
             seconds.
         failures_at_s: Times at which a long-running task fails, in seconds.
         faults: Faults with their times.
+        advice_s: Duration of a call for advice in seconds.
     """
 
     seed: int
@@ -70,6 +74,7 @@
     moves_at_s: tuple[float, ...]
     failures_at_s: tuple[float, ...]
     faults: tuple[ScheduledFault, ...]
+    advice_s: float = 0.02
 
 
 def draw_cell(seed: int) -> DrawnCell:
@@ -123,9 +128,27 @@
     )
 
 
+class _AdvisedCell(SimulatedCell):
+    """A simulated cell whose calls for advice take the drawn time."""
+
+    def __init__(self, drawn: DrawnCell, **kwargs):
+        super().__init__(drawn.seed, **kwargs)
+        self._advice_s = drawn.advice_s
+        timing = AdviceTiming(drawn.advice_s, 0.0, TICKETS_VALID_S)
+        self._queues = {
+            name: attrs.evolve(queue, advised=queue.advised and timing)
+            for name, queue in self._queues.items()
+        }
+
+    async def start_host(self, name: str) -> None:
+        """Starts a new process of a host."""
+        await super().start_host(name)
+        self.hosts[name].platform.advice.call_s = self._advice_s
+
+
 async def _run(drawn: DrawnCell) -> list[str]:
-    cell = SimulatedCell(
-        drawn.seed,
+    cell = _AdvisedCell(
+        drawn,
         executors=drawn.executors,
         advised=drawn.is_advised,
         services=drawn.services,
@@ -330,13 +353,20 @@
 WEIGHTS: Sequence[int] = (6, 1, 2, 2, 2, 2, 2, 2, 1, 3, 2)
 
 
-def main(first: int, last: int, *, is_full: bool = False) -> int:
+def main(
+    first: int,
+    last: int,
+    *,
+    is_full: bool = False,
+    has_slow_advice: bool = False,
+) -> int:
     """Plays the cells of a range of seeds.
 
     Args:
         first: First seed.
         last: Last seed.
         is_full: Whether their services are full most of the time.
+        has_slow_advice: Whether calls for advice take `SLOW_ADVICE_S`.
 
     Returns:
         The number of cells that violated a rule.
@@ -344,7 +374,11 @@
     violating = 0
     for seed in range(first, last + 1):
         drawn = draw_cell(seed)
-        found = play_cell(fill_cell(drawn) if is_full else drawn)
+        if is_full:
+            drawn = fill_cell(drawn)
+        if has_slow_advice:
+            drawn = attrs.evolve(drawn, advice_s=SLOW_ADVICE_S)
+        found = play_cell(drawn)
         violating += bool(found)
         if found:
             print(f"seed {seed}: {len(found)} {found[:3]}", flush=True)
@@ -354,6 +388,9 @@
 
 if __name__ == "__main__":
     found_any = main(
-        int(sys.argv[1]), int(sys.argv[2]), is_full="--full" in sys.argv[3:]
+        int(sys.argv[1]),
+        int(sys.argv[2]),
+        is_full="--full" in sys.argv[3:],
+        has_slow_advice="--slow-advice" in sys.argv[3:],
     )
     sys.exit(1 if found_any else 0)
