--- a/libs/standins/dragonflybank/standins/cell/tests/test_waiting_check.py
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_waiting_check.py
@@ -9,8 +9,9 @@
 from dragonflybank.cell.scheduling import Scheduler
 from dragonflybank.standins.cell.waiting_schedules import draw_cell, play_cell
 
-# Two cells with faults and two without, one of each with teams.
-SEEDS = (1, 2, 5, 7)
+# Two cells with faults and two without, one of each with teams; then cells that
+# once violated LOST, by a wide gang (112) and a quarantine (205).
+SEEDS = (1, 2, 5, 7, 112, 205)
 
 
 class TestWaitingCheck(testtools.TestCase):
