--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -2,7 +2,7 @@
 
 __all__ = ["DecisionRound", "begin_round"]
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
@@ -16,12 +16,16 @@
     accepting_executors,
     plan_placement,
 )
+from dragonflybank.cell.quarantine_trials import (
+    quarantined_executors,
+    trial_executors,
+)
 from dragonflybank.cell.state import Executor, StepState, Task
 from dragonflybank.cell.teams import ResourceCap
 
-# A job of a team may not wait for 3 s with nothing running while both its team
-# and its service are below half of their capacity. The rest of this time is for
-# advice and the start.
+# A job may not wait for 3 s with nothing running while both its team and its
+# service are below half of their capacity. The rest of this time is for advice
+# and the start.
 OVERDUE_AFTER_S = 1.5
 # Less than any priority, so that all of them wait.
 ABOVE_PRIORITIES = float("-inf")
@@ -34,6 +38,8 @@
     Attributes:
         now: Time of the round.
         accepting: Executors that accept new work, by service and identifier.
+        quarantined: Executors that only a quarantine keeps from new work, by
+            service and identifier.
         free_millicores: Upper bound of the free CPU cores of any executor, by
             service, in thousandths of a core.
         gang_reservations: What is reserved for each waiting gang and restart.
@@ -52,9 +58,22 @@
     refused: set[tuple[int, bool]] = attrs.field(factory=set)
     cap_waits: dict[str, float] = attrs.field(factory=dict)
     starved_teams: set[str] = attrs.field(factory=set)
+    quarantined: dict[str, dict[str, Executor]] = attrs.field(factory=dict)
     _idle_services: dict[str, bool] = attrs.field(factory=dict)
     _capacities: dict[str, ResourceCap] = attrs.field(factory=dict)
 
+    def executors_for(self, step: StepState) -> dict[str, Executor]:
+        """Returns the executors of its service that a step may use now."""
+        service = step.job_state.queue.service
+        accepting = self.accepting.get(service, {})
+        quarantined = self.quarantined.get(service)
+        if not quarantined or not self.is_overdue(step):
+            return accepting
+        return {
+            **accepting,
+            **trial_executors(step, accepting, quarantined, self.now),
+        }
+
     def reserved_against(self, step: StepState) -> dict[str, int]:
         """Returns the capacity that a step must leave, by executor.
 
@@ -64,7 +83,9 @@
         when the gang or the restart begins. A step of an overdue job may use it
         in any case.
         """
-        if not self.gang_reservations or self.is_overdue(step):
+        if not self.gang_reservations:
+            return {}
+        if step.job_state.job.team and self.is_overdue(step):
             return {}
         preceding = [r for r in self.gang_reservations if r.precedes(step)]
         binding = [r for r in preceding if not r.allows_backfill(step)]
@@ -111,14 +132,12 @@
         )
 
     def is_overdue(self, step: StepState) -> bool:
-        """Returns whether a step of a team waits too long beside idle capacity.
+        """Returns whether a step waits too long beside idle capacity.
 
-        This is so if nothing of its job has run for a while and both its team
-        and its service are below half of their capacity.
+        This is so if nothing of its job has run for a while and both its team,
+        if it has one, and its service are below half of their capacity.
         """
         state, team = step.job_state, step.job_state.job.team
-        if not team or not state.team_usage.is_active:
-            return False
         ready_at = self.now if step.ready_at is None else step.ready_at
         if self.now - ready_at < OVERDUE_AFTER_S:
             return False
@@ -173,17 +192,23 @@
 
     def update_free_millicores(self, service: str) -> None:
         """Lowers the bound of a service after placements in this round."""
-        executors = self.accepting.get(service, {}).values()
         self.free_millicores[service] = max(
-            (e.free_millicores for e in executors), default=0
+            (e.free_millicores for e in self._available(service)), default=0
         )
 
     def _is_mostly_idle(self, service: str) -> bool:
         """Returns whether less than half of a service's cores are in use."""
-        executors = self.accepting.get(service, {}).values()
+        executors = self._available(service)
         used = sum(e.used_millicores for e in executors)
         return 2 * used < sum(e.info.millicores for e in executors)
 
+    def _available(self, service: str) -> list[Executor]:
+        """Returns the executors of a service, with the quarantined ones."""
+        return [
+            *self.accepting.get(service, {}).values(),
+            *self.quarantined.get(service, {}).values(),
+        ]
+
     def reserved(self) -> dict[str, int]:
         """Returns the capacity that is reserved for any step, by executor."""
         return {
@@ -209,14 +234,11 @@
             self.gang_reservations.append(reservation)
 
 
-def begin_round(executors: Iterable[Executor], now: float) -> DecisionRound:
+def begin_round(executors: Collection[Executor], now: float) -> DecisionRound:
     """Returns the state at the begin of a round."""
     accepting = accepting_executors(executors, now)
-    return DecisionRound(
-        now,
-        accepting,
-        {
-            service: max(e.free_millicores for e in found.values())
-            for service, found in accepting.items()
-        },
-    )
+    quarantined = quarantined_executors(executors, now)
+    current = DecisionRound(now, accepting, {}, quarantined=quarantined)
+    for service in accepting.keys() | quarantined.keys():
+        current.update_free_millicores(service)
+    return current
--- a/libs/cell/dragonflybank/cell/gang_reservation.py
+++ b/libs/cell/dragonflybank/cell/gang_reservation.py
@@ -28,7 +28,7 @@
 BACKFILL_MARGIN_S = 1.0
 # The users' rule: no job waits for 3 s with nothing running while less than
 # half of its service is in use and there is room for it twice.
-MAX_HOLD_S = 2.0
+MAX_HOLD_S = 1.5
 
 
 @attrs.frozen
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -22,6 +22,9 @@
 from dragonflybank.cell.fleet import Fleet
 from dragonflybank.cell.group_commit import Committer
 from dragonflybank.cell.health import HealthTracker
+from dragonflybank.cell.input_faults import (
+    InputFaults,
+)
 from dragonflybank.cell.jobs import CellConfig, JobPhase
 from dragonflybank.cell.limits import CellLimits
 from dragonflybank.cell.load_admission import estimate_start_delays
@@ -66,6 +69,7 @@
         record_phase: Called with the identifier of a job and its phase, which
             hosts report to callers from then on.
         background: Tasks beside the rounds; a failure ends the leadership.
+        input_faults: Jobs whose handling ended earlier leaderships.
         has_failed: Whether a background task failed.
         is_loaded: Whether all jobs of earlier leaders are loaded.
         reported_entries: Revisions of executor entries that could not be
@@ -109,6 +113,9 @@
             on_ended=self._on_ended,
         )
         self.scheduler = Scheduler(self, advice_dispatcher)
+        self.input_faults = InputFaults(
+            platform.store, leadership, clock=clock, metrics=metrics
+        )
         self.record_phase = record_phase
         self.has_failed = False
         self.is_loaded = False
@@ -329,9 +336,10 @@
         for attempt, reason in self.health.find_stuck(
             self.workload.attempts(), now
         ):
-            attempt.executor.quarantined_until = max(
-                attempt.executor.quarantined_until,
-                now + self.health.stuck_quarantine_s,
+            executor = attempt.executor
+            rest_s = executor.quarantined_until - now
+            executor.quarantine(
+                now, max(rest_s, self.health.stuck_quarantine_s)
             )
             self.attempts.stop(attempt, reason)
-            attempt.task.avoided_executors.add(attempt.executor.info.id)
+            attempt.task.avoided_executors.add(executor.info.id)
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -33,7 +33,7 @@
     pending_demand,
 )
 from dragonflybank.cell.capacity import (
-    accepts_new_work,
+    accepts_reserved,
     count_attainable_tasks,
 )
 from dragonflybank.cell.decision_round import DecisionRound, begin_round
@@ -110,7 +110,7 @@
         self._history = AdviceHistory()
         self._last_round: DecisionRound | None = None
         # Steps considered in a round that is not over yet.
-        self._considered: set[StepState] = set()
+        self.considered: dict[StepState, None] = {}
 
     @property
     def reserved_millicores(self) -> dict[str, int]:
@@ -147,7 +147,7 @@
             return
         executors = leader.fleet.executors.values()
         current = begin_round(executors, now)
-        if self._considered:
+        if self.considered:
             current.continue_after(self._last_round)
         elif self._last_round is not None:
             current.make_room_for_gangs(self._last_round)
@@ -155,24 +155,22 @@
         leader.workload.count_orphans(running_orphans(executors, now))
         began_at = leader.clock.now()
         is_reconsidering = True
-        for step in steps_in_order(
-            leader, current, self._considered, unix_time
-        ):
-            if step in self._considered and not is_reconsidering:
+        for step in steps_in_order(leader, current, self.considered, unix_time):
+            if step in self.considered and not is_reconsidering:
                 continue
             took_s = leader.clock.now() - began_at
             if took_s >= ROUND_BUDGET_S:
                 leader.wake()
                 return
-            if step in self._considered and took_s >= RECONSIDERATION_BUDGET_S:
+            if step in self.considered and took_s >= RECONSIDERATION_BUDGET_S:
                 is_reconsidering = False
                 continue
-            self._considered.add(step)
+            self.considered[step] = None
             try:
                 self._consider(step, current)
             except Exception:
                 set_step_aside(leader, step, now)
-        self._considered.clear()
+        self.considered.clear()
 
     def _consider(self, step: StepState, current: DecisionRound) -> None:
         tasks = step.waiting_tasks()
@@ -214,7 +212,7 @@
         )
         if self._must_wait(step, is_advised, current):
             return False
-        accepting = current.accepting.get(queue.service, {})
+        accepting = current.executors_for(step)
         if not is_advised:
             good = candidate_executors(step, accepting.values())
         else:
@@ -520,7 +518,7 @@
             executor = attempt.executor
             is_usable = (
                 valid_ticket(step, executor.info.id, now)
-                and accepts_new_work(executor, now)
+                and accepts_reserved(attempt)
                 # The queue may have been moved during the call for tickets.
                 and executor.info.service == step.job_state.queue.service
             )
--- a/libs/cell/dragonflybank/cell/tests/test_scheduling.py
+++ b/libs/cell/dragonflybank/cell/tests/test_scheduling.py
@@ -390,3 +390,14 @@
         for _ in range(3):
             self._place(waited_s=2.5)
         self.assertThat(self._started(sweep), Equals(1))
+
+    def test_work_that_waits_long_uses_an_idle_service(self):
+        # The sweep may run longer than the gang is expected to wait.
+        self._occupy(0, estimate_s=5.0)
+        gang = self._add(8)
+        sweep = self._add(1, queue="sweep", gang=False, estimate_s=30.0)
+        self._place(waited_s=1.0)
+        self.assertThat(self._started(sweep), Equals(0))
+        self._place(waited_s=2.0)
+        self.assertThat(self._started(gang), Equals(0))
+        self.assertThat(self._started(sweep), Equals(1))
--- a/libs/cell/dragonflybank/cell/workload.py
+++ b/libs/cell/dragonflybank/cell/workload.py
@@ -8,6 +8,7 @@
 import itertools
 from collections.abc import Iterable, Iterator
 
+from dragonflybank.cell.input_faults import FaultPlace, InputFaultError
 from dragonflybank.cell.jobs import (
     CellConfig,
     Job,
@@ -36,6 +37,7 @@
             became ready.
         recurring: Recurring jobs with occurrences that are not due yet.
         ended_steps: Team and steps of ended jobs that have a team.
+        set_aside: Jobs of which nothing is started; see `input_faults`.
         team_usage: What the teams have running, and their caps.
         rate_meter: Finds the jobs that teams send beyond their rates.
 
@@ -51,6 +53,7 @@
         self.ended_steps: dict[str, tuple[str, tuple[Step, ...]]] = {}
         self.team_usage = TeamUsage(quota_overage)
         self.rate_meter = RateMeter()
+        self.set_aside: set[str] = set()
         self._definitions = QueueDefinitions()
 
     def adopt_config(self, cfg: CellConfig) -> list[JobState]:
@@ -135,14 +138,25 @@
     def open_due_occurrences(
         self, unix_time: float, *, max_early_start_s: float, now: float
     ) -> None:
-        """Creates the steps of occurrences that are due."""
+        """Creates the steps of occurrences that are due.
+
+        Raises:
+            InputFaultError: It failed for a job.
+        """
         for state in list(self.recurring.values()):
-            while (number := len(state.occurrences)) < state.job.repeat:
-                if state.job.due_at(number) - max_early_start_s > unix_time:
-                    break
-                self._open_occurrence(state, number, now)
-            else:
-                del self.recurring[state.job.id]
+            if state.job.id in self.set_aside:
+                continue
+            try:
+                self._open_due(state, unix_time + max_early_start_s, now)
+            except Exception as exc:
+                raise InputFaultError(FaultPlace.ROUND, [state.job.id]) from exc
+
+    def _open_due(self, state: JobState, until: float, now: float) -> None:
+        while (number := len(state.occurrences)) < state.job.repeat:
+            if state.job.due_at(number) > until:
+                return
+            self._open_occurrence(state, number, now)
+        del self.recurring[state.job.id]
 
     def find_task(self, task_id: TaskId) -> Task | None:
         """Returns a task of a known job whose occurrence is open."""
@@ -228,7 +242,7 @@
     def requeue(self, step: StepState) -> None:
         """Makes the tasks of a step eligible for placement again."""
         if step.ready_at is not None and not step.job_state.phase.is_final:
-            self.ready[step] = None
+            self._make_ready(step)
 
     def record_placement(self, attempt: Attempt) -> None:
         """Records the executor on which an attempt may run from now on."""
@@ -372,7 +386,11 @@
             if step.ready_at is None and not step.blocking_count:
                 step.ready_at = now
                 if step.unfinished_count:
-                    self.ready[step] = None
+                    self._make_ready(step)
+
+    def _make_ready(self, step: StepState) -> None:
+        if step.job_state.job.id not in self.set_aside:
+            self.ready[step] = None
 
 
 def _all_steps(state: JobState) -> Iterator[StepState]:
