--- a/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
+++ b/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
@@ -178,12 +178,14 @@
     standins_records.FaultSet: "at server fault",
     adapter_settings.StoreSettings: "address writes_per_s reads_per_s",
     adapter_settings.PlatformBounds: (
-        "max_lease_ms stop_grace_ms early_ms status_s grace_s quota_overage"
+        "max_lease_ms stop_grace_ms early_ms status_s grace_s"
     ),
+    adapter_settings.TeamBounds: "quota_overage",
+    adapter_settings.VmLimits: "link_mbps max_fds",
     adapter_settings.AdapterSettings: (
         "name zone ip callers_address ready_address metrics_address "
         "peer_ports store region zones advice_address cores core_share "
-        "memory_mb heartbeat_ms bounds link_mbps max_fds"
+        "memory_mb heartbeat_ms bounds team_bounds limits"
     ),
     config_settings.Address: "address port",
     config_settings.Seed: "name region address port",
