Refuse new jobs of a team by what it asks beyond its rate and cap

Change: the leader estimates the wait of a new job for each team that has used up its rate, behind all work within the rates, or that waits for its own work under its cap. Hosts get these delays in a field of their own and refuse by the existing rule: 429 at once with the time to come back, only if the job would end after its hard deadline, never if it may be stored already.

Weighed: a token bucket on each host, which knows only its part of a team's jobs; refusing all jobs beyond the rate, which would waste idle room.

--- a/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
+++ b/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
@@ -72,9 +72,10 @@
     ),
     cell_messages.SyncReply: (
         "epoch number is_whole states pending config over_term start_delays "
-        "peers packed executors pending_number"
+        "peers packed executors pending_number team_delays"
     ),
     cell_messages.StartDelay: "service priority seconds",
+    cell_messages.TeamDelay: "service priority seconds team",
     cell_messages.AdviceRequest: "step executors timeout_s",
     cell_messages.AdviceReply: "tickets",
     cell_messages.KeyWrittenRequest: "epoch key value revision",
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -27,12 +27,18 @@
 )
 from dragonflybank.cell.jobs import CellConfig, JobPhase
 from dragonflybank.cell.limits import CellLimits
-from dragonflybank.cell.load_admission import estimate_start_delays
+from dragonflybank.cell.load_admission import (
+    MIN_REPORTED_DELAY_S,
+    estimate_start_delays,
+    usable_millicores,
+)
 from dragonflybank.cell.messages import StartDelay
 from dragonflybank.cell.metrics import CellMetrics
+from dragonflybank.cell.placement import accepting_executors
 from dragonflybank.cell.ports import Platform
 from dragonflybank.cell.scheduling import Scheduler
 from dragonflybank.cell.state import Executor, JobState
+from dragonflybank.cell.team_delays import estimate_team_delays
 from dragonflybank.cell.team_report import (
     summarise_teams,
     update_team_gauges,
@@ -239,17 +245,31 @@
 
     def start_delays(self, now: float) -> tuple[StartDelay, ...]:
         """Returns the delays of new jobs under overload."""
+        unix_time, usage = self.unix_time(), self.workload.team_usage
+        executors = self.fleet.executors.values()
         delays = estimate_start_delays(
             self.workload.ready,
-            self.fleet.executors.values(),
+            executors,
             advice_slots=self.scheduler.advice_slots,
             now=now,
-            unix_time=self.unix_time(),
+            unix_time=unix_time,
+        )
+        team_delays = estimate_team_delays(
+            self.workload.ready,
+            usage,
+            over_rate=self.workload.rate_meter.teams_over_rate(
+                usage.teams, unix_time
+            ),
+            usable_millicores=usable_millicores(
+                accepting_executors(executors, now)
+            ),
+            min_delay_s=MIN_REPORTED_DELAY_S,
+            unix_time=unix_time,
         )
         self.metrics.start_delay_seconds.set(
             max((delay.seconds for delay in delays), default=0.0)
         )
-        return delays
+        return (*delays, *team_delays)
 
     def update_gauges(self) -> None:
         """Updates the gauges of the metrics."""
--- a/libs/cell/dragonflybank/cell/load_admission.py
+++ b/libs/cell/dragonflybank/cell/load_admission.py
@@ -7,19 +7,21 @@
 """
 
 __all__ = [
+    "MIN_REPORTED_DELAY_S",
     "estimate_start_delays",
     "excess_delay_s",
     "overload_retry_after_s",
+    "usable_millicores",
 ]
 
 import collections
 import itertools
 import zlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from dragonflybank.cell.advice_dispatch import is_long_call, max_long_calls
 from dragonflybank.cell.jobs import Job, critical_path_s
-from dragonflybank.cell.messages import StartDelay
+from dragonflybank.cell.messages import StartDelay, TeamDelay
 from dragonflybank.cell.placement import (
     accepting_executors,
     has_attainable_room,
@@ -85,10 +87,9 @@
             calls_s[key] += 2 * timing.base_s * is_long_call(timing.base_s)
     long_slots = max_long_calls(max(1, advice_slots))
     delays = []
+    usable_by_service = usable_millicores(accepting)
     for service, keys in itertools.groupby(sorted(work), key=lambda k: k[0]):
-        usable = USABLE_CORES_SHARE * sum(
-            e.attainable_millicores for e in accepting.get(service, {}).values()
-        )
+        usable = usable_by_service.get(service, 0.0)
         if not usable:
             # Executors may be back within seconds; nothing is known.
             continue
@@ -102,6 +103,21 @@
     return tuple(delays)
 
 
+def usable_millicores(
+    accepting: Mapping[str, Mapping[str, Executor]],
+) -> dict[str, float]:
+    """Returns the CPU cores that placement keeps busy, by service.
+
+    Args:
+        accepting: Executors that accept new work, by service and identifier.
+    """
+    return {
+        service: USABLE_CORES_SHARE
+        * sum(e.attainable_millicores for e in found.values())
+        for service, found in accepting.items()
+    }
+
+
 def excess_delay_s(job: Job, delays: Sequence[StartDelay]) -> float:
     """Returns by how much a new job would miss its hard deadline, in seconds.
 
@@ -121,6 +137,7 @@
             for delay in delays
             if delay.service == queue.service
             and delay.priority <= queue.priority
+            and (not isinstance(delay, TeamDelay) or delay.team == job.team)
         ),
         default=0.0,
     )
--- a/libs/cell/dragonflybank/cell/messages.py
+++ b/libs/cell/dragonflybank/cell/messages.py
@@ -15,6 +15,7 @@
     "StartDelay",
     "SyncReply",
     "SyncRequest",
+    "TeamDelay",
     "WriteReply",
     "WriteRequest",
 ]
@@ -73,6 +74,17 @@
     seconds: float
 
 
+@attrs.frozen
+class TeamDelay(StartDelay):
+    """The wait of a new job of one team.
+
+    Attributes:
+        team: Name of the team.
+    """
+
+    team: str
+
+
 @attrs.frozen
 class SyncReply:
     """Answer to `SyncRequest`.
@@ -87,6 +99,9 @@
         config: The operators' configuration, compressed by `pack_config`, if
             the asking host needs a newer one.
         start_delays: Delays of new jobs that the leader expects.
+        team_delays: Further delays, of jobs of some teams. They have a field of
+            their own, since hosts of earlier versions take ``start_delays`` to
+            hold for all jobs.
         peers: Addresses of some hosts that were alive recently.
         over_term: Last term in which the answering host led, if that term has
             ended; otherwise 0.
@@ -108,6 +123,7 @@
     packed: bytes = b""
     executors: int = 0
     pending_number: int = -1
+    team_delays: tuple[TeamDelay, ...] = ()
 
 
 @attrs.frozen
--- a/libs/cell/dragonflybank/cell/phase_cache.py
+++ b/libs/cell/dragonflybank/cell/phase_cache.py
@@ -11,7 +11,7 @@
 import itertools
 
 from dragonflybank.cell.jobs import JobPhase
-from dragonflybank.cell.messages import StartDelay, SyncReply
+from dragonflybank.cell.messages import StartDelay, SyncReply, TeamDelay
 from dragonflybank.cell.phase_packing import pack_phases, unpack_phases
 
 # Collects phase changes into one reply; small against a queue's objective.
@@ -161,13 +161,16 @@
         keeps_pending = (
             not is_other_epoch and 0 <= pending_number == self.pending_number
         )
+        delays = () if keeps_pending else self.start_delays
+        team_delays = tuple(d for d in delays if isinstance(d, TeamDelay))
         return SyncReply(
             self.epoch,
             self.change_number,
             is_whole,
             rest,
             {} if keeps_pending else dict(self.pending),
-            start_delays=() if keeps_pending else self.start_delays,
+            start_delays=tuple(d for d in delays if d not in team_delays),
+            team_delays=team_delays,
             pending_number=self.pending_number,
             packed=packed,
             executors=self.executors,
@@ -214,7 +217,7 @@
         self._changes.clear()
         if not has_pending:
             self.pending = reply.pending
-            self.start_delays = reply.start_delays
+            self.start_delays = (*reply.start_delays, *reply.team_delays)
             self.pending_number = reply.pending_number
         self.synced_at = now
 
--- a/libs/cell/dragonflybank/cell/team_shares.py
+++ b/libs/cell/dragonflybank/cell/team_shares.py
@@ -60,16 +60,36 @@
                     team, state.job.accepted_at
                 )
 
+    def teams_over_rate(
+        self, teams: Mapping[str, Team], unix_time: float
+    ) -> frozenset[str]:
+        """Returns the teams whose next job would be beyond their rate.
+
+        Args:
+            teams: Teams by name.
+            unix_time: Current time, seconds since 1970.
+        """
+        return frozenset(
+            team.name
+            for team in teams.values()
+            if self._full_at.get(team.name, 0.0) + 1.0 / team.weight
+            > unix_time + _burst_s(team)
+        )
+
     def _take_token(self, team: Team, accepted_at: float) -> bool:
-        burst_s = max(RATE_BURST_S, MIN_BURST_JOBS / team.weight)
         full_at = max(self._full_at.get(team.name, accepted_at), accepted_at)
         full_at += 1.0 / team.weight
-        if full_at > accepted_at + burst_s:
+        if full_at > accepted_at + _burst_s(team):
             return False
         self._full_at[team.name] = full_at
         return True
 
 
+def _burst_s(team: Team) -> float:
+    """Returns how many seconds of its rate a team may send at once."""
+    return max(RATE_BURST_S, MIN_BURST_JOBS / team.weight)
+
+
 def is_beyond_rate(step: StepState) -> bool:
     """Returns whether a step's job was sent beyond the rate of its team."""
     return step.job_state.is_beyond_rate
