Leave a long call to a lower priority in small cells

With three hosts, work of the lowest priority got no advice while work of a higher one asked again and again, although it waited for another service that was idle: 0.7 of the two slots for long calls was rounded up to both.

Change: while a lower priority asks in vain, one slot is left to it if there are two or more. Cells of six or more hosts have the same shares as before.

Ruled out: gangs' reservations (of the full service only) and refused calls.

These remain open.

--- a/libs/cell/dragonflybank/cell/advice_dispatch.py
+++ b/libs/cell/dragonflybank/cell/advice_dispatch.py
@@ -243,7 +243,8 @@
             lower > priority and now - at <= DEMAND_MEMORY_S
             for lower, at in self._refused_at.items()
         )
-        share = math.ceil(PRIORITY_SHARE * most)
+        # At least one slot is left, also if there are only two.
+        share = max(1, min(most - 1, math.ceil(PRIORITY_SHARE * most)))
         if is_lower_waiting and in_progress.count(priority) >= share:
             return None
         # The hosts with the least overhead are left to short calls.
--- a/libs/cell/dragonflybank/cell/tests/test_advice_dispatch.py
+++ b/libs/cell/dragonflybank/cell/tests/test_advice_dispatch.py
@@ -24,11 +24,11 @@
 
 
 class _Cell:
-    """A dispatcher with 35 peers, and steps that ask it in every round."""
+    """A dispatcher with some peers, and steps that ask it in every round."""
 
     ROUND_S = 0.01
 
-    def __init__(self):
+    def __init__(self, peers: int = 35):
         self.clock, service = VirtualClock(), _Service()
 
         async def call_peer(address, step, executors, timeout_s):
@@ -37,7 +37,7 @@
         self.dispatcher = AdviceDispatcher(
             service, call_peer, now=self.clock.now
         )
-        self.dispatcher.set_peers([f"peer-{n}" for n in range(35)])
+        self.dispatcher.set_peers([f"peer-{n}" for n in range(peers)])
 
     async def ask(self, step: str, priority: int, duration_s: float) -> float:
         """Makes a call as soon as there is a slot; returns the whole time."""
@@ -77,6 +77,28 @@
         self.assertThat(len(waits), Equals(200))
         self.assertThat(max(waits), LessThan(0.1))
 
+    def test_one_of_two_long_calls_is_left_to_a_lower_priority(self):
+        async def main():
+            cell = _Cell(peers=2)
+
+            def acquire(priority: int):
+                return cell.dispatcher.acquire_slot(
+                    priority=priority, duration_s=LONG_S, now=cell.clock.now()
+                )
+
+            first, second, lower = acquire(1), acquire(1), acquire(2)
+            self.assertThat(lower, Equals(None))
+            await cell.dispatcher.request_advice(
+                first, "short", ["one"], duration_s=LONG_S
+            )
+            # The higher priority asks first in each round.
+            return second, acquire(1), acquire(2)
+
+        second, higher, lower = run_in_virtual_time(main())
+        self.assertThat(second is not None, Equals(True))
+        self.assertThat(higher, Equals(None))
+        self.assertThat(lower is not None, Equals(True))
+
 
 class TestShares(testtools.TestCase):
     """Guards against steps of one priority that use up all calls."""
