--- a/libs/standins/dragonflybank/standins/cell/tests/test_waiting_check.py
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_waiting_check.py
@@ -7,7 +7,12 @@
 from testtools.matchers import Contains, Equals
 
 from dragonflybank.cell.scheduling import Scheduler
-from dragonflybank.standins.cell.waiting_schedules import draw_cell, play_cell
+from dragonflybank.standins.cell.waiting_schedules import (
+    SLOW_ADVICE_S,
+    draw_cell,
+    fill_cell,
+    play_cell,
+)
 
 # Two cells with faults and two without, one of each with teams; then cells that
 # once violated LOST, by a wide gang (112) and a quarantine (205).
@@ -43,6 +48,11 @@
 class TestDrawnCells(testtools.TestCase):
     """Guards against work that waits beside idle capacity."""
 
+    def test_full_cell_with_slow_advice__17(self):
+        drawn = fill_cell(draw_cell(17))
+        found = play_cell(attrs.evolve(drawn, advice_s=SLOW_ADVICE_S))
+        self.assertThat("\n".join(found), Equals(""))
+
 
 def _make_test(seed: int):
     def test(self):
