--- a/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
+++ b/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
@@ -349,6 +349,7 @@
     "dragonflybank_executors_lost_total",
     "dragonflybank_malformed_inputs_total",
     "dragonflybank_isolated_faults_total",
+    "dragonflybank_client_limits_total",
     "dragonflybank_elections_total",
     "dragonflybank_elections_created",
     "dragonflybank_store_calls_total",
--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -8,19 +8,27 @@
 
 from dragonflybank.cell.gang_reservation import (
     GangReservation,
+    is_held_too_long,
     reserve_executors,
 )
-from dragonflybank.cell.placement import accepting_executors
+from dragonflybank.cell.placement import (
+    PlacementPlan,
+    accepting_executors,
+    plan_placement,
+)
 from dragonflybank.cell.quarantine_trials import (
     quarantined_executors,
     trial_executors,
 )
 from dragonflybank.cell.state import Executor, StepState, Task
+from dragonflybank.cell.teams import ResourceCap
 
 # A job may not wait for 3 s with nothing running while both its team and its
 # service are below half of their capacity. The rest of this time is for advice
 # and the start.
 OVERDUE_AFTER_S = 1.5
+# Less than any priority, so that all of them wait.
+ABOVE_PRIORITIES = float("-inf")
 
 
 @attrs.define
@@ -40,6 +48,7 @@
             whether the call is a long one.
         cap_waits: Highest priority of the gangs that wait for room under the
             cap of their team, by team.
+        starved_teams: Teams with an overdue gang among these.
     """
 
     now: float
@@ -47,9 +56,11 @@
     free_millicores: dict[str, int]
     gang_reservations: list[GangReservation] = attrs.field(factory=list)
     refused: set[tuple[int, bool]] = attrs.field(factory=set)
-    cap_waits: dict[str, int] = attrs.field(factory=dict)
+    cap_waits: dict[str, float] = attrs.field(factory=dict)
+    starved_teams: set[str] = attrs.field(factory=set)
     quarantined: dict[str, dict[str, Executor]] = attrs.field(factory=dict)
     _idle_services: dict[str, bool] = attrs.field(factory=dict)
+    _capacities: dict[str, ResourceCap] = attrs.field(factory=dict)
 
     def executors_for(self, step: StepState) -> dict[str, Executor]:
         """Returns the executors of its service that a step may use now."""
@@ -72,19 +83,54 @@
         when the gang or the restart begins. A step of an overdue job may use it
         in any case.
         """
-        if not self.gang_reservations or self.is_overdue(step):
+        if not self.gang_reservations:
+            return {}
+        if step.job_state.job.team and self.is_overdue(step):
             return {}
+        preceding = [r for r in self.gang_reservations if r.precedes(step)]
+        binding = [r for r in preceding if not r.allows_backfill(step)]
+        # A pass over the service, made once and only if it matters.
+        if len(binding) < len(preceding) and not self._is_mostly_idle(
+            step.job_state.queue.service
+        ):
+            binding = preceding
         return {
             executor: cores
-            for reservation in self.gang_reservations
-            if reservation.precedes(step)
-            and not (
-                reservation.allows_backfill(step)
-                and self._is_mostly_idle(step.job_state.queue.service)
-            )
+            for reservation in binding
             for executor, cores in reservation.millicores.items()
         }
 
+    def plan_after_wait(
+        self, step: StepState, tasks: list[Task], allowed: list[Executor]
+    ) -> PlacementPlan:
+        """Plans one task of a job that gangs have held back for too long.
+
+        In a mostly idle service it may use executors that are reserved for
+        gangs; what is reserved for restarts stays reserved.
+
+        Args:
+            step: A step that fits nowhere else.
+            tasks: Its waiting tasks.
+            allowed: Executors that may run it.
+        """
+        if (
+            not self.gang_reservations
+            or not is_held_too_long(step, self.now)
+            or not self._is_mostly_idle(step.job_state.queue.service)
+        ):
+            return PlacementPlan(reason="no capacity")
+        return plan_placement(
+            step,
+            tasks if step.spec.gang else tasks[:1],
+            allowed,
+            reserved_millicores={
+                executor: cores
+                for reservation in self.gang_reservations
+                if reservation.is_restart
+                for executor, cores in reservation.millicores.items()
+            },
+        )
+
     def is_overdue(self, step: StepState) -> bool:
         """Returns whether a step waits too long beside idle capacity.
 
@@ -104,6 +150,17 @@
             and not state.attempts()
         )
 
+    def capacity(self, service: str) -> ResourceCap:
+        """Returns the resources of a service's executors that accept work."""
+        if service not in self._capacities:
+            infos = [e.info for e in self.accepting.get(service, {}).values()]
+            self._capacities[service] = ResourceCap(
+                sum(info.millicores for info in infos),
+                sum(info.memory_mb for info in infos),
+                sum(info.accelerators for info in infos),
+            )
+        return self._capacities[service]
+
     def waits_for_gang_of_team(self, step: StepState) -> bool:
         """Returns whether a gang of the same team needs the rest of its cap.
 
@@ -117,10 +174,21 @@
         )
 
     def continue_after(self, earlier: "DecisionRound") -> None:
-        """Takes over what steps of an earlier part of the round wait for."""
+        """Takes over what steps of an earlier part of the round wait for.
+
+        Slots for calls may have become free since then.
+        """
         self.gang_reservations = earlier.gang_reservations
-        self.refused = earlier.refused
         self.cap_waits = earlier.cap_waits
+        self.starved_teams = earlier.starved_teams
+
+    def make_room_for_gangs(self, earlier: "DecisionRound") -> None:
+        """Holds back all work of teams whose gangs were overdue in a round.
+
+        Urgent work of the team would otherwise take the room that the gang
+        needs for as long as it arrives. It waits until it is overdue itself.
+        """
+        self.cap_waits = dict.fromkeys(earlier.starved_teams, ABOVE_PRIORITIES)
 
     def update_free_millicores(self, service: str) -> None:
         """Lowers the bound of a service after placements in this round."""
--- a/libs/cell/dragonflybank/cell/gang_reservation.py
+++ b/libs/cell/dragonflybank/cell/gang_reservation.py
@@ -10,7 +10,7 @@
 would start later.
 """
 
-__all__ = ["GangReservation", "reserve_executors"]
+__all__ = ["GangReservation", "is_held_too_long", "reserve_executors"]
 
 import functools
 from collections.abc import Iterable
@@ -26,6 +26,9 @@
 # estimate and a margin for its start and the report of its end.
 BACKFILL_ESTIMATE_FACTOR = 2.0
 BACKFILL_MARGIN_S = 1.0
+# The users' rule: no job waits for 3 s with nothing running while less than
+# half of its service is in use and there is room for it twice.
+MAX_HOLD_S = 1.5
 
 
 @attrs.frozen
@@ -33,14 +36,15 @@
     """Executors reserved for a waiting gang or a restart in one round.
 
     Attributes:
-        priority: Priority of its queue.
+        rank: Whether it is beyond the rate of its team, and the priority of its
+            queue.
         spec: Its declaration.
         places: Executors and the number of its tasks that each will run.
         now: Time of the round.
         is_restart: Whether its tasks are long-running and have run before.
     """
 
-    priority: int
+    rank: tuple[bool, int]
     spec: Step
     places: tuple[tuple[Executor, int], ...]
     now: float
@@ -64,11 +68,11 @@
 
     def precedes(self, step: StepState) -> bool:
         """Returns whether a step must leave the reserved executors."""
-        priority = step.job_state.queue.priority
+        rank = _rank(step)
         return (
             self.is_restart
-            or self.priority < priority
-            or (step.spec.gang and self.priority == priority)
+            or self.rank < rank
+            or (step.spec.gang and self.rank == rank)
         )
 
     def allows_backfill(self, step: StepState) -> bool:
@@ -82,6 +86,15 @@
         return ends_after_s <= self.wait_s
 
 
+def is_held_too_long(step: StepState, now: float) -> bool:
+    """Returns whether a step's job has waited too long with nothing running."""
+    return (
+        step.ready_at is not None
+        and now - step.ready_at >= MAX_HOLD_S
+        and not step.job_state.open_attempts
+    )
+
+
 def reserve_executors(
     step: StepState, tasks: int, allowed: Iterable[Executor], now: float
 ) -> GangReservation | None:
@@ -117,9 +130,9 @@
     if not places or (missing > 0 and step.spec.gang):
         return None
     return GangReservation(
-        step.job_state.queue.priority,
-        step.spec,
-        tuple(places),
-        now,
-        is_restart=restarts,
+        _rank(step), step.spec, tuple(places), now, is_restart=restarts
     )
+
+
+def _rank(step: StepState) -> tuple[bool, int]:
+    return step.job_state.is_beyond_rate, step.job_state.queue.priority
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -345,28 +345,26 @@
     async def _hand_over(self, leader: Leader) -> None:
         _log.warning(
             "resigning because another host is fitter to lead",
-            extra={
-                "executors": self._fitness.executors,
-                "shortfall": round(self._fitness.own_shortfall, 2),
-            },
+            extra=self._fitness.log_fields,
         )
         self._fitness.record_handover()
         leader.leadership.lost.set()
         await self._candidate.resign()
 
     def _make_sync_request(self) -> SyncRequest:
+        has_store = self._config_watcher.is_store_answering
         return SyncRequest(
             self._peers.address,
             self._phase_cache.epoch,
             self._phase_cache.change_number,
             self.config.version if self.config else 0,
-            needs_config=(
-                self._is_stored_config_unsound
-                or not self._config_watcher.is_store_answering
-            ),
+            needs_config=self._is_stored_config_unsound or not has_store,
             accepts_packed=True,
+            # Neither kind of host would be elected after a handover.
             shortfall=(
-                UNFIT if self.draining else self._fitness.announced_shortfall
+                UNFIT
+                if self.draining or not has_store
+                else self._fitness.announced_shortfall
             ),
             pending_number=self._phase_cache.pending_number,
         )
@@ -381,6 +379,9 @@
             await self._host_clock.sleep(
                 sync_batch_delay_s(len(self._known_peers.last_sync_at))
             )
+        # A loss during the delay has not woken this request.
+        if not self._is_leading(self._host_clock.now()):
+            return Success(SyncReply(0, over_term=self._last_ended_term))
         reply = await self._phase_cache.wait_for_changes(
             req.epoch,
             req.number,
@@ -422,8 +423,13 @@
         return Success(KeyWrittenReply())
 
     def _load_written_key(self, epoch: int, item: Item) -> None:
+        # A leader that is still loading finds the key with its watch.
         leader = self.leader
-        if leader is not None and leader.leadership.epoch == epoch:
+        if (
+            leader is not None
+            and leader.is_loaded
+            and leader.leadership.epoch == epoch
+        ):
             add_stored_jobs(leader, (item,))
 
     def _notify_leader(self, epoch: int, item: Item) -> None:
--- a/libs/cell/dragonflybank/cell/input_faults.py
+++ b/libs/cell/dragonflybank/cell/input_faults.py
@@ -22,7 +22,6 @@
     "InputFaultError",
     "InputFaults",
     "find_input_fault",
-    "find_raising_step",
 ]
 
 import enum
@@ -37,8 +36,6 @@
 from dragonflybank.cell.keys import INPUT_FAULTS_KEY
 from dragonflybank.cell.metrics import CellMetrics
 from dragonflybank.cell.ports import Store, Txn, TxnReply
-from dragonflybank.cell.state import StepState
-from dragonflybank.cell.step_order import step_rank
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.model.codes import Code, Problem
 from dragonflybank.model.decoding import decode_json
@@ -230,23 +227,3 @@
         found = map(find_input_fault, exc.exceptions)
         return next((f for f in found if f is not None), None)
     return None
-
-
-def find_raising_step(
-    ready: Iterable[StepState],
-    considered: Collection[StepState],
-    unix_time: float,
-) -> StepState | None:
-    """Returns the step by which a round of decisions raised an exception.
-
-    Args:
-        ready: The steps that the round was to consider.
-        considered: Those that it had begun to consider, in order.
-        unix_time: Time of the round, seconds since 1970.
-    """
-    for step in ready:
-        try:
-            step_rank(step, unix_time)
-        except Exception:
-            return step
-    return next(reversed(list(considered)), None)
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -23,10 +23,7 @@
 from dragonflybank.cell.group_commit import Committer
 from dragonflybank.cell.health import HealthTracker
 from dragonflybank.cell.input_faults import (
-    FaultPlace,
-    InputFaultError,
     InputFaults,
-    find_raising_step,
 )
 from dragonflybank.cell.jobs import CellConfig, JobPhase
 from dragonflybank.cell.limits import CellLimits
@@ -139,24 +136,11 @@
             self._wake.clear()
             now = self.clock.now()
             self._run_timed_checks(now)
-            self._place_waiting_steps(now, self.unix_time())
+            self.scheduler.place_waiting_steps(now, self.unix_time())
             if now - self._load_logged_at >= LOAD_LOG_INTERVAL_S:
                 self._load_logged_at = now
                 self._log_load()
 
-    def _place_waiting_steps(self, now: float, unix_time: float) -> None:
-        try:
-            self.scheduler.place_waiting_steps(now, unix_time)
-        except Exception as exc:
-            step = find_raising_step(
-                self.workload.ready, self.scheduler.considered, unix_time
-            )
-            if step is None:
-                raise
-            raise InputFaultError(
-                FaultPlace.ROUND, [step.job_state.job.id]
-            ) from exc
-
     async def close(self) -> None:
         """Ends all calls to executors and background tasks."""
         await self.fleet.close()
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -37,14 +37,17 @@
     count_attainable_tasks,
 )
 from dragonflybank.cell.decision_round import DecisionRound, begin_round
+from dragonflybank.cell.isolation import set_step_aside
 from dragonflybank.cell.jobs import Queue
 from dragonflybank.cell.links import running_orphans
 from dragonflybank.cell.placement import (
     PlacementPlan,
     candidate_executors,
+    good_executors,
     has_attainable_room,
     plan_placement,
 )
+from dragonflybank.cell.round_order import steps_in_order
 from dragonflybank.cell.state import (
     Attempt,
     AttemptPhase,
@@ -52,12 +55,13 @@
     StepState,
     Task,
 )
-from dragonflybank.cell.step_holds import is_start_within_cap, tasks_within_cap
-from dragonflybank.cell.step_order import (
-    is_restart,
-    step_rank,
-    tasks_in_turn,
+from dragonflybank.cell.step_holds import (
+    is_start_within_cap,
+    log_wait,
+    tasks_within_cap,
 )
+from dragonflybank.cell.step_order import is_restart, tasks_in_turn
+from dragonflybank.cell.team_shares import is_beyond_rate
 from dragonflybank.cell.tickets import (
     TICKET_MARGIN_S,
     advice_call_s,
@@ -76,11 +80,17 @@
 # Time after which a round is continued in the next one. The leader reads its
 # key every 0.4 s and starts nothing if the last confirmation is older than 1 s.
 ROUND_BUDGET_S = 0.1
+# The part of it in which a continued round considers steps once more. Without
+# it, urgent steps would wait while later ones take what becomes free.
+RECONSIDERATION_BUDGET_S = 0.025
 # Time for which a step is not placed after a failed call for advice.
 ADVICE_RETRY_DELAY_S = 0.2
 # A waiting gang asks about no further executors while the good ones that it
 # knows have this multiple of the capacity that it needs.
 GANG_CAPACITY_FACTOR = 2
+# Work beyond its team's rate asks for advice only while more than this part of
+# the hosts, as a divisor, makes no call.
+SPARE_SLOTS_FACTOR = 4
 
 
 class Scheduler:
@@ -123,8 +133,10 @@
         """Runs one round: places all waiting steps that can be placed now.
 
         A round that exceeds its budget of time wakes the leader and goes on
-        with the next call, which considers steps that are new first if they
-        come first.
+        with the next call. That call considers new steps, and for a part of the
+        budget the steps that were considered before, in their order among the
+        others. Gangs and restarts wait for the next round, since what is
+        reserved for them would count against them.
 
         Args:
             now: Current time of the leader's monotonic clock, in seconds.
@@ -137,32 +149,44 @@
         current = begin_round(executors, now)
         if self.considered:
             current.continue_after(self._last_round)
+        elif self._last_round is not None:
+            current.make_room_for_gangs(self._last_round)
         self._last_round = current
         leader.workload.count_orphans(running_orphans(executors, now))
-        ready = sorted(
-            (s for s in leader.workload.ready if s not in self.considered),
-            key=lambda s: step_rank(s, unix_time),
-        )
-        until = leader.clock.now() + ROUND_BUDGET_S
-        for step in ready:
-            if leader.clock.now() >= until:
+        began_at = leader.clock.now()
+        is_reconsidering = True
+        for step in steps_in_order(leader, current, self.considered, unix_time):
+            if step in self.considered and not is_reconsidering:
+                continue
+            took_s = leader.clock.now() - began_at
+            if took_s >= ROUND_BUDGET_S:
                 leader.wake()
                 return
-            self.considered[step] = None
-            tasks = step.waiting_tasks()
-            if not tasks:
-                leader.workload.ready.pop(step, None)
+            if step in self.considered and took_s >= RECONSIDERATION_BUDGET_S:
+                is_reconsidering = False
                 continue
-            tasks = tasks_in_turn(step, tasks)
-            tasks = tasks_within_cap(step, tasks, current)
-            if not tasks:
-                continue
-            if self._is_placeable(step, tasks, now):
-                self._place_step(step, tasks, current)
-            elif step.spec.gang and step.advice_pending:
-                self._keep_reservation(step, tasks, current)
+            self.considered[step] = None
+            try:
+                self._consider(step, current)
+            except Exception:
+                set_step_aside(leader, step, now)
         self.considered.clear()
 
+    def _consider(self, step: StepState, current: DecisionRound) -> None:
+        tasks = step.waiting_tasks()
+        if not tasks:
+            self._leader.workload.ready.pop(step, None)
+            return
+        tasks = tasks_in_turn(step, tasks)
+        tasks = tasks_within_cap(step, tasks, current)
+        if not tasks:
+            return
+        if self._is_placeable(step, tasks, current.now):
+            if not self._place_step(step, tasks, current):
+                log_wait(step, current)
+        elif step.spec.gang and step.advice_pending:
+            self._keep_reservation(step, tasks, current)
+
     def _is_placeable(
         self, step: StepState, tasks: list[Task], now: float
     ) -> bool:
@@ -176,18 +200,23 @@
 
     def _place_step(
         self, step: StepState, tasks: list[Task], current: DecisionRound
-    ) -> None:
+    ) -> bool:
+        """Places tasks of a step, or asks for advice about it.
+
+        Returns:
+            Whether anything was started or asked for.
+        """
         queue = step.job_state.queue
         is_advised = (
             queue.advised is not None and self._advice_dispatcher is not None
         )
         if self._must_wait(step, is_advised, current):
-            return
+            return False
         accepting = current.executors_for(step)
         if not is_advised:
             good = candidate_executors(step, accepting.values())
         else:
-            good = _good_executors(step, accepting)
+            good = good_executors(step, accepting)
         allowed = good
         if is_advised and step.advice_pending:
             # Valid tickets are used while a call for advice is in progress.
@@ -200,10 +229,12 @@
             allowed,
             reserved_millicores=current.reserved_against(step),
         )
+        if not plan.pairs:
+            plan = current.plan_after_wait(step, tasks, allowed)
         if plan.pairs and self._execute_plan(
             step, tasks, plan, allowed, current
         ):
-            return
+            return True
         if not plan.pairs:
             current.update_free_millicores(queue.service)
         is_asking = (
@@ -215,6 +246,7 @@
         )
         if (step.spec.gang or is_restart(step)) and not is_asking:
             current.reserve_for_gang(step, tasks, good)
+        return is_asking
 
     def _keep_reservation(
         self, step: StepState, tasks: list[Task], current: DecisionRound
@@ -223,7 +255,7 @@
         if step.awaiting_tickets or len(tasks) < step.unfinished_count:
             return
         service = step.job_state.queue.service
-        good = _good_executors(step, current.accepting.get(service, {}))
+        good = good_executors(step, current.accepting.get(service, {}))
         current.reserve_for_gang(step, tasks, good)
 
     def _must_wait(
@@ -243,9 +275,21 @@
             return is_full
         needs_long_call = is_long_call(queue.advised.base_s)
         if not step.advice_by_executor:
+            if self._must_leave_slots(step, current):
+                return True
             return (queue.priority, needs_long_call) in current.refused
         return is_full and needs_long_call
 
+    def _must_leave_slots(
+        self, step: StepState, current: DecisionRound
+    ) -> bool:
+        """Returns whether the slots are left to teams that keep their rates."""
+        return (
+            is_beyond_rate(step)
+            and SPARE_SLOTS_FACTOR * self.idle_advice_slots <= self.advice_slots
+            and not current.is_overdue(step)
+        )
+
     def _needs_more(
         self, step: StepState, tasks: list[Task], good: list[Executor]
     ) -> bool:
@@ -304,6 +348,8 @@
     ) -> AdviceSlot | None:
         queue = step.job_state.queue
         duration_s = advice_call_s(queue.advised, names)
+        if self._must_leave_slots(step, current):
+            return None
         slot = self._advice_dispatcher.acquire_slot(
             priority=queue.priority, duration_s=duration_s, now=current.now
         )
@@ -482,20 +528,10 @@
         for attempt in rest:
             self._leader.attempts.stop(attempt, "no valid ticket")
         while usable and not is_start_within_cap(step, usable):
-            # The cap was lowered during the call for tickets.
-            for attempt in usable if step.spec.gang else usable[-1:]:
+            # The cap was lowered during the call for tickets. A leader that is
+            # closing has no links and leaves the attempts reserved.
+            kept = 0 if step.spec.gang else len(usable) - 1
+            for attempt in usable[kept:]:
                 self._leader.attempts.stop(attempt, "over the cap of its team")
-            usable = [a for a in usable if a.phase is AttemptPhase.RESERVED]
+            usable = usable[:kept]
         self._start(step, usable, now)
-
-
-def _good_executors(
-    step: StepState, accepting: Mapping[str, Executor]
-) -> list[Executor]:
-    """Returns those executors that advice has found good for a step."""
-    good = [
-        accepting[name]
-        for name, advice in step.advice_by_executor.items()
-        if advice.ticket and name in accepting
-    ]
-    return candidate_executors(step, good)
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -66,6 +66,7 @@
             the attempt proves that it does not run; None while a start may
             still arrive.
         is_start_sent: Whether a command to start it was sent.
+        service: Service of its executor when it was placed.
     """
 
     task: "Task"
@@ -79,6 +80,7 @@
     speed_percent: int = 100
     absence_conclusive_after: float | None = None
     is_start_sent: bool = False
+    service: str = ""
 
     @property
     def may_run_on_newer_incarnation(self) -> bool:
@@ -186,6 +188,7 @@
         awaiting_tickets: Reserved attempts that wait for new tickets.
         blocked_until: Time before which its tasks are not placed.
         hold_logged_at: Time at which the last log line said why it waits.
+        fault_count: Number of exceptions that its placement has raised.
     """
 
     job_state: "JobState"
@@ -201,6 +204,7 @@
     awaiting_tickets: list[Attempt] = attrs.field(factory=list)
     blocked_until: float = 0.0
     hold_logged_at: float = float("-inf")
+    fault_count: int = 0
 
     @property
     def key(self) -> str:
@@ -243,6 +247,7 @@
         queue: Its queue as the configuration in force defines it, or the last
             definition known if the queue no longer exists.
         team_usage: What the teams have running; shared by all jobs of a leader.
+        is_beyond_rate: Whether its team sent it beyond its rate.
     """
 
     job: Job
@@ -259,6 +264,7 @@
         )
     )
     team_usage: TeamUsage = attrs.field(factory=TeamUsage)
+    is_beyond_rate: bool = False
 
     @functools.cached_property
     def paths_s(self) -> tuple[float, ...]:
@@ -302,6 +308,8 @@
         claimed: Whether it has accepted this leader's epoch.
         restart_seen_at: Time at which a new incarnation was detected.
         is_listed: Whether it has an entry in the platform's list.
+        answered_incarnation: Incarnation in its last poll reply to this leader;
+            0 before the first one.
         last_reply_at: Time of its last poll reply.
         clock_s: Its clock at that time.
         lease_until_s: Latest expiry of its lease ever requested, on its
@@ -331,6 +339,7 @@
     claimed: bool = False
     restart_seen_at: float = float("-inf")
     is_listed: bool = True
+    answered_incarnation: int = 0
     last_reply_at: float = 0.0
     clock_s: float = 0.0
     lease_until_s: float = 0.0
@@ -354,6 +363,15 @@
         self.quarantined_at = now
         self.quarantined_until = now + duration_s
 
+    @property
+    def is_identified(self) -> bool:
+        """Whether it has answered as the incarnation that ``info`` names.
+
+        Until then nothing but an entry, which may be another writer's, says
+        where it is.
+        """
+        return self.answered_incarnation == self.info.incarnation > 0
+
     @property
     def free_millicores(self) -> int:
         """CPU cores that are free, in thousandths of a core."""
--- a/libs/cell/dragonflybank/cell/tests/test_input_faults.py
+++ b/libs/cell/dragonflybank/cell/tests/test_input_faults.py
@@ -7,7 +7,7 @@
 import testtools
 from testtools.matchers import Equals
 
-from dragonflybank.cell import group_commit, scheduling
+from dragonflybank.cell import group_commit
 from dragonflybank.cell.jobs import JobPhase, Step
 from dragonflybank.cell.keys import INPUT_FAULTS_KEY, progress_key
 from dragonflybank.cell.workload import Workload
@@ -82,33 +82,6 @@
             found, Equals(_Outcome({JobPhase.COMPLETED}, 0, 3, 3, 2.0))
         )
 
-    def test_a_step_whose_decision_raises_is_set_aside(self):
-        plan_placement = scheduling.plan_placement
-
-        def raise_for_bad_job(step, *args, **kwargs):
-            if step.job_state.job.id == BAD_JOB:
-                raise ZeroDivisionError
-            return plan_placement(step, *args, **kwargs)
-
-        with mock.patch.object(scheduling, "plan_placement", raise_for_bad_job):
-            self._assert_set_aside(self._play("round of decisions"))
-
-    def test_a_step_whose_rank_raises_is_set_aside(self):
-        step_rank = scheduling.step_rank
-
-        def raise_for_bad_job(step, now):
-            if step.job_state.job.id == BAD_JOB:
-                raise OverflowError
-            return step_rank(step, now)
-
-        with (
-            mock.patch.object(scheduling, "step_rank", raise_for_bad_job),
-            mock.patch(
-                "dragonflybank.cell.input_faults.step_rank", raise_for_bad_job
-            ),
-        ):
-            self._assert_set_aside(self._play("round of decisions"))
-
     def test_a_recurring_job_that_cannot_be_opened_is_set_aside(self):
         open_due = Workload._open_due
 
--- a/libs/cell/dragonflybank/cell/tests/test_large_jobs.py
+++ b/libs/cell/dragonflybank/cell/tests/test_large_jobs.py
@@ -3,6 +3,7 @@
 Work is counted in function calls, which do not depend on the machine.
 """
 
+import asyncio
 import itertools
 import sys
 
@@ -19,7 +20,12 @@
     get_step,
     make_executor,
 )
-from dragonflybank.cell.tests.scheduler_fakes import FakeLeader
+from dragonflybank.cell.tests.scheduler_fakes import (
+    CALL_S,
+    FakeAdviceDispatcher,
+    FakeLeader,
+)
+from dragonflybank.standins.cell.virtual_time import run_in_virtual_time
 
 LAYERS, WIDTH = 8, 16
 STEPS = LAYERS * WIDTH
@@ -102,6 +108,26 @@
         again = _count_calls(self._place)
         self.assertThat(again, LessThan(50 * flows * WIDTH))
 
+    def test_a_round_looks_at_the_service_once_for_each_step(self):
+        gangs, sweeps = 40, 100
+        for number in range(2 * gangs):
+            executor = make_executor(f"g{number}", cores=64)
+            self.leader.fleet.executors[executor.info.id] = executor
+        busy = Step(
+            2 * gangs, millicores=8000, estimate_s=60.0, max_per_executor=1
+        )
+        add_job(self.workload, 1, busy, at=NOW)
+        self._place()
+        for number in range(gangs):
+            gang = Step(2, millicores=60_000, estimate_s=9.0, gang=True)
+            add_job(self.workload, 10 + number, gang, at=NOW)
+        for number in range(sweeps):
+            spec = Step(1, millicores=100, estimate_s=0.1)
+            add_job(self.workload, 99 + number, spec, queue="sweep", at=NOW)
+        placed = _count_calls(self._place)
+        looks = sweeps * (2 * gangs + gangs)
+        self.assertThat(placed, LessThan(40 * looks))
+
     def test_delays_are_estimated_from_each_ready_step_once(self):
         flows = 80
         self._add_flows(flows)
@@ -221,6 +247,33 @@
         self._place()
         self.assertThat(urgent.waiting_tasks(), Equals([]))
 
+    def test_a_step_that_gets_advice_does_not_wait_for_the_end_of_a_round(self):
+        self.scheduler = Scheduler(self.leader, FakeAdviceDispatcher())
+        advised = self._add("verify")
+        sweeps = [self._add("sweep") for _ in range(200)]
+
+        async def run():
+            self._place()
+            await asyncio.sleep(2 * CALL_S)
+            self._place()
+
+        run_in_virtual_time(run())
+        self.assertThat(any(s.waiting_tasks() for s in sweeps), Equals(True))
+        self.assertThat(advised.waiting_tasks(), Equals([]))
+
+    def test_an_urgent_step_gets_what_becomes_free_during_a_round(self):
+        full = [self._add("lookup", millicores=64_000) for _ in range(4)]
+        self._place()
+        urgent = self._add("lookup", millicores=60_000)
+        sweeps = [self._add("sweep", millicores=60_000) for _ in range(200)]
+        self._place()
+        release(full[0].tasks[0].attempts[0])
+        self._place()
+        self.assertThat(urgent.waiting_tasks(), Equals([]))
+        self.assertThat(
+            [s for s in sweeps if not s.waiting_tasks()], Equals([])
+        )
+
     def test_steps_in_a_later_part_leave_what_a_gang_waits_for(self):
         self._add("lookup", millicores=40_000)
         self._place()
--- a/libs/cell/dragonflybank/cell/tests/test_team_usage.py
+++ b/libs/cell/dragonflybank/cell/tests/test_team_usage.py
@@ -156,12 +156,49 @@
             self._decide()
         self.assertThat(gang.waiting_tasks(), Equals([]))
 
+    def _run_urgent_load(self, steps, *, until, cores):
+        """Runs rounds beside urgent tasks of 1 s, two of them at a time."""
+        for turn in range(10 * until):
+            now = turn / 10
+            self.leader.clock.time_s = now
+            if turn % 5 == 0:
+                spec = _step(1, cores)
+                steps.append(self._add(turn + 100, spec, at=now))
+            for attempt in list(self.workload.attempts()):
+                if attempt.began_at <= now - 1.0:
+                    release(attempt)
+                    self.workload.finish_task(attempt.task, 1, now)
+            self._decide(now)
+            yield now
+
+    def test_urgent_work_of_the_same_team_does_not_starve_its_gang(self):
+        urgent = []
+        gang = None
+        for now in self._run_urgent_load(urgent, until=10, cores=2):
+            if now == 2.0:
+                gang = self._add(1, _step(3, 6, gang=True), queue="sweep")
+            if gang and gang.tasks[0].attempts:
+                break
+        self.assertThat(now, LessThan(2.0 + 3.0))
+        # No urgent task has waited as long as the gang.
+        held = [s.ready_at for s in urgent if s.waiting_tasks()]
+        self.assertThat(now - min(held), LessThan(1.5))
+
     def test_a_gang_that_can_never_fit_holds_back_nothing(self):
         self._add(1, _step(3, 10, gang=True))
         step = self._add(2, _step(1, 5), queue="sweep")
         self._decide()
         self.assertThat(step.waiting_tasks(), Equals([]))
 
+    def test_a_gang_without_suitable_executors_holds_back_nothing(self):
+        self._add(1, _step(1, 8), queue="sweep")
+        self._decide()
+        self._add(2, _step(3, 6, gang=True, label="absent"))
+        for now in (0.1, 2.0, 2.1):
+            step = self._add(int(10 * now) + 3, _step(1, 2), queue="sweep")
+            self._decide(now)
+            self.assertThat(step.waiting_tasks(), Equals([]))
+
     def test_a_large_task_starts_below_half_of_the_cap(self):
         self._add(1, _step(1, 9))
         large = self._add(2, _step(2, 15), queue="sweep")
@@ -192,6 +229,24 @@
         self.assertThat(len(job.attempts()), Equals(1))
 
 
+class TestHoldLog(_Case):
+    """Guards against a backlog that fills the log of the leader."""
+
+    def test_a_step_is_logged_less_often_the_longer_it_waits(self):
+        self._add(1, _step(1, 20))
+        self._decide()
+        for number in range(2, 102):
+            self._add(number, _step(1, 5))
+        name = "dragonflybank.cell.step_holds"
+        with self.assertLogs(name, logging.INFO) as first:
+            self._decide(0.1)
+        self.assertThat(len(first.records), Equals(100))
+        with self.assertLogs(name, logging.INFO) as later:
+            for turn in range(2, 300):
+                self._decide(turn / 10)
+        self.assertThat(len(later.records), LessThan(6 * 100))
+
+
 class TestChangedCaps(_Case):
     """Guards against starts by a cap that is no longer in force."""
 
@@ -267,6 +322,20 @@
         self.assertThat(self._cores(), Equals(0))
         self.assertThat(self.leader.attempts.started, Equals([]))
 
+    def test_the_check_of_reservations_ends_though_links_are_closed(self):
+        # A leader that closes has no links, and its attempts are not stopped.
+        for number, is_gang in enumerate((False, True), 1):
+            step = self._add(number, _step(2, 6, gang=is_gang), queue="verify")
+            attempts = self._reserve(step)
+            self._adopt(number + 1, 5)
+            stops = []
+            self.leader.attempts.stop = lambda attempt, _, to=stops: (
+                to.append(attempt) if len(to) < 9 else self.fail("no end")
+            )
+            self.scheduler._start_reserved(step, attempts, 0.0)
+            self.assertThat(len(stops), Equals(2))
+            self.assertThat(self.leader.attempts.started, Equals([]))
+
     def test_a_cap_lowered_while_a_placement_is_stored_stops_its_start(self):
         step = self._add(1, _step(3, 6))
         sending = _Sending(lambda: self._adopt(2, 14))
--- a/libs/cell/dragonflybank/cell/workload.py
+++ b/libs/cell/dragonflybank/cell/workload.py
@@ -17,12 +17,14 @@
     Step,
     TaskId,
 )
+from dragonflybank.cell.limits import DEFAULT_QUOTA_OVERAGE
 from dragonflybank.cell.queue_definitions import (
     QueueDefinitions,
     is_redefined,
 )
 from dragonflybank.cell.state import Attempt, JobState, StepState, Task
-from dragonflybank.cell.team_usage import DEFAULT_OVERAGE, TeamUsage
+from dragonflybank.cell.team_shares import RateMeter
+from dragonflybank.cell.team_usage import TeamUsage
 
 
 class Workload:
@@ -37,18 +39,20 @@
         ended_steps: Team and steps of ended jobs that have a team.
         set_aside: Jobs of which nothing is started; see `input_faults`.
         team_usage: What the teams have running, and their caps.
+        rate_meter: Finds the jobs that teams send beyond their rates.
 
     Args:
         quota_overage: See `CellLimits.quota_overage`.
     """
 
-    def __init__(self, quota_overage: float = DEFAULT_OVERAGE):
+    def __init__(self, quota_overage: float = DEFAULT_QUOTA_OVERAGE):
         self.jobs: dict[str, JobState] = {}
         self.ended: dict[str, tuple[JobPhase, float]] = {}
         self.ready: dict[StepState, None] = {}
         self.recurring: dict[str, JobState] = {}
         self.ended_steps: dict[str, tuple[str, tuple[Step, ...]]] = {}
         self.team_usage = TeamUsage(quota_overage)
+        self.rate_meter = RateMeter()
         self.set_aside: set[str] = set()
         self._definitions = QueueDefinitions()
 
@@ -121,6 +125,7 @@
             team_usage=self.team_usage,
         )
         self.jobs[job.id] = state
+        self.rate_meter.add(state)
         if job.is_recurring:
             self.recurring[job.id] = state
             self.open_due_occurrences(
