Move starts of planned tasks out of the scheduler

Reservations, starts and the starts after a call for tickets are functions of attempt_starts; nothing else changed. The tests call start_reserved directly.

--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -18,7 +18,7 @@
 
 import asyncio
 import logging
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING
 
 from returns.result import Failure, Success
@@ -32,10 +32,12 @@
     AdviceHistory,
     pending_demand,
 )
-from dragonflybank.cell.capacity import (
-    accepts_reserved,
-    count_attainable_tasks,
+from dragonflybank.cell.attempt_starts import (
+    reserve_tasks,
+    start_attempts,
+    start_reserved,
 )
+from dragonflybank.cell.capacity import count_attainable_tasks
 from dragonflybank.cell.decision_round import DecisionRound, begin_round
 from dragonflybank.cell.isolation import set_step_aside
 from dragonflybank.cell.jobs import Queue
@@ -50,13 +52,11 @@
 from dragonflybank.cell.round_order import steps_in_order
 from dragonflybank.cell.state import (
     Attempt,
-    AttemptPhase,
     Executor,
     StepState,
     Task,
 )
 from dragonflybank.cell.step_holds import (
-    is_start_within_cap,
     log_wait,
     tasks_within_cap,
 )
@@ -373,7 +373,7 @@
         timing = step.job_state.queue.advised
         now = current.now
         if timing is None or self._advice_dispatcher is None:
-            self._start(step, self._reserve(step, plan.pairs, now), now)
+            self._start(step, plan.pairs, now)
             return True
         ticketed = [
             pair
@@ -381,14 +381,14 @@
             if valid_ticket(step, pair[1].info.id, now) is not None
         ]
         if not step.spec.gang:
-            self._start(step, self._reserve(step, ticketed, now), now)
+            self._start(step, ticketed, now)
             rest = [pair for pair in plan.pairs if pair not in ticketed]
         else:
             rest = list(plan.pairs)
         used = sorted({executor.info.id for _, executor in rest})
         named = executors_to_renew(step, used, timing, now)
         if not named:
-            self._start(step, self._reserve(step, rest, now), now)
+            self._start(step, rest, now)
             return bool(plan.pairs)
         if len(tasks) > len(plan.pairs):
             others = [
@@ -401,45 +401,18 @@
         slot = self._acquire_slot(step, len(named), current)
         if slot is None:
             return bool(ticketed) and not step.spec.gang
-        attempts = self._reserve(step, rest, now)
+        attempts = reserve_tasks(self._leader, step, rest, now)
         self._start_advice_calls(step, [(slot, named)], attempts)
         return True
 
-    def _reserve(
-        self, step: StepState, pairs: list[tuple[Task, Executor]], now: float
-    ) -> list[Attempt]:
-        workload = self._leader.workload
-        manager = self._leader.attempts
-        if step.spec.gang:
-            number = workload.next_attempt_number([task for task, _ in pairs])
-            return manager.reserve_attempts(step, pairs, number, now)
-        return [
-            attempt
-            for pair in pairs
-            for attempt in manager.reserve_attempts(
-                step, [pair], workload.next_attempt_number([pair[0]]), now
-            )
-        ]
-
     def _start(
-        self, step: StepState, attempts: list[Attempt], now: float
+        self,
+        step: StepState,
+        pairs: Sequence[tuple[Task, Executor]],
+        now: float,
     ) -> None:
-        waited_s = now - (step.ready_at or now)
-        waits = self._leader.metrics.placement_wait_seconds.labels(
-            step.job_state.queue.priority
-        )
-        for attempt in attempts:
-            waits.observe(waited_s)
-            _log.info(
-                "place",
-                extra={
-                    **attempt.log_fields,
-                    "free_millicores": attempt.executor.free_millicores,
-                    "waited_s": round(waited_s, 3),
-                    "gang": step.spec.gang,
-                },
-            )
-        self._leader.attempts.start_attempts(step, attempts)
+        attempts = reserve_tasks(self._leader, step, pairs, now)
+        start_attempts(self._leader, step, attempts, now)
 
     def _start_advice_calls(
         self,
@@ -467,7 +440,7 @@
         now = self._leader.clock.now()
         step.advice_pending = False
         attempts, step.awaiting_tickets = step.awaiting_tickets, []
-        self._start_reserved(step, attempts, now)
+        start_reserved(self._leader, step, attempts, now)
         self._leader.workload.requeue(step)
         self._leader.wake()
 
@@ -507,31 +480,3 @@
                 )
             case Failure(_):
                 step.blocked_until = now + ADVICE_RETRY_DELAY_S
-
-    def _start_reserved(
-        self, step: StepState, attempts: list[Attempt], now: float
-    ) -> None:
-        usable, rest = [], []
-        for attempt in attempts:
-            if attempt.phase is not AttemptPhase.RESERVED:
-                continue
-            executor = attempt.executor
-            is_usable = (
-                valid_ticket(step, executor.info.id, now)
-                and accepts_reserved(attempt)
-                # The queue may have been moved during the call for tickets.
-                and executor.info.service == step.job_state.queue.service
-            )
-            (usable if is_usable else rest).append(attempt)
-        if rest and step.spec.gang or step.job_state.phase.is_final:
-            usable, rest = [], [*usable, *rest]
-        for attempt in rest:
-            self._leader.attempts.stop(attempt, "no valid ticket")
-        while usable and not is_start_within_cap(step, usable):
-            # The cap was lowered during the call for tickets. A leader that is
-            # closing has no links and leaves the attempts reserved.
-            kept = 0 if step.spec.gang else len(usable) - 1
-            for attempt in usable[kept:]:
-                self._leader.attempts.stop(attempt, "over the cap of its team")
-            usable = usable[:kept]
-        self._start(step, usable, now)
--- a/libs/cell/dragonflybank/cell/tests/test_team_usage.py
+++ b/libs/cell/dragonflybank/cell/tests/test_team_usage.py
@@ -6,6 +6,7 @@
 import testtools
 from testtools.matchers import Equals, LessThan
 
+from dragonflybank.cell.attempt_starts import start_reserved
 from dragonflybank.cell.attempts import AttemptManager
 from dragonflybank.cell.capacity import release
 from dragonflybank.cell.jobs import (
@@ -308,7 +309,7 @@
         step = self._add(1, _step(3, 6), queue="verify")
         attempts = self._reserve(step)
         self._adopt(2, 14)
-        self.scheduler._start_reserved(step, attempts, 0.0)
+        start_reserved(self.leader, step, attempts, 0.0)
         self.assertThat(self._cores(), Equals(12))
         self.assertThat(len(self.leader.attempts.started), Equals(2))
 
@@ -318,7 +319,7 @@
         self._adopt(2, 17)
         self.assertThat(is_start_within_cap(step, attempts), Equals(True))
         self._adopt(3, 16)
-        self.scheduler._start_reserved(step, attempts, 0.0)
+        start_reserved(self.leader, step, attempts, 0.0)
         self.assertThat(self._cores(), Equals(0))
         self.assertThat(self.leader.attempts.started, Equals([]))
 
@@ -332,7 +333,7 @@
             self.leader.attempts.stop = lambda attempt, _, to=stops: (
                 to.append(attempt) if len(to) < 9 else self.fail("no end")
             )
-            self.scheduler._start_reserved(step, attempts, 0.0)
+            start_reserved(self.leader, step, attempts, 0.0)
             self.assertThat(len(stops), Equals(2))
             self.assertThat(self.leader.attempts.started, Equals([]))
 
