--- a/libs/standins/dragonflybank/standins/cell/simulated_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/simulated_cell.py
@@ -13,15 +13,12 @@
 
 from dragonflybank.cell.host import CellHost, HostSettings
 from dragonflybank.cell.jobs import (
-    AdviceTiming,
     CellConfig,
     Job,
     JobPhase,
-    Queue,
     Service,
     Step,
     TaskId,
-    find_queue,
 )
 from dragonflybank.cell.limits import CellLimits
 from dragonflybank.cell.ports import EndKind, ExecutorInfo
@@ -34,6 +31,11 @@
     MemoryPeers,
     MemoryPlatform,
 )
+from dragonflybank.standins.cell.simulated_load import (
+    SubmissionLoad,
+    defined_queue,
+    make_queues,
+)
 from dragonflybank.standins.cell.store import MemoryStore
 from dragonflybank.standins.cell.virtual_time import (
     VirtualClock,
@@ -46,23 +48,6 @@
 CALL_TIMEOUT_S = 3.0
 
 
-@attrs.frozen
-class SubmissionLoad:
-    """The load that callers offer.
-
-    Attributes:
-        jobs_per_s: Average rate of submissions in jobs per second.
-        cancel_share: Share of the jobs that are cancelled.
-        failing_share: Share of the jobs whose tasks always fail.
-        duration_s: Time in which jobs are submitted, in seconds.
-    """
-
-    jobs_per_s: float = 8.0
-    cancel_share: float = 0.05
-    failing_share: float = 0.02
-    duration_s: float = 20.0
-
-
 class SimulatedCell:
     """A cell in memory, under the faults that a test sets.
 
@@ -116,7 +101,7 @@
         self._clock = VirtualClock()
         self._services = tuple(services)
         self.teams = dict(teams or {})
-        self._queues = _make_queues(advised, self._services[0])
+        self._queues = make_queues(advised, self._services[0])
         self._caller_keys = CallerKeys(self.history)
         self.executors = {
             name: self._new_executor(name, number)
@@ -281,7 +266,7 @@
             hosts = list(self.hosts.values())
             if hosts:
                 host = self.rng.choice(hosts)
-                queue = _defined_queue(host, job)
+                queue = defined_queue(host, job)
                 team = self._caller_keys.authorize(
                     host.config, queue, key, self._clock.now()
                 )
@@ -511,31 +496,3 @@
 
 def _gang_key(run: AttemptRun) -> tuple[str, int, int]:
     return run.task.job, run.task.step, run.attempt
-
-
-def _defined_queue(host: CellHost, job: Job) -> Queue:
-    """Returns the queue of a job as the configuration of a host defines it."""
-    found = host.config and find_queue(
-        host.config, job.queue.host, job.queue.prefix
-    )
-    return found or job.queue
-
-
-def _make_queues(advised: bool, service: str) -> dict[str, Queue]:
-    advice = AdviceTiming(0.02, 0.0, 2.0) if advised else None
-    return {
-        name: Queue(
-            name,
-            "front",
-            f"/{name}/",
-            service,
-            priority,
-            objective_s,
-            2.0,
-            4,
-            advice if name != "lookup" else None,
-        )
-        for priority, (name, objective_s) in enumerate(
-            (("lookup", 0.4), ("verify", 1.2), ("sweep", 3.0))
-        )
-    }
