Skip delays by team without teams, and name one bound of a held job once

The leader listed accepting executors five times a second for delays by team also in deployments without teams. OVERDUE_AFTER_S and MAX_HOLD_S were one bound under two names. No decision changes.

--- a/libs/cell/dragonflybank/cell/decision_round.py
+++ b/libs/cell/dragonflybank/cell/decision_round.py
@@ -7,6 +7,7 @@
 import attrs
 
 from dragonflybank.cell.gang_reservation import (
+    MAX_HOLD_S,
     GangReservation,
     is_held_too_long,
     reserve_executors,
@@ -23,10 +24,6 @@
 from dragonflybank.cell.state import Executor, StepState, Task
 from dragonflybank.cell.teams import ResourceCap
 
-# A job may not wait for 3 s with nothing running while both its team and its
-# service are below half of their capacity. The rest of this time is for advice
-# and the start.
-OVERDUE_AFTER_S = 1.5
 # Less than any priority, so that all of them wait.
 ABOVE_PRIORITIES = float("-inf")
 
@@ -80,8 +77,8 @@
         It is reserved for gangs of a higher priority and, if the step is a gang
         itself, for those that come before it, and for restarts of long-running
         tasks. In a mostly idle service, a step may use it that will have ended
-        when the gang or the restart begins. A step of an overdue job may use it
-        in any case.
+        when the gang or the restart begins. A step of an overdue job of a
+        team may use it in any case.
         """
         if not self.gang_reservations:
             return {}
@@ -139,7 +136,7 @@
         """
         state, team = step.job_state, step.job_state.job.team
         ready_at = self.now if step.ready_at is None else step.ready_at
-        if self.now - ready_at < OVERDUE_AFTER_S:
+        if self.now - ready_at < MAX_HOLD_S:
             return False
         service = state.queue.service
         if service not in self._idle_services:
--- a/libs/cell/dragonflybank/cell/gang_reservation.py
+++ b/libs/cell/dragonflybank/cell/gang_reservation.py
@@ -10,7 +10,12 @@
 would start later.
 """
 
-__all__ = ["GangReservation", "is_held_too_long", "reserve_executors"]
+__all__ = [
+    "MAX_HOLD_S",
+    "GangReservation",
+    "is_held_too_long",
+    "reserve_executors",
+]
 
 import functools
 from collections.abc import Iterable
@@ -26,8 +31,8 @@
 # estimate and a margin for its start and the report of its end.
 BACKFILL_ESTIMATE_FACTOR = 2.0
 BACKFILL_MARGIN_S = 1.0
-# The users' rule: no job waits for 3 s with nothing running while less than
-# half of its service is in use and there is room for it twice.
+# No job may wait for 3 s with nothing running while less than half of its
+# service and of its team's cap is in use. The rest is for advice and the start.
 MAX_HOLD_S = 1.5
 
 
--- a/libs/cell/dragonflybank/cell/input_faults.py
+++ b/libs/cell/dragonflybank/cell/input_faults.py
@@ -1,14 +1,14 @@
 """Jobs whose handling raised exceptions that ended leaderships.
 
-An exception in a round of decisions or in the group commit ends a leadership,
-since the state in memory may be wrong. The next leader would meet the same job
-and end by the same exception. So each leader stores, before it resigns, which
-job it was about, and its successors set a job aside that has ended two
-leaderships: nothing of it is started any more.
-
-- After exceptions in rounds, what runs of the job goes on, and its ends and its
-  cancellation are processed. It is considered again once its entry is removed
-  from the store.
+An exception in the opening of due occurrences or in the group commit ends a
+leadership, since the state in memory may be wrong. The next leader would meet
+the same job and end by the same exception. So each leader stores, before it
+resigns, which job it was about, and its successors set a job aside that has
+ended two leaderships: nothing of it is started any more.
+
+- After exceptions in openings, what runs of the job goes on, and its ends and
+  its cancellation are processed. It is considered again once its entry is
+  removed from the store.
 - After exceptions in the group commit, its record is not written any more
   either. It must not start again, since its ends are not stored.
 
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -254,6 +254,11 @@
             now=now,
             unix_time=unix_time,
         )
+        self.metrics.start_delay_seconds.set(
+            max((delay.seconds for delay in delays), default=0.0)
+        )
+        if not usage.is_active:
+            return delays
         team_delays = estimate_team_delays(
             self.workload.ready,
             usage,
@@ -266,9 +271,6 @@
             min_delay_s=MIN_REPORTED_DELAY_S,
             unix_time=unix_time,
         )
-        self.metrics.start_delay_seconds.set(
-            max((delay.seconds for delay in delays), default=0.0)
-        )
         return (*delays, *team_delays)
 
     def update_gauges(self) -> None:
