Log which incarnation of an executor each command was meant for

A leader gave attempts up for 'lease over', but no line said which incarnation had carried out a start, nor which lease the leader counted.

Change: answers to commands carry the executor's clock (CommandAnswer), which starts anew with each incarnation; identify_answerer compares it with the clock of the last poll reply. New lines: start answered, stop answered, with the incarnation that the command was meant for and the one that answered; executor restarted; attempt absent. attempts lost names the attempts, the silence and the lease; end and executor claimed name the incarnation. No decision depends on it yet.

Ruled out: the born of a reply, which only entries and polls have (PROTOCOL.md, Service discovery).

--- a/libs/cell/dragonflybank/cell/attempts.py
+++ b/libs/cell/dragonflybank/cell/attempts.py
@@ -149,7 +149,13 @@
 
     def on_start_outcome_unknown(self, attempt: Attempt) -> None:
         """Stops an attempt whose start command may still be executed."""
-        _log.warning("start outcome unknown", extra=attempt.log_fields)
+        _log.warning(
+            "start outcome unknown",
+            extra={
+                **attempt.log_fields,
+                "meant_for": attempt.executor.answered_incarnation,
+            },
+        )
         self._leader.fleet.link(attempt.executor).stop(attempt)
         self.stop_gang(attempt)
 
@@ -200,6 +206,8 @@
                 "task": str(end.task),
                 "attempt": end.attempt,
                 "executor": executor.info.id,
+                "incarnation": executor.answered_incarnation,
+                "number": end.number,
                 "kind": end.kind.value,
                 "known": task is not None,
             },
@@ -258,6 +266,14 @@
                 attempt.absence_conclusive_after is not None
                 and sent_at > attempt.absence_conclusive_after
             ):
+                _log.info(
+                    "attempt absent",
+                    extra={
+                        **attempt.log_fields,
+                        "incarnation": executor.answered_incarnation,
+                        "phase": attempt.phase.value,
+                    },
+                )
                 self._release_and_requeue(attempt)
                 self.stop_gang(attempt)
         executor.orphan_attempts &= set(listed)
@@ -302,8 +318,14 @@
                 "attempts lost",
                 extra={
                     "executor": executor.info.id,
+                    "incarnation": executor.answered_incarnation,
                     "attempts": len(lost),
                     "reason": reason,
+                    "tasks": [f"{a.task.id}/{a.number}" for a in lost],
+                    "silent_s": round(now - executor.last_reply_at, 3),
+                    "lease_s": round(
+                        executor.lease_until_s - executor.clock_s, 3
+                    ),
                 },
             )
         for attempt in lost:
--- a/libs/cell/dragonflybank/cell/fleet.py
+++ b/libs/cell/dragonflybank/cell/fleet.py
@@ -207,6 +207,18 @@
             has_left_address: Whether it is no longer at its former address, so
                 that commands in transit do not reach it.
         """
+        _log.warning(
+            "executor restarted",
+            extra={
+                "executor": executor.info.id,
+                "former_incarnation": executor.answered_incarnation,
+                "attempts": len(executor.attempts),
+                "silent_s": round(
+                    self._leader.clock.now() - executor.last_reply_at, 3
+                ),
+                "has_left_address": has_left_address,
+            },
+        )
         self._leader.attempts.release_lost(
             executor, "another incarnation", keep_uncertain=not has_left_address
         )
@@ -274,6 +286,8 @@
                     extra={
                         "executor": executor.info.id,
                         "epoch": self._leader.leadership.epoch,
+                        "incarnation": reply.incarnation,
+                        "executor_clock_s": reply.clock_s,
                         "running": len(reply.running),
                         "ends": len(new_ends),
                     },
--- a/libs/cell/dragonflybank/cell/isolation.py
+++ b/libs/cell/dragonflybank/cell/isolation.py
@@ -21,7 +21,7 @@
 
 from dragonflybank.cell.jobs import TaskId
 from dragonflybank.cell.ports import (
-    CommandReply,
+    CommandAnswer,
     ExecutorClient,
     PollReply,
     StartCommand,
@@ -64,13 +64,13 @@
 
     async def start(
         self, command: StartCommand
-    ) -> Result[CommandReply, Problem]:
+    ) -> Result[CommandAnswer, Problem]:
         """See `ExecutorClient.start`."""
         return await self._isolate(self._client.start(command))
 
     async def stop(
         self, task: TaskId, attempt: int, *, epoch: int
-    ) -> Result[CommandReply, Problem]:
+    ) -> Result[CommandAnswer, Problem]:
         """See `ExecutorClient.stop`."""
         return await self._isolate(
             self._client.stop(task, attempt, epoch=epoch)
@@ -91,7 +91,7 @@
 
     async def throttle(
         self, task: TaskId, attempt: int, *, percent: int, epoch: int
-    ) -> Result[CommandReply, Problem]:
+    ) -> Result[CommandAnswer, Problem]:
         """See `ExecutorClient.throttle`."""
         return await self._isolate(
             self._client.throttle(task, attempt, percent=percent, epoch=epoch)
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -25,8 +25,13 @@
 from returns.result import Failure, Success
 
 from dragonflybank.cell.background import BackgroundTasks
+from dragonflybank.cell.incarnations import (
+    MIN_CLOCK_RATE,
+    identify_answerer,
+)
 from dragonflybank.cell.jobs import TaskId
 from dragonflybank.cell.ports import (
+    CommandAnswer,
     CommandReply,
     ExecutorClient,
     PollReply,
@@ -52,8 +57,6 @@
 THROTTLED_POLL_WAIT_S = 0.5
 UNKNOWN_SPEED_PERCENT = -1
 MAX_START_TRIES = 3
-# An executor's clock may run 2% slow.
-MIN_CLOCK_RATE = 0.98
 # Covers the time from an executor's reading of its clock until it has killed
 # its attempts.
 LEASE_EXPIRY_MARGIN_S = 0.3
@@ -283,7 +286,11 @@
             attempt.is_start_sent = True
             got = await self._client.start(command)
             if isinstance(got, Success):
-                reply = got.unwrap()
+                answer = got.unwrap()
+                reply = answer.reply
+                self._log_answer(
+                    "start answered", attempt, answer, now, tries=sent + 1
+                )
                 if reply is CommandReply.OK or not sent:
                     leader.attempts.on_start_reply(attempt, reply)
                     return
@@ -295,6 +302,38 @@
         if attempt.phase is AttemptPhase.STARTING:
             leader.attempts.on_start_outcome_unknown(attempt)
 
+    def _log_answer(
+        self,
+        event: str,
+        attempt: Attempt,
+        answer: CommandAnswer,
+        sent_at: float,
+        **fields,
+    ) -> None:
+        """Logs which incarnation a command was meant for, and which answered.
+
+        Args:
+            event: Name of the event.
+            attempt: The attempt that the command was about.
+            answer: The answer.
+            sent_at: Time at which the command was sent.
+            **fields: Further fields of the log line.
+        """
+        executor = self._executor
+        _log.info(
+            event,
+            extra={
+                **attempt.log_fields,
+                "reply": answer.reply.value,
+                "meant_for": executor.answered_incarnation,
+                "answered_by": identify_answerer(
+                    executor, answer.clock_s, sent_at
+                ).value,
+                "executor_clock_s": answer.clock_s,
+                **fields,
+            },
+        )
+
     async def _throttle(self, attempt: Attempt, percent: int) -> None:
         got = await self._client.throttle(
             attempt.task.id,
@@ -310,12 +349,15 @@
         leader, executor = self._leader, self._executor
         key = (attempt.task.id, attempt.number)
         while executor.attempts.get(key) is attempt:
+            sent_at = leader.clock.now()
             got = await self._client.stop(*key, epoch=leader.leadership.epoch)
-            match got:
-                case Success(CommandReply.OK):
+            if isinstance(got, Success):
+                answer = got.unwrap()
+                self._log_answer("stop answered", attempt, answer, sent_at)
+                if answer.reply is CommandReply.OK:
                     attempt.absence_conclusive_after = leader.clock.now()
                     return
-                case Success(CommandReply.FENCED):
+                if answer.reply is CommandReply.FENCED:
                     leader.on_fenced(executor)
                     return
             await leader.clock.sleep(RETRY_DELAY_S)
--- a/libs/cell/dragonflybank/cell/ports.py
+++ b/libs/cell/dragonflybank/cell/ports.py
@@ -6,6 +6,7 @@
 __all__ = [
     "AdviceService",
     "AttemptEnd",
+    "CommandAnswer",
     "CommandReply",
     "EndKind",
     "ExecutorClient",
@@ -277,6 +278,23 @@
     BAD = "bad"
 
 
+@attrs.frozen
+class CommandAnswer:
+    """An executor's answer to a command of the leader.
+
+    It doesn't name the incarnation that answered; the clock, which starts anew
+    with each incarnation, tells it apart.
+
+    Attributes:
+        reply: What the executor replied.
+        clock_s: The executor's monotonic clock in seconds, None if it was not
+            in the answer.
+    """
+
+    reply: CommandReply
+    clock_s: float | None = None
+
+
 @attrs.frozen
 class PollReply:
     """An executor's reply to a poll.
@@ -331,13 +349,13 @@
     @abc.abstractmethod
     async def start(
         self, command: StartCommand
-    ) -> Result[CommandReply, Problem]:
+    ) -> Result[CommandAnswer, Problem]:
         """Starts an attempt unless the executor has it already."""
 
     @abc.abstractmethod
     async def stop(
         self, task: TaskId, attempt: int, *, epoch: int
-    ) -> Result[CommandReply, Problem]:
+    ) -> Result[CommandAnswer, Problem]:
         """Stops an attempt; a start that arrives afterwards is refused."""
 
     @abc.abstractmethod
@@ -358,7 +376,7 @@
     @abc.abstractmethod
     async def throttle(
         self, task: TaskId, attempt: int, *, percent: int, epoch: int
-    ) -> Result[CommandReply, Problem]:
+    ) -> Result[CommandAnswer, Problem]:
         """Limits an attempt to a percentage of its full speed."""
 
     @abc.abstractmethod
--- a/libs/standins/dragonflybank/standins/cell/executors.py
+++ b/libs/standins/dragonflybank/standins/cell/executors.py
@@ -16,6 +16,7 @@
 from dragonflybank.cell.jobs import Step, TaskId
 from dragonflybank.cell.ports import (
     AttemptEnd,
+    CommandAnswer,
     CommandReply,
     EndKind,
     ExecutorClient,
@@ -286,7 +287,7 @@
             await asyncio.sleep(CALL_TIMEOUT_S)
             return failure(Code.TIMED_OUT, "the executor does not answer")
         if faults.is_replaced:
-            return Success(CommandReply.OTHER_INSTANCE)
+            return Success(CommandAnswer(CommandReply.OTHER_INSTANCE))
         draw = self._rng.random()
         if is_command and draw < faults.late_share:
             self._execute_late(operation, incarnation)
@@ -296,7 +297,7 @@
         if is_command and draw < faults.late_share + faults.lost_share:
             await asyncio.sleep(CALL_TIMEOUT_S)
             return failure(Code.TIMED_OUT, "the answer was lost")
-        return Success(reply)
+        return Success(CommandAnswer(reply, self.clock_s()))
 
     def is_reachable(self, host: str, address: str) -> bool:
         """Returns whether calls of a host to an address reach the executor."""
@@ -433,7 +434,7 @@
 
     async def start(
         self, command: StartCommand
-    ) -> Result[CommandReply, Problem]:
+    ) -> Result[CommandAnswer, Problem]:
         return await self._executor.call(
             self._host,
             self._address,
@@ -443,7 +444,7 @@
 
     async def stop(
         self, task: TaskId, attempt: int, *, epoch: int
-    ) -> Result[CommandReply, Problem]:
+    ) -> Result[CommandAnswer, Problem]:
         return await self._executor.call(
             self._host,
             self._address,
@@ -472,8 +473,8 @@
 
     async def throttle(
         self, task: TaskId, attempt: int, *, percent: int, epoch: int
-    ) -> Result[CommandReply, Problem]:
-        return Success(CommandReply.OK)
+    ) -> Result[CommandAnswer, Problem]:
+        return Success(CommandAnswer(CommandReply.OK, self._executor.clock_s()))
 
     async def close(self) -> None:
         """Nothing is open."""
