Let calls reach whatever incarnation of a simulated executor there is

A late command was dropped when the incarnation that it was meant for had ended, polls were never late or lost, and a poll that waited during a restart was answered by the new incarnation, so that the leader heard of each restart at once.

Change: a call travels on its own (executor_calls.py), also if its host has been killed. Late calls are executed by the incarnation that answers at the address then; polls are late and lost too; a call under way at a crash gets no answer; calls and answers can be delayed, so that they overtake each other (max_delay_s). Tickets name the incarnation and the time, and executors refuse others (PROTOCOL.md, Running tasks). Tickets of the form step/executor, which the HTTP stand-in of the advice service issues, have no stamp and hold always. The end of an attempt no longer removes an attempt of the same number from the list of a later incarnation.

--- a/libs/standins/dragonflybank/standins/cell/checks.py
+++ b/libs/standins/dragonflybank/standins/cell/checks.py
@@ -113,6 +113,16 @@
         """Records the teams of a configuration."""
         self.teams.append((now, dict(teams)))
 
+    def ticket_valid_s(self, task: TaskId) -> float | None:
+        """Returns for how long tickets for a task are valid, in seconds.
+
+        Returns:
+            None if its queue needs no advice, or nobody submitted its job.
+        """
+        job = self.jobs.get(task.job)
+        advice = job.queue.advised if job else None
+        return advice.valid_s if advice else None
+
     def caps(self, team: str, now: float) -> list[ResourceCap]:
         """Returns the caps of a team that may be in force at a time."""
         known = [teams for at, teams in self.teams if at <= now]
--- a/libs/standins/dragonflybank/standins/cell/executors.py
+++ b/libs/standins/dragonflybank/standins/cell/executors.py
@@ -1,22 +1,20 @@
 """Executors in memory.
 
-They keep leases on their own clock, refuse commands of older epochs and
-simulate faults such as lost replies and commands that arrive late.
+They keep leases on their own clock, and refuse commands of older epochs and
+starts without a valid ticket. `executor_calls` has the calls that reach them.
 """
 
 __all__ = ["AttemptRun", "ExecutorFaults", "MemoryExecutor"]
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 import attrs
-from returns.result import Result, Success
 
 from dragonflybank.cell.jobs import Step, TaskId
 from dragonflybank.cell.ports import (
     AttemptEnd,
-    CommandAnswer,
     CommandReply,
     EndKind,
     ExecutorClient,
@@ -25,11 +23,9 @@
     RunningAttempt,
     StartCommand,
 )
-from dragonflybank.model.codes import Code, Problem, failure
+from dragonflybank.standins.cell.executor_calls import MemoryExecutorClient
 from dragonflybank.standins.cell.virtual_time import create_task_in_process
 
-LATENCY_S = 0.003
-CALL_TIMEOUT_S = 0.4
 MAX_LEASE_S = 10.0
 STOP_DURATION_S = 0.3
 GANG_ASSEMBLY_TIMEOUT_S = 3.0
@@ -45,9 +41,11 @@
         is_crashed: Whether its process has ended.
         is_replaced: Whether an executor with another identifier answers at
             its address.
-        lost_share: Share of the commands that take effect without an answer.
-        late_share: Share of the commands that time out and take effect 2 to
-            12 s later.
+        lost_share: Share of the calls that take effect without an answer.
+        late_share: Share of the calls that time out and take effect 2 to 12 s
+            later, in the incarnation that there is then.
+        max_delay_s: Greatest delay of each call and of each answer, in
+            seconds; they may overtake each other.
         fails_all: Whether each attempt fails at its end.
         hangs: Whether its attempts make no progress.
         slowdown: Factor by which run times grow.
@@ -61,6 +59,7 @@
     is_replaced: bool = False
     lost_share: float = 0.0
     late_share: float = 0.0
+    max_delay_s: float = 0.0
     fails_all: bool = False
     hangs: bool = False
     slowdown: float = 1.0
@@ -106,6 +105,7 @@
         poll_count: Number of polls by hosts.
         overloaded_at: Times at which its attempts exceeded its capacity.
         lapsed_at: Times at which it held no valid lease, in ascending order.
+        rng: Generator of its faults.
 
     Args:
         info: Its entry in the store.
@@ -113,6 +113,8 @@
             job.
         run_time_s: Returns the run time of a task in seconds.
         does_fail: Returns whether attempts of a task fail.
+        ticket_valid_s: Returns for how long tickets for a task are valid, in
+            seconds; None if it needs no ticket.
         clock_rate: Speed of its clock relative to true time.
         rng: Seeded generator.
     """
@@ -124,6 +126,7 @@
         find_step: Callable[[TaskId], Step | None],
         run_time_s: Callable[[TaskId], float],
         does_fail: Callable[[TaskId], bool],
+        ticket_valid_s: Callable[[TaskId], float | None],
         clock_rate: float,
         rng: random.Random,
     ):
@@ -136,8 +139,9 @@
         self._find_step = find_step
         self._run_time_s = run_time_s
         self._does_fail = does_fail
+        self._ticket_valid_s = ticket_valid_s
         self._clock_rate = clock_rate
-        self._rng = rng
+        self.rng = rng
         self._tasks: set[asyncio.Task] = set()
         self._start_incarnation()
 
@@ -149,7 +153,7 @@
             address: Address that the host calls, by default the executor's
                 current one.
         """
-        return _Client(self, host, address or self.info.address)
+        return MemoryExecutorClient(self, host, address or self.info.address)
 
     def crash(self) -> None:
         """Ends all attempts; no call is answered until `restart`."""
@@ -173,6 +177,17 @@
         )
         self._start_incarnation()
 
+    async def restart_after(self, dark_s: float) -> None:
+        """Crashes, and restarts at the same address.
+
+        Args:
+            dark_s: Time during which no call is answered, in seconds.
+        """
+        self.crash()
+        await asyncio.sleep(dark_s)
+        if self.faults.is_crashed:
+            self.restart()
+
     def replace(self) -> None:
         """Gives its address to an executor with another identifier for good."""
         self.crash()
@@ -212,6 +227,8 @@
             return CommandReply.OLD
         if command.lease_until_s <= self.clock_s():
             return CommandReply.LATE
+        if not self._accepts_ticket(command):
+            return CommandReply.NO_TICKET
         self._extend_lease(command.lease_until_s)
         run = AttemptRun(
             command.task,
@@ -227,7 +244,7 @@
         cores, memory_mb = self.used_capacity()
         if cores > self.info.millicores or memory_mb > self.info.memory_mb:
             self.overloaded_at.append(self._now())
-        self._spawn(self._run(run, self.info.incarnation))
+        self.spawn(self._run(run, self.info.incarnation))
         return CommandReply.OK
 
     def stop(self, task: TaskId, attempt: int, epoch: int) -> CommandReply:
@@ -239,7 +256,7 @@
         )
         run = self.running.get((task, attempt))
         if run is not None:
-            self._spawn(self._stop_run(run))
+            self.spawn(self._stop_run(run))
         return CommandReply.OK
 
     async def poll(
@@ -276,29 +293,6 @@
             tuple(self._ends[:500]),
         )
 
-    async def call(
-        self, host: str, address: str, operation, *, is_command: bool
-    ):
-        """Handles a command of a host under the faults in force."""
-        faults = self.faults
-        await asyncio.sleep(LATENCY_S)
-        incarnation = self.info.incarnation
-        if not self.is_reachable(host, address):
-            await asyncio.sleep(CALL_TIMEOUT_S)
-            return failure(Code.TIMED_OUT, "the executor does not answer")
-        if faults.is_replaced:
-            return Success(CommandAnswer(CommandReply.OTHER_INSTANCE))
-        draw = self._rng.random()
-        if is_command and draw < faults.late_share:
-            self._execute_late(operation, incarnation)
-            await asyncio.sleep(CALL_TIMEOUT_S)
-            return failure(Code.TIMED_OUT, "the answer was lost")
-        reply = operation(False)
-        if is_command and draw < faults.late_share + faults.lost_share:
-            await asyncio.sleep(CALL_TIMEOUT_S)
-            return failure(Code.TIMED_OUT, "the answer was lost")
-        return Success(CommandAnswer(reply, self.clock_s()))
-
     def is_reachable(self, host: str, address: str) -> bool:
         """Returns whether calls of a host to an address reach the executor."""
         faults = self.faults
@@ -306,6 +300,23 @@
         is_cut_off = is_silent or host in faults.cut_hosts
         return not is_cut_off and address == self.info.address
 
+    def is_serving(self, address: str) -> bool:
+        """Returns whether it runs at an address, cut off or not."""
+        faults = self.faults
+        has_ended = faults.is_crashed or faults.is_replaced
+        return not has_ended and address == self.info.address
+
+    def draw_delay_s(self) -> float:
+        """Returns the delay of a call or of an answer, in seconds."""
+        longest = self.faults.max_delay_s
+        return self.rng.uniform(0.0, longest) if longest else 0.0
+
+    def spawn(self, coro: Coroutine) -> None:
+        """Starts a task that goes on when the calling host is killed."""
+        task = create_task_in_process(self.info.id, coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _start_incarnation(self) -> None:
         self.running: dict[tuple[TaskId, int], AttemptRun] = {}
         self._runs: dict[tuple[TaskId, int], AttemptRun] = {}
@@ -316,32 +327,40 @@
         self._has_new_end = asyncio.Event()
         self._last_end_number = 0
         self._last_ended_attempt: dict[TaskId, int] = {}
-        self._spawn(self._watch_lease(self.info.incarnation))
+        self.spawn(self._watch_lease(self.info.incarnation))
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
-    def _spawn(self, coro) -> None:
-        # Its work goes on when the host that started it is killed.
-        task = create_task_in_process(self.info.id, coro)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    def _execute_late(self, operation, incarnation: int) -> None:
-        async def execute_after_delay() -> None:
-            await asyncio.sleep(self._rng.uniform(2.0, 12.0))
-            has_ended = self.faults.is_crashed or self.faults.is_replaced
-            if self.info.incarnation == incarnation and not has_ended:
-                operation(True)
-
-        self._spawn(execute_after_delay())
-
     def _accept_epoch(self, epoch: int) -> bool:
         if epoch < self._epoch:
             return False
         self._epoch = epoch
         return True
 
+    def _accepts_ticket(self, command: StartCommand) -> bool:
+        """Returns whether a start has a valid ticket or needs none.
+
+        The stand-in of the advice service in `memory_platform` issues tickets
+        of the form step/executor/incarnation/time. A ticket without the last
+        two is valid at any time, in any incarnation.
+        """
+        valid_s = self._ticket_valid_s(command.task)
+        if valid_s is None:
+            return True
+        step = str(command.task).rpartition(".")[0]
+        named_step, _, rest = command.ticket.partition("/")
+        executor, _, stamp = rest.partition("/")
+        if (named_step, executor) != (step, self.info.id):
+            return False
+        if not stamp:
+            return True
+        incarnation, _, issued_at = stamp.partition("/")
+        return (
+            int(incarnation) == self.info.incarnation
+            and self._now() - float(issued_at) <= valid_s
+        )
+
     def _extend_lease(self, until_s: float) -> None:
         longest = self.clock_s() + MAX_LEASE_S
         self._lease_until_s = max(self._lease_until_s, min(until_s, longest))
@@ -409,8 +428,10 @@
         self, run: AttemptRun, kind: EndKind, *, by_gang: bool = False
     ) -> None:
         key = (run.task, run.attempt)
-        if self.running.pop(key, None) is None:
+        # A later incarnation may run an attempt of the same number.
+        if self.running.get(key) is not run:
             return
+        del self.running[key]
         run.ended_at, run.end_kind = self._now(), kind
         if kind is EndKind.DONE:
             run.percent = 100.0
@@ -424,57 +445,3 @@
         self._has_new_end.set()
         if not by_gang:
             self.on_gang_member_ended(run, kind)
-
-
-class _Client(ExecutorClient):
-    def __init__(self, executor: MemoryExecutor, host: str, address: str):
-        self._executor = executor
-        self._host = host
-        self._address = address
-
-    async def start(
-        self, command: StartCommand
-    ) -> Result[CommandAnswer, Problem]:
-        return await self._executor.call(
-            self._host,
-            self._address,
-            lambda late: self._executor.start(command, late=late),
-            is_command=True,
-        )
-
-    async def stop(
-        self, task: TaskId, attempt: int, *, epoch: int
-    ) -> Result[CommandAnswer, Problem]:
-        return await self._executor.call(
-            self._host,
-            self._address,
-            lambda late: self._executor.stop(task, attempt, epoch),
-            is_command=True,
-        )
-
-    async def poll(
-        self, *, epoch: int, acked_end: int, lease_until_s: float, wait_s: float
-    ) -> Result[PollReply, Problem]:
-        executor = self._executor
-        if executor.faults.raises_in_caller:
-            executor.faults.raises_in_caller = False
-            raise RuntimeError("a programming error in the host")
-        await asyncio.sleep(LATENCY_S)
-        if not executor.is_reachable(self._host, self._address):
-            await asyncio.sleep(CALL_TIMEOUT_S + wait_s)
-            return failure(Code.TIMED_OUT, "the executor does not answer")
-        if executor.faults.is_replaced:
-            return Success(PollReply(CommandReply.OTHER_INSTANCE))
-        reply = await executor.poll(epoch, acked_end, lease_until_s, wait_s)
-        if not executor.is_reachable(self._host, self._address):
-            await asyncio.sleep(CALL_TIMEOUT_S)
-            return failure(Code.TIMED_OUT, "the executor does not answer")
-        return Success(reply)
-
-    async def throttle(
-        self, task: TaskId, attempt: int, *, percent: int, epoch: int
-    ) -> Result[CommandAnswer, Problem]:
-        return Success(CommandAnswer(CommandReply.OK, self._executor.clock_s()))
-
-    async def close(self) -> None:
-        """Nothing is open."""
--- a/libs/standins/dragonflybank/standins/cell/memory_platform.py
+++ b/libs/standins/dragonflybank/standins/cell/memory_platform.py
@@ -38,7 +38,7 @@
         self._cell = cell
         self._name = name
         self.store = cell.store.client(name)
-        self.advice = MemoryAdvice()
+        self.advice = MemoryAdvice(cell)
 
     def decode_config(self, value: bytes) -> Result[CellConfig, Problem]:
         """See `Platform.decode_config`."""
@@ -62,11 +62,17 @@
 class MemoryAdvice(AdviceService):
     """Finds two of three executors suitable for a step on average.
 
+    Its tickets name the incarnation of the executor and the time of the answer.
+
     Attributes:
         call_s: Duration of a call in seconds.
+
+    Args:
+        cell: The cell.
     """
 
-    def __init__(self):
+    def __init__(self, cell: "SimulatedCell"):
+        self._cell = cell
         self.call_s = 0.02
         self._lock = asyncio.Lock()
 
@@ -77,7 +83,12 @@
         async with self._lock:
             await asyncio.sleep(self.call_s)
         suitable = [e for e in executors if is_suitable(step, e)]
-        return Success({e: f"ticket/{step}/{e}" for e in suitable})
+        return Success({e: self._ticket(step, e) for e in suitable})
+
+    def _ticket(self, step: str, executor: str) -> str:
+        now = asyncio.get_running_loop().time()
+        incarnation = self._cell.executors[executor].info.incarnation
+        return f"{step}/{executor}/{incarnation}/{now}"
 
 
 def is_suitable(step: str, executor: str) -> bool:
--- a/libs/standins/dragonflybank/standins/cell/simulated_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/simulated_cell.py
@@ -448,6 +448,7 @@
             find_step=self._find_step,
             run_time_s=lambda task: self._run_times_s.get(task.job, 0.5),
             does_fail=lambda task: task.job in self._failing_jobs,
+            ticket_valid_s=self.history.ticket_valid_s,
             clock_rate=self.rng.uniform(0.98, 1.0),
             rng=random.Random(self.rng.getrandbits(32)),
         )
