--- a/libs/standins/dragonflybank/standins/cell/executor_calls.py
+++ b/libs/standins/dragonflybank/standins/cell/executor_calls.py
@@ -29,7 +29,6 @@
 
 LATENCY_S = 0.003
 CALL_TIMEOUT_S = 0.4
-LATE_RANGE_S = (2.0, 12.0)
 
 # Executes a call and returns its answer; the argument tells whether it is late.
 _Execute = Callable[[bool], Awaitable[CommandAnswer | PollReply]]
@@ -139,14 +138,15 @@
             answer.set_result(answer_of_other)
             return
         draw = executor.rng.random()
+        is_lost = draw < faults.late_share + faults.lost_share
         if draw < faults.late_share:
-            await asyncio.sleep(executor.rng.uniform(*LATE_RANGE_S))
+            await asyncio.sleep(executor.rng.uniform(*faults.late_range_s))
             if executor.is_serving(self._address):
                 await execute(True)
             return
         incarnation = executor.info.incarnation
         got = await execute(False)
-        if draw < faults.late_share + faults.lost_share:
+        if is_lost:
             return
         await asyncio.sleep(executor.draw_delay_s())
         if executor.info.incarnation == incarnation and executor.is_reachable(
--- a/libs/standins/dragonflybank/standins/cell/executors.py
+++ b/libs/standins/dragonflybank/standins/cell/executors.py
@@ -42,8 +42,9 @@
         is_replaced: Whether an executor with another identifier answers at
             its address.
         lost_share: Share of the calls that take effect without an answer.
-        late_share: Share of the calls that time out and take effect 2 to 12 s
-            later, in the incarnation that there is then.
+        late_share: Share of the calls that time out and take effect later, in
+            the incarnation that there is then.
+        late_range_s: Shortest and longest delay of such calls, in seconds.
         max_delay_s: Greatest delay of each call and of each answer, in
             seconds; they may overtake each other.
         fails_all: Whether each attempt fails at its end.
@@ -59,6 +60,7 @@
     is_replaced: bool = False
     lost_share: float = 0.0
     late_share: float = 0.0
+    late_range_s: tuple[float, float] = (2.0, 12.0)
     max_delay_s: float = 0.0
     fails_all: bool = False
     hangs: bool = False
