Acknowledge ends only right after a reply of the same incarnation

Callers saw a task that had been done run again. An executor that had restarted under its id forgot ends that nobody had read, since a poll meant for its former incarnation acknowledged their numbers: numbers of ends start anew with each incarnation, and each poll acknowledged the last number known, also those that waited when the executor crashed, those to a silent executor and the first one to a new incarnation.

Change: polls that wait, and polls to a silent executor, acknowledge nothing. New ends are acknowledged by a poll that doesn't wait, sent after a reply of the same incarnation.

Ruled out: closing each restarted executor for 12 s, which would keep sound executors idle after each crash; acknowledging with polls that wait, since one is under way at nearly each crash.

Cost: one more poll for each batch of ends.

--- a/libs/cell/dragonflybank/cell/attempt_starts.py
+++ b/libs/cell/dragonflybank/cell/attempt_starts.py
@@ -97,7 +97,7 @@
         executor = attempt.executor
         is_usable = (
             valid_ticket(step, executor.info.id, now)
-            and accepts_reserved(attempt)
+            and accepts_reserved(attempt, now)
             # The queue may have been moved during the call for tickets.
             and executor.info.service == step.job_state.queue.service
         )
--- a/libs/cell/dragonflybank/cell/capacity.py
+++ b/libs/cell/dragonflybank/cell/capacity.py
@@ -127,21 +127,21 @@
 
 def accepts_new_work(executor: Executor, now: float) -> bool:
     """Returns whether new attempts may be started on an executor now."""
-    return is_available(executor) and executor.quarantined_until <= now
+    return is_available(executor, now) and executor.quarantined_until <= now
 
 
-def accepts_reserved(attempt: Attempt) -> bool:
+def accepts_reserved(attempt: Attempt, now: float) -> bool:
     """Returns whether a reserved attempt may still be started.
 
     It may have been reserved during a quarantine, but not before one.
     """
     executor = attempt.executor
-    return is_available(executor) and (
+    return is_available(executor, now) and (
         attempt.began_at > executor.quarantined_at
     )
 
 
-def is_available(executor: Executor) -> bool:
+def is_available(executor: Executor, now: float) -> bool:
     """Returns whether nothing but a quarantine keeps work off an executor.
 
     The size of orphan attempts is not known, so nothing is added to an
@@ -152,6 +152,7 @@
         and executor.is_listed
         and not executor.info.draining
         and executor.silent_since is None
+        and executor.closed_until <= now
         and not executor.orphan_attempts
     )
 
--- a/libs/cell/dragonflybank/cell/fleet.py
+++ b/libs/cell/dragonflybank/cell/fleet.py
@@ -223,7 +223,10 @@
             executor, "another incarnation", keep_uncertain=not has_left_address
         )
         executor.restart_seen_at = self._leader.clock.now()
-        executor.acked_end = executor.seen_end = 0
+        executor.closed_until = max(
+            executor.closed_until, executor.acks_arrive_until
+        )
+        executor.acked_end = executor.seen_end = executor.confirmed_ack = 0
         executor.is_ack_blocked = False
         executor.lease_until_s = 0.0
         executor.leaves_at = float("inf")
@@ -352,6 +355,7 @@
                 and not executor.attempts
                 and self._is_silent_for(executor, FORGET_AFTER_S, now)
                 and has_lease_expired(executor, now)
+                and executor.acks_arrive_until <= now
             ):
                 self._forget(executor)
 
--- a/libs/cell/dragonflybank/cell/limits.py
+++ b/libs/cell/dragonflybank/cell/limits.py
@@ -14,6 +14,8 @@
     Attributes:
         lease_s: Length of the leases that executors are given, in seconds.
         max_lease_s: Longest lease that executors grant, in seconds.
+        max_call_delay_s: Longest time after which an executor carries out a
+            call that it didn't answer, in seconds.
         stop_grace_s: Longest time that stopping an attempt takes, in seconds.
         max_early_start_s: How long before its due time an occurrence may
             start, in seconds.
@@ -27,6 +29,7 @@
 
     lease_s: float = 6.0
     max_lease_s: float = 10.0
+    max_call_delay_s: float = 12.0
     stop_grace_s: float = 0.4
     max_early_start_s: float = 0.25
     status_retention_s: float = 120.0
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -8,6 +8,11 @@
 executor has a new incarnation, or the lease has expired on the executor's
 clock. A command without a reply may also reach a new incarnation at the same
 address; the attempt is stopped there too.
+
+Ends are acknowledged by polls that don't wait, sent right after a reply of the
+same incarnation. A new incarnation counts its ends anew, and a poll meant for a
+former one would remove them unread. A poll that waits is often under way at a
+crash, so it acknowledges nothing.
 """
 
 __all__ = [
@@ -22,7 +27,7 @@
 from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from dragonflybank.cell.background import BackgroundTasks
 from dragonflybank.cell.incarnations import (
@@ -38,7 +43,7 @@
     StartCommand,
 )
 from dragonflybank.cell.state import Attempt, AttemptPhase, Executor
-from dragonflybank.model.codes import Code
+from dragonflybank.model.codes import Code, Problem
 
 if TYPE_CHECKING:
     from dragonflybank.cell.leader import Leader
@@ -203,14 +208,21 @@
         while True:
             now = leader.clock.now()
             self._acknowledge()
-            is_acknowledged = executor.acked_end >= executor.seen_end
-            wait = executor.claimed and is_acknowledged
+            is_silent = executor.silent_since is not None
+            has_acks = executor.acked_end > executor.confirmed_ack
+            acked_end = executor.acked_end if has_acks and not is_silent else 0
+            wait = (
+                executor.claimed
+                and not (is_silent or has_acks)
+                and executor.acked_end >= executor.seen_end
+            )
             got = await self._client.poll(
                 epoch=leader.leadership.epoch,
-                acked_end=executor.acked_end,
+                acked_end=acked_end,
                 lease_until_s=self._poll_lease_until_s(now),
                 wait_s=self._poll_wait_s() if wait else 0.0,
             )
+            self._record_outcome(got, now, acked_end)
             match got:
                 case Success(PollReply(status=CommandReply.OK) as reply):
                     if leader.fleet.process_poll(executor, reply, sent_at=now):
@@ -242,6 +254,32 @@
                     leader.fleet.on_call_failed(executor, failed)
                     await leader.clock.sleep(RETRY_DELAY_S)
 
+    def _record_outcome(
+        self,
+        got: Result[PollReply, Problem],
+        sent_at: float,
+        acked_end: int,
+    ) -> None:
+        """Records what a poll without an answer may still do when it arrives.
+
+        Args:
+            got: The outcome of the poll.
+            sent_at: Time at which it was sent.
+            acked_end: Number of the last end that it acknowledged.
+        """
+        executor = self._executor
+        match got:
+            case Success(reply):
+                if reply.incarnation == executor.answered_incarnation:
+                    executor.confirmed_ack = max(
+                        executor.confirmed_ack, acked_end
+                    )
+            case Failure(Problem(code=Code.TIMED_OUT)) if acked_end:
+                executor.acks_arrive_until = max(
+                    executor.acks_arrive_until,
+                    sent_at + self._leader.limits.max_call_delay_s,
+                )
+
     def _poll_wait_s(self) -> float:
         attempts = self._executor.attempts
         specs = [a.task.step.spec for a in attempts.values()]
--- a/libs/cell/dragonflybank/cell/quarantine_trials.py
+++ b/libs/cell/dragonflybank/cell/quarantine_trials.py
@@ -30,7 +30,7 @@
     """
     found: dict[str, dict[str, Executor]] = {}
     for executor in executors:
-        if is_available(executor) and not accepts_new_work(executor, now):
+        if is_available(executor, now) and not accepts_new_work(executor, now):
             found.setdefault(executor.info.service, {})[executor.info.id] = (
                 executor
             )
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -307,6 +307,10 @@
         orphan_attempts: Attempts of ended jobs that it lists as running.
         claimed: Whether it has accepted this leader's epoch.
         restart_seen_at: Time at which a new incarnation was detected.
+        acks_arrive_until: Latest time at which an acknowledgement of ends
+            without an answer may still arrive.
+        closed_until: Time before which a new incarnation gets no work, since
+            acknowledgements meant for a former one would remove its ends.
         is_listed: Whether it has an entry in the platform's list.
         answered_incarnation: Incarnation in its last poll reply to this leader;
             0 before the first one.
@@ -316,6 +320,8 @@
             clock.
         silent_since: Time since which calls fail; None if they succeed.
         acked_end: Number of the last end whose effect is stored.
+        confirmed_ack: Number of the last end whose acknowledgement was
+            answered.
         seen_end: Number of the last end that was processed.
         is_ack_blocked: Whether no further ends are acknowledged to it, since
             one could not be processed.
@@ -338,6 +344,8 @@
     orphan_attempts: set[tuple[TaskId, int]] = attrs.field(factory=set)
     claimed: bool = False
     restart_seen_at: float = float("-inf")
+    acks_arrive_until: float = float("-inf")
+    closed_until: float = float("-inf")
     is_listed: bool = True
     answered_incarnation: int = 0
     last_reply_at: float = 0.0
@@ -345,6 +353,7 @@
     lease_until_s: float = 0.0
     silent_since: float | None = None
     acked_end: int = 0
+    confirmed_ack: int = 0
     seen_end: int = 0
     is_ack_blocked: bool = False
     quarantined_until: float = 0.0
