Bound what an executor may hold by the platform's limits

An executor restarted under its id while a poll waited, so the leader didn't hear of it. A start that it sent then was carried out by the new incarnation, which granted the platform's longest lease (10 s), since the requested expiry was a time on the former clock. When the executor was cut off, the leader gave the attempt up after the 6 s that it had asked for, counted on the former clock, and started the task again elsewhere. New leaders did the same after 12.7 s, and for starts that were carried out late.

Class of fault: a call that is meant for one incarnation of an executor is carried out by another.

Change: lease_bounds states how long an executor may still run an attempt, and all attempts that are given up without the executor's word are given up there. An attempt that an incarnation was seen to run, by its list or by the clock in its answer, ends with it or its lease. Any other may begin as long as its start may arrive (12 s, or its ticket's validity, which holds for one incarnation), and then runs for the longest lease. Its absence from a list counts only after that. A start without a ticket is sent once. Nothing is started on a silent executor. Polls that wait renew no lease, so that few calls of unknown outcome do. An answer of another incarnation, or none, makes the leader poll at once.

Ruled out: the clock's line as the only proof of an incarnation for the bound (a suspended executor falls behind it; it then counts as unknown and is asked); waiting 12 s for each start without an answer (tickets expire sooner).

--- a/libs/cell/dragonflybank/cell/attempts.py
+++ b/libs/cell/dragonflybank/cell/attempts.py
@@ -8,10 +8,12 @@
 __all__ = ["AttemptManager"]
 
 import logging
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from dragonflybank.cell.capacity import release, reserve
 from dragonflybank.cell.jobs import JobPhase, TaskId
+from dragonflybank.cell.lease_bounds import latest_start_arrival
 from dragonflybank.cell.ports import (
     AttemptEnd,
     CommandReply,
@@ -103,6 +105,12 @@
                 executor, task, number, phase=AttemptPhase.RUNNING, now=now
             )
             attempt.absence_conclusive_after = now
+            attempt.is_start_sent = True
+            attempt.start_arrives_until = latest_start_arrival(
+                task.step.job_state.queue,
+                self._leader.limits,
+                self._leader.leadership.began_at,
+            )
         return len(placed)
 
     def on_start_reply(self, attempt: Attempt, reply: CommandReply) -> None:
@@ -147,6 +155,12 @@
         self._release_and_requeue(attempt)
         self.stop_gang(attempt)
 
+    def withdraw_start(self, attempt: Attempt) -> None:
+        """Gives up an attempt whose start was not sent."""
+        _log.info("start withdrawn", extra=attempt.log_fields)
+        self._release_and_requeue(attempt)
+        self.stop_gang(attempt)
+
     def on_start_outcome_unknown(self, attempt: Attempt) -> None:
         """Stops an attempt whose start command may still be executed."""
         _log.warning(
@@ -265,6 +279,7 @@
             elif (
                 attempt.absence_conclusive_after is not None
                 and sent_at > attempt.absence_conclusive_after
+                and sent_at > attempt.start_arrives_until
             ):
                 _log.info(
                     "attempt absent",
@@ -296,22 +311,21 @@
             self._leader.fleet.link(executor).throttle(attempt, percent)
 
     def release_lost(
-        self, executor: Executor, reason: str, *, keep_uncertain: bool = False
+        self,
+        executor: Executor,
+        reason: str,
+        *,
+        is_lost: Callable[[Attempt], bool] = lambda attempt: True,
     ) -> None:
-        """Releases the attempts on an executor that runs nothing any more.
+        """Releases attempts on an executor that does not run them any more.
 
         Args:
             executor: The executor.
-            reason: Why it runs nothing, for the log and a metric label.
-            keep_uncertain: Whether to keep attempts that a newer incarnation
-                may run; its lists, or a stop command, settle them.
+            reason: Why it does not run them, for the log and a metric label.
+            is_lost: Whether it does not run an attempt any more.
         """
         now = self._leader.clock.now()
-        lost = [
-            attempt
-            for attempt in executor.attempts.values()
-            if not (keep_uncertain and attempt.may_run_on_newer_incarnation)
-        ]
+        lost = [a for a in executor.attempts.values() if is_lost(a)]
         if lost:
             self._leader.metrics.executors_lost.labels(reason).inc()
             _log.warning(
@@ -321,7 +335,10 @@
                     "incarnation": executor.answered_incarnation,
                     "attempts": len(lost),
                     "reason": reason,
-                    "tasks": [f"{a.task.id}/{a.number}" for a in lost],
+                    "kept": len(executor.attempts) - len(lost),
+                    "tasks": [
+                        f"{a.task.id}/{a.number} in {a.seen_in}" for a in lost
+                    ],
                     "silent_s": round(now - executor.last_reply_at, 3),
                     "lease_s": round(
                         executor.lease_until_s - executor.clock_s, 3
@@ -377,6 +394,8 @@
             attempt.percent = row.percent
             attempt.advanced_at = now
         attempt.load = row.load
+        attempt.seen_in = attempt.executor.answered_incarnation
+        attempt.start_arrives_until = float("-inf")
         self._leader.workload.save_checkpoint(attempt.task, row.checkpoint)
         if attempt.phase is AttemptPhase.STARTING:
             self._mark_running(attempt, now)
--- a/libs/cell/dragonflybank/cell/fleet.py
+++ b/libs/cell/dragonflybank/cell/fleet.py
@@ -19,13 +19,14 @@
 
 from dragonflybank.cell.draining import attempts_to_evacuate, has_left
 from dragonflybank.cell.isolation import IsolatedExecutorClient
-from dragonflybank.cell.links import (
-    ExecutorLink,
+from dragonflybank.cell.lease_bounds import (
     has_lease_expired,
-    max_old_lease_s,
+    is_out_of_touch,
+    may_run_until,
 )
+from dragonflybank.cell.links import ExecutorLink
 from dragonflybank.cell.ports import AttemptEnd, ExecutorInfo, PollReply
-from dragonflybank.cell.state import Executor
+from dragonflybank.cell.state import AttemptPhase, Executor
 from dragonflybank.model.codes import Code, Problem
 
 if TYPE_CHECKING:
@@ -105,6 +106,7 @@
             if is_newer and not has_moved:
                 # Its next reply shows whether it has a new incarnation.
                 info = attrs.evolve(info, incarnation=known.incarnation)
+                self._links[info.id].look()
             elif has_moved and not (is_newer and info.service == known.service):
                 # It is at its address, and one that restarts elsewhere has a
                 # new incarnation of the same service.
@@ -161,8 +163,11 @@
             },
         )
         if is_gone:
-            self._leader.attempts.release_lost(executor, "left")
-            self._forget(executor)
+            self._leader.attempts.release_lost(
+                executor,
+                "left",
+                is_lost=lambda a: not a.may_run_on_newer_incarnation,
+            )
 
     def on_call_failed(self, executor: Executor, problem: Problem) -> None:
         """Handles a failed call to an executor."""
@@ -177,8 +182,6 @@
                     "attempts": len(executor.attempts),
                 },
             )
-        if executor.claimed and has_lease_expired(executor, now):
-            self._leader.attempts.release_lost(executor, "lease over")
 
     def on_other_instance(self, executor: Executor) -> None:
         """Handles a reply of another executor at the known address.
@@ -199,30 +202,35 @@
     ) -> None:
         """Resets the state of an executor that was restarted.
 
-        It runs only attempts whose start command was sent after the last poll
-        reply of its earlier incarnation.
+        It runs only attempts that no former incarnation was seen to run.
 
         Args:
             executor: The executor.
             has_left_address: Whether it is no longer at its former address, so
                 that commands in transit do not reach it.
         """
+        now = self._leader.clock.now()
         _log.warning(
             "executor restarted",
             extra={
                 "executor": executor.info.id,
                 "former_incarnation": executor.answered_incarnation,
                 "attempts": len(executor.attempts),
-                "silent_s": round(
-                    self._leader.clock.now() - executor.last_reply_at, 3
+                "silent_s": round(now - executor.last_reply_at, 3),
+                "closed_s": max(
+                    0.0, round(executor.acks_arrive_until - now, 3)
                 ),
                 "has_left_address": has_left_address,
             },
         )
         self._leader.attempts.release_lost(
-            executor, "another incarnation", keep_uncertain=not has_left_address
+            executor,
+            "another incarnation",
+            is_lost=lambda a: (
+                has_left_address or not a.may_run_on_newer_incarnation
+            ),
         )
-        executor.restart_seen_at = self._leader.clock.now()
+        executor.former_renewals_arrive_until = executor.renewals_arrive_until
         executor.closed_until = max(
             executor.closed_until, executor.acks_arrive_until
         )
@@ -235,7 +243,10 @@
         executor.orphan_attempts.clear()
         link = self.link(executor)
         if link is not None:
-            link.reset_acknowledgement()
+            link.reset_incarnation()
+            for attempt in executor.attempts.values():
+                if attempt.phase is AttemptPhase.STOPPING:
+                    link.stop_again(attempt)
         for step in self._leader.workload.ready:
             step.advice_by_executor.pop(executor.info.id, None)
 
@@ -256,10 +267,20 @@
         known = executor.info.incarnation
         if reply.incarnation < known:
             return False
+        if (
+            reply.incarnation == executor.answered_incarnation
+            and reply.clock_s < executor.clock_s
+        ):
+            # A later poll was answered sooner.
+            return False
         if reply.incarnation > known:
             # Before its first reply, its lists show what has ended.
             if executor.answered_incarnation:
                 self.on_new_incarnation(executor)
+                # Leases were requested on the clock of a former incarnation.
+                executor.lease_until_s = (
+                    reply.clock_s + self._leader.limits.max_lease_s
+                )
             executor.info = attrs.evolve(
                 executor.info, incarnation=reply.incarnation
             )
@@ -320,24 +341,19 @@
         if task is not None:
             task.is_set_aside = True
 
-    def release_expired_unclaimed(self, now: float) -> None:
-        """Releases attempts on unclaimed executors once no lease can be left.
-
-        By then, leases of earlier leaders have expired, and so have leases
-        from start commands that reached another incarnation, whose clock is
-        not known.
-        """
+    def release_expired(self, now: float) -> None:
+        """Releases attempts of which no executor can hold a lease any more."""
         leader = self._leader
         began_at, limits = leader.leadership.began_at, leader.limits
         for executor in self.executors.values():
-            if executor.claimed or not executor.attempts:
-                continue
-            ends_at = max(
-                began_at + max_old_lease_s(limits.lease_s),
-                executor.restart_seen_at + max_old_lease_s(limits.max_lease_s),
-            )
-            if now >= ends_at:
-                leader.attempts.release_lost(executor, "no lease can be left")
+            if executor.attempts and is_out_of_touch(executor):
+                leader.attempts.release_lost(
+                    executor,
+                    "lease over",
+                    is_lost=lambda attempt: (
+                        now >= may_run_until(attempt, limits, began_at)
+                    ),
+                )
 
     def evacuate(self, now: float) -> None:
         """Stops attempts that cannot finish before their executor leaves."""
@@ -355,7 +371,10 @@
                 and not executor.attempts
                 and self._is_silent_for(executor, FORGET_AFTER_S, now)
                 and has_lease_expired(executor, now)
-                and executor.acks_arrive_until <= now
+                and max(
+                    executor.renewals_arrive_until, executor.acks_arrive_until
+                )
+                <= now
             ):
                 self._forget(executor)
 
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -354,7 +354,7 @@
         )
         self.fleet.forget_unreachable(now)
         self.fleet.evacuate(now)
-        self.fleet.release_expired_unclaimed(now)
+        self.fleet.release_expired(now)
         for attempt, reason in self.health.find_stuck(
             self.workload.attempts(), now
         ):
--- /dev/null
+++ b/libs/cell/dragonflybank/cell/lease_bounds.py
@@ -0,0 +1,115 @@
+"""How long an executor may still run an attempt, by the platform's limits.
+
+An executor may restart under its identifier. Calls that were meant for its
+former incarnation are then carried out by the new one, at once or up to
+`CellLimits.max_call_delay_s` after they were sent if they had no answer. The
+expiry of a lease is a time on the former clock, which the new clock reaches
+only much later, so that the new incarnation grants the longest lease that it
+grants at all. What a leader asked for therefore bounds only the incarnation
+whose clock it knows.
+
+An attempt that was seen in an incarnation ends with it. An attempt that was
+not may begin in a newer one as long as a start of it may arrive. All decisions
+that an attempt is over without the executor's word are made by `may_run_until`.
+"""
+
+__all__ = [
+    "has_lease_expired",
+    "is_out_of_touch",
+    "latest_start_arrival",
+    "longest_lease_s",
+    "may_run_until",
+    "running_orphans",
+]
+
+from collections.abc import Iterable, Iterator
+
+from dragonflybank.cell.incarnations import MIN_CLOCK_RATE
+from dragonflybank.cell.jobs import Queue, TaskId
+from dragonflybank.cell.limits import CellLimits
+from dragonflybank.cell.state import Attempt, Executor
+
+# Covers the time from an executor's reading of its clock until it has killed
+# its attempts.
+LEASE_EXPIRY_MARGIN_S = 0.3
+# A leader that cannot confirm its key still renews leases for this long, so
+# that running work survives a store outage.
+MAX_UNCONFIRMED_RENEWAL_S = 6.0
+
+
+def longest_lease_s(limits: CellLimits) -> float:
+    """Returns the longest time that a call lets attempts run, in seconds."""
+    return limits.max_lease_s / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
+
+
+def latest_start_arrival(
+    queue: Queue, limits: CellLimits, sent_at: float
+) -> float:
+    """Returns the latest time at which a start without an answer may begin.
+
+    Args:
+        queue: The queue of its job. An executor refuses a start whose ticket
+            has expired, or was issued for another incarnation.
+        limits: Limits of the platform.
+        sent_at: Time at which the start was sent, in seconds.
+    """
+    advised = queue.advised
+    validity_s = advised.valid_s if advised is not None else float("inf")
+    return sent_at + min(limits.max_call_delay_s, validity_s)
+
+
+def is_out_of_touch(executor: Executor) -> bool:
+    """Returns whether an executor's own lists can't settle its attempts."""
+    return executor.silent_since is not None or not executor.claimed
+
+
+def may_run_until(
+    attempt: Attempt, limits: CellLimits, leader_since: float
+) -> float:
+    """Returns until when an attempt may run if its executor isn't heard again.
+
+    Args:
+        attempt: An attempt whose start may have been sent.
+        limits: Limits of the platform.
+        leader_since: Time at which this leader was elected, in seconds.
+
+    Returns:
+        A time of the leader's clock in seconds.
+    """
+    executor, lease_s = attempt.executor, longest_lease_s(limits)
+    if not executor.answered_incarnation:
+        # Calls of former leaders may still arrive, and nothing is known of
+        # the clocks that their leases were counted on.
+        last_call_at = leader_since + MAX_UNCONFIRMED_RENEWAL_S
+        return last_call_at + limits.max_call_delay_s + lease_s
+    known = _known_lease_end(executor)
+    if executor.former_renewals_arrive_until > float("-inf"):
+        known = max(known, executor.former_renewals_arrive_until + lease_s)
+    if attempt.seen_in:
+        return known
+    newer = max(attempt.start_arrives_until, executor.renewals_arrive_until)
+    return max(known, newer + lease_s)
+
+
+def has_lease_expired(executor: Executor, now: float) -> bool:
+    """Returns whether the lease of the known incarnation has expired."""
+    return now >= _known_lease_end(executor)
+
+
+def running_orphans(
+    executors: Iterable[Executor], now: float
+) -> Iterator[tuple[TaskId, int]]:
+    """Yields the orphan attempts that executors may still run."""
+    for executor in executors:
+        if executor.orphan_attempts and not (
+            executor.silent_since is not None
+            and has_lease_expired(executor, now)
+        ):
+            yield from executor.orphan_attempts
+
+
+def _known_lease_end(executor: Executor) -> float:
+    left_s = executor.lease_until_s - executor.clock_s
+    return (
+        executor.last_reply_at + left_s / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
+    )
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -1,40 +1,35 @@
 """The leader's link to one executor: polls, lease renewals, starts and stops.
 
 A command without a reply may have been executed, or may be executed seconds
-later. A start is therefore sent again with the same attempt number, which the
-executor starts only once. If that fails too, the attempt is stopped, since an
-executor never starts an attempt after it has received a stop for it. The
-attempt occupies its resources until a list requested afterwards lacks it, the
-executor has a new incarnation, or the lease has expired on the executor's
-clock. A command without a reply may also reach a new incarnation at the same
-address; the attempt is stopped there too.
-
-Ends are acknowledged by polls that don't wait, sent right after a reply of the
-same incarnation. A new incarnation counts its ends anew, and a poll meant for a
-former one would remove them unread. A poll that waits is often under way at a
-crash, so it acknowledges nothing.
+later, also by a new incarnation at the same address. A start with a ticket is
+sent again with the same attempt number, since an executor starts it only once
+and a ticket holds for one incarnation. A start without one is sent once. If no
+reply arrives, the attempt is stopped, since an executor never starts an attempt
+after it has received a stop for it. The attempt occupies its resources until a
+list that was requested when its start could no longer arrive lacks it, or
+until `lease_bounds` says that it is over.
+
+Leases are renewed and ends acknowledged by polls that don't wait, sent right
+after a reply of the same incarnation. A new incarnation has another clock and
+counts its ends anew: a poll meant for a former one would extend its lease and
+remove its ends unread. A poll that waits is often under way at a crash, so it
+renews and acknowledges nothing.
 """
 
-__all__ = [
-    "ExecutorLink",
-    "has_lease_expired",
-    "max_old_lease_s",
-    "running_orphans",
-]
+__all__ = ["ExecutorLink"]
 
 import asyncio
 import logging
-from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING
 
 from returns.result import Failure, Result, Success
 
 from dragonflybank.cell.background import BackgroundTasks
-from dragonflybank.cell.incarnations import (
-    MIN_CLOCK_RATE,
-    identify_answerer,
+from dragonflybank.cell.incarnations import Answerer, identify_answerer
+from dragonflybank.cell.lease_bounds import (
+    MAX_UNCONFIRMED_RENEWAL_S,
+    latest_start_arrival,
 )
-from dragonflybank.cell.jobs import TaskId
 from dragonflybank.cell.ports import (
     CommandAnswer,
     CommandReply,
@@ -43,7 +38,7 @@
     StartCommand,
 )
 from dragonflybank.cell.state import Attempt, AttemptPhase, Executor
-from dragonflybank.model.codes import Code, Problem
+from dragonflybank.model.codes import Code, Problem, failure
 
 if TYPE_CHECKING:
     from dragonflybank.cell.leader import Leader
@@ -52,6 +47,8 @@
 
 # The platform allows a wait of 2 s; a shorter one detects silence earlier.
 POLL_WAIT_S = 1.5
+# Less than a wait, so that each poll that waited is followed by a renewal.
+RENEWAL_INTERVAL_S = 1.0
 # An executor without attempts is only polled to see whether it still runs.
 IDLE_POLL_WAIT_S = 2.0
 RETRY_DELAY_S = 0.15
@@ -62,47 +59,9 @@
 THROTTLED_POLL_WAIT_S = 0.5
 UNKNOWN_SPEED_PERCENT = -1
 MAX_START_TRIES = 3
-# Covers the time from an executor's reading of its clock until it has killed
-# its attempts.
-LEASE_EXPIRY_MARGIN_S = 0.3
-# A leader that cannot confirm its key still renews leases for this long, so
-# that running work survives a store outage.
-MAX_UNCONFIRMED_RENEWAL_S = 6.0
-
-
-def has_lease_expired(executor: Executor, now: float) -> bool:
-    """Returns whether an executor's lease has expired on its own clock."""
-    left_s = executor.lease_until_s - executor.clock_s
-    waited_s = now - executor.last_reply_at
-    return waited_s >= left_s / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
-
-
-def running_orphans(
-    executors: Iterable[Executor], now: float
-) -> Iterator[tuple[TaskId, int]]:
-    """Yields the orphan attempts that executors may still run."""
-    for executor in executors:
-        if executor.orphan_attempts and not (
-            executor.silent_since is not None
-            and has_lease_expired(executor, now)
-        ):
-            yield from executor.orphan_attempts
-
-
-def max_old_lease_s(lease_s: float) -> float:
-    """Returns how long leases of earlier leaders can last after an election.
-
-    Args:
-        lease_s: Duration of a lease in seconds.
-
-    Returns:
-        Seconds after the election.
-    """
-    return (
-        MAX_UNCONFIRMED_RENEWAL_S
-        + lease_s / MIN_CLOCK_RATE
-        + 2 * LEASE_EXPIRY_MARGIN_S
-    )
+# Time to wait for the list that shows whether a start without an answer was
+# carried out.
+REPLY_WAIT_S = 0.5
 
 
 class ExecutorLink:
@@ -123,6 +82,10 @@
         # A number of marked changes, and the number of the last end that may be
         # acknowledged once these changes are stored.
         self._pending_ack = (0, 0)
+        self._renewed_at = float("-inf")
+        self._poll: asyncio.Task | None = None
+        self._is_looking = False
+        self._replied = asyncio.Event()
         self._background = BackgroundTasks(leader.background.on_failure)
 
     def start_polling(self) -> None:
@@ -145,9 +108,10 @@
         await self._background.close()
         await self._client.close()
 
-    def reset_acknowledgement(self) -> None:
-        """Drops the acknowledgement meant for an earlier incarnation."""
+    def reset_incarnation(self) -> None:
+        """Drops what was meant for an earlier incarnation."""
         self._pending_ack = (0, 0)
+        self._renewed_at = float("-inf")
 
     def start(self, attempt: Attempt, ticket: str) -> None:
         """Sends a command to start an attempt, in the background."""
@@ -160,6 +124,11 @@
             attempt.absence_conclusive_after = None
             self._background.spawn(self._stop(attempt))
 
+    def stop_again(self, attempt: Attempt) -> None:
+        """Stops an attempt that was stopped in a former incarnation."""
+        attempt.absence_conclusive_after = None
+        self._background.spawn(self._stop(attempt))
+
     def throttle(self, attempt: Attempt, percent: int) -> None:
         """Limits an attempt to a percentage of its speed, in the background."""
         attempt.speed_percent = percent
@@ -183,8 +152,8 @@
         executor.lease_until_s = max(executor.lease_until_s, until_s)
         return until_s
 
-    def _poll_lease_until_s(self, now: float) -> float:
-        """Returns the lease expiry to request with a poll, 0 for none.
+    def _needs_lease(self, now: float) -> bool:
+        """Returns whether the executor's lease has to be renewed.
 
         The lease of a silent executor is not renewed, so that it expires if
         the executor is gone. An executor that runs nothing needs no lease;
@@ -194,14 +163,12 @@
         is_used = executor.attempts or executor.orphan_attempts
         is_silent = executor.silent_since is not None
         confirmed_s = now - leadership.confirmed_at
-        if (
-            not executor.claimed
-            or not is_used
-            or is_silent
-            or confirmed_s > MAX_UNCONFIRMED_RENEWAL_S
-        ):
-            return 0.0
-        return self._record_lease_request(now)
+        return (
+            executor.claimed
+            and bool(is_used)
+            and not is_silent
+            and confirmed_s <= MAX_UNCONFIRMED_RENEWAL_S
+        )
 
     async def _poll_forever(self) -> None:
         leader, executor = self._leader, self._executor
@@ -211,18 +178,24 @@
             is_silent = executor.silent_since is not None
             has_acks = executor.acked_end > executor.confirmed_ack
             acked_end = executor.acked_end if has_acks and not is_silent else 0
+            is_renewal = self._needs_lease(now) and (
+                acked_end > 0 or now - self._renewed_at >= RENEWAL_INTERVAL_S
+            )
             wait = (
                 executor.claimed
-                and not (is_silent or has_acks)
+                and not (is_silent or has_acks or is_renewal)
                 and executor.acked_end >= executor.seen_end
             )
-            got = await self._client.poll(
-                epoch=leader.leadership.epoch,
+            got = await self._call_poll(
                 acked_end=acked_end,
-                lease_until_s=self._poll_lease_until_s(now),
+                lease_until_s=(
+                    self._record_lease_request(now) if is_renewal else 0.0
+                ),
                 wait_s=self._poll_wait_s() if wait else 0.0,
             )
-            self._record_outcome(got, now, acked_end)
+            self._record_outcome(
+                got, now, acked_end=acked_end, is_renewal=is_renewal
+            )
             match got:
                 case Success(PollReply(status=CommandReply.OK) as reply):
                     if leader.fleet.process_poll(executor, reply, sent_at=now):
@@ -230,6 +203,7 @@
                             leader.committer.changes_marked,
                             executor.seen_end,
                         )
+                    self._replied.set()
                     if executor.is_ack_blocked:
                         await leader.clock.sleep(UNSTORED_ENDS_WAIT_S)
                     elif executor.acked_end < executor.seen_end:
@@ -254,11 +228,26 @@
                     leader.fleet.on_call_failed(executor, failed)
                     await leader.clock.sleep(RETRY_DELAY_S)
 
+    async def _call_poll(self, **kwargs) -> Result[PollReply, Problem]:
+        """Polls; a poll that `look` has given up counts as unanswered."""
+        self._poll = asyncio.ensure_future(
+            self._client.poll(epoch=self._leader.leadership.epoch, **kwargs)
+        )
+        try:
+            await asyncio.wait({self._poll})
+            if self._poll.cancelled():
+                return failure(Code.TIMED_OUT, "another poll had no answer")
+            return self._poll.result()
+        finally:
+            self._poll.cancel()
+
     def _record_outcome(
         self,
         got: Result[PollReply, Problem],
         sent_at: float,
+        *,
         acked_end: int,
+        is_renewal: bool,
     ) -> None:
         """Records what a poll without an answer may still do when it arrives.
 
@@ -266,6 +255,7 @@
             got: The outcome of the poll.
             sent_at: Time at which it was sent.
             acked_end: Number of the last end that it acknowledged.
+            is_renewal: Whether it requested a lease.
         """
         executor = self._executor
         match got:
@@ -274,11 +264,57 @@
                     executor.confirmed_ack = max(
                         executor.confirmed_ack, acked_end
                     )
-            case Failure(Problem(code=Code.TIMED_OUT)) if acked_end:
-                executor.acks_arrive_until = max(
-                    executor.acks_arrive_until,
-                    sent_at + self._leader.limits.max_call_delay_s,
-                )
+                    if is_renewal:
+                        self._renewed_at = sent_at
+            case Failure(Problem(code=Code.TIMED_OUT)):
+                until = sent_at + self._leader.limits.max_call_delay_s
+                if is_renewal:
+                    self._record_unanswered_renewal(sent_at)
+                if acked_end:
+                    executor.acks_arrive_until = max(
+                        executor.acks_arrive_until, until
+                    )
+
+    def _record_unanswered_renewal(self, sent_at: float) -> None:
+        executor = self._executor
+        executor.renewals_arrive_until = max(
+            executor.renewals_arrive_until,
+            sent_at + self._leader.limits.max_call_delay_s,
+        )
+
+    def look(self) -> None:
+        """Polls at once, in the background, since the executor may be gone.
+
+        If that poll has no answer either, the poll that waits is given up.
+        """
+        if not self._is_looking:
+            self._is_looking = True
+            self._background.spawn(self._look())
+
+    async def _look(self) -> None:
+        leader, executor = self._leader, self._executor
+        sent_at = leader.clock.now()
+        try:
+            got = await self._client.poll(
+                epoch=leader.leadership.epoch,
+                acked_end=0,
+                lease_until_s=0.0,
+                wait_s=0.0,
+            )
+        finally:
+            self._is_looking = False
+        match got:
+            case Success(PollReply(status=CommandReply.OK) as reply):
+                if leader.fleet.process_poll(executor, reply, sent_at=sent_at):
+                    self._pending_ack = (
+                        leader.committer.changes_marked,
+                        executor.seen_end,
+                    )
+                self._replied.set()
+            case Failure(failed):
+                leader.fleet.on_call_failed(executor, failed)
+                if self._poll is not None:
+                    self._poll.cancel()
 
     def _poll_wait_s(self) -> float:
         attempts = self._executor.attempts
@@ -305,13 +341,18 @@
             return
 
     async def _start(self, attempt: Attempt, ticket: str) -> None:
-        leader = self._leader
-        for sent in range(MAX_START_TRIES):
+        leader, executor = self._leader, self._executor
+        queue = attempt.task.step.job_state.queue
+        unanswered_until = attempt.start_arrives_until
+        for sent in range(MAX_START_TRIES if ticket else 1):
             if attempt.phase is not AttemptPhase.STARTING:
                 return
             now = leader.clock.now()
             if not leader.leadership.may_start_attempts(now):
                 break
+            if executor.silent_since is not None and not sent:
+                leader.attempts.withdraw_start(attempt)
+                return
             command = StartCommand(
                 attempt.task.id,
                 attempt.number,
@@ -322,55 +363,101 @@
                 ticket,
             )
             attempt.is_start_sent = True
+            attempt.start_arrives_until = max(
+                unanswered_until,
+                latest_start_arrival(queue, leader.limits, now),
+            )
             got = await self._client.start(command)
             if isinstance(got, Success):
                 answer = got.unwrap()
-                reply = answer.reply
-                self._log_answer(
+                attempt.start_arrives_until = unanswered_until
+                answerer = self._process_answer(
                     "start answered", attempt, answer, now, tries=sent + 1
                 )
-                if reply is CommandReply.OK or not sent:
-                    leader.attempts.on_start_reply(attempt, reply)
+                if answer.reply is CommandReply.OK:
+                    self._record_start(attempt, answerer, now)
+                if answer.reply is CommandReply.OK or not sent:
+                    leader.attempts.on_start_reply(attempt, answer.reply)
                     return
                 break
             failed = got.failure()
-            if failed.code is Code.UNREACHABLE and not sent:
-                leader.attempts.on_start_reply(attempt, CommandReply.UNHEALTHY)
-                return
+            if failed.code is Code.UNREACHABLE:
+                attempt.start_arrives_until = unanswered_until
+                if not sent:
+                    leader.attempts.on_start_reply(
+                        attempt, CommandReply.UNHEALTHY
+                    )
+                    return
+            else:
+                unanswered_until = attempt.start_arrives_until
+                self._record_unanswered_renewal(now)
+                self.look()
+        if not ticket:
+            await self._wait_for_reply()
         if attempt.phase is AttemptPhase.STARTING:
             leader.attempts.on_start_outcome_unknown(attempt)
 
-    def _log_answer(
+    def _record_start(
+        self, attempt: Attempt, answerer: Answerer, sent_at: float
+    ) -> None:
+        """Records which incarnation has started an attempt."""
+        if answerer is Answerer.KNOWN:
+            attempt.seen_in = self._executor.answered_incarnation
+            self._renewed_at = max(self._renewed_at, sent_at)
+            return
+        # Its lease ends at the platform's maximum: the expiry that was
+        # requested is a time on the clock of a former incarnation.
+        attempt.start_arrives_until = max(
+            attempt.start_arrives_until, self._leader.clock.now()
+        )
+
+    async def _wait_for_reply(self) -> None:
+        """Waits for the reply to the next poll, at most as long as for one."""
+        self._replied.clear()
+        try:
+            async with asyncio.timeout(REPLY_WAIT_S):
+                await self._replied.wait()
+        except TimeoutError:
+            return
+
+    def _process_answer(
         self,
         event: str,
         attempt: Attempt,
         answer: CommandAnswer,
         sent_at: float,
         **fields,
-    ) -> None:
+    ) -> Answerer:
         """Logs which incarnation a command was meant for, and which answered.
 
+        If that is one of which the leader hasn't heard, it is polled at once.
+
         Args:
             event: Name of the event.
             attempt: The attempt that the command was about.
             answer: The answer.
             sent_at: Time at which the command was sent.
             **fields: Further fields of the log line.
+
+        Returns:
+            The incarnation that answered.
         """
         executor = self._executor
+        answerer = identify_answerer(executor, answer.clock_s, sent_at)
         _log.info(
             event,
             extra={
                 **attempt.log_fields,
                 "reply": answer.reply.value,
                 "meant_for": executor.answered_incarnation,
-                "answered_by": identify_answerer(
-                    executor, answer.clock_s, sent_at
-                ).value,
+                "answered_by": answerer.value,
                 "executor_clock_s": answer.clock_s,
                 **fields,
             },
         )
+        if answerer is Answerer.NEWER:
+            self.look()
+        return answerer
 
     async def _throttle(self, attempt: Attempt, percent: int) -> None:
         got = await self._client.throttle(
@@ -391,7 +478,7 @@
             got = await self._client.stop(*key, epoch=leader.leadership.epoch)
             if isinstance(got, Success):
                 answer = got.unwrap()
-                self._log_answer("stop answered", attempt, answer, sent_at)
+                self._process_answer("stop answered", attempt, answer, sent_at)
                 if answer.reply is CommandReply.OK:
                     attempt.absence_conclusive_after = leader.clock.now()
                     return
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -41,7 +41,7 @@
 from dragonflybank.cell.decision_round import DecisionRound, begin_round
 from dragonflybank.cell.isolation import set_step_aside
 from dragonflybank.cell.jobs import Queue
-from dragonflybank.cell.links import running_orphans
+from dragonflybank.cell.lease_bounds import running_orphans
 from dragonflybank.cell.placement import (
     PlacementPlan,
     candidate_executors,
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -66,6 +66,10 @@
             the attempt proves that it does not run; None while a start may
             still arrive.
         is_start_sent: Whether a command to start it was sent.
+        seen_in: Incarnation of its executor that was seen to run it, by its
+            list or by its answer; 0 if none was.
+        start_arrives_until: Latest time at which a command to start it that
+            has no answer may still be carried out.
         service: Service of its executor when it was placed.
     """
 
@@ -80,19 +84,18 @@
     speed_percent: int = 100
     absence_conclusive_after: float | None = None
     is_start_sent: bool = False
+    seen_in: int = 0
+    start_arrives_until: float = float("-inf")
     service: str = ""
 
     @property
     def may_run_on_newer_incarnation(self) -> bool:
         """Whether a newer incarnation of its executor may run it.
 
-        This is so if the start command has no reply yet, or if the reply
-        arrived after the last poll reply of the known incarnation.
+        A start is sent again only with a ticket, which holds for a single
+        incarnation, so that an attempt runs in one incarnation at most.
         """
-        if not self.is_start_sent:
-            return False
-        answered_at = self.absence_conclusive_after
-        return answered_at is None or answered_at > self.executor.last_reply_at
+        return self.is_start_sent and not self.seen_in
 
     @property
     def is_ending(self) -> bool:
@@ -306,7 +309,10 @@
         lasting_accelerators: The same of ``used_accelerators``.
         orphan_attempts: Attempts of ended jobs that it lists as running.
         claimed: Whether it has accepted this leader's epoch.
-        restart_seen_at: Time at which a new incarnation was detected.
+        renewals_arrive_until: Latest time at which a call without an answer
+            may still extend its lease.
+        former_renewals_arrive_until: The same for calls that were meant for a
+            former incarnation.
         acks_arrive_until: Latest time at which an acknowledgement of ends
             without an answer may still arrive.
         closed_until: Time before which a new incarnation gets no work, since
@@ -343,7 +349,8 @@
     lasting_accelerators: int = 0
     orphan_attempts: set[tuple[TaskId, int]] = attrs.field(factory=set)
     claimed: bool = False
-    restart_seen_at: float = float("-inf")
+    renewals_arrive_until: float = float("-inf")
+    former_renewals_arrive_until: float = float("-inf")
     acks_arrive_until: float = float("-inf")
     closed_until: float = float("-inf")
     is_listed: bool = True
--- a/libs/cell/dragonflybank/cell/tests/scheduler_fakes.py
+++ b/libs/cell/dragonflybank/cell/tests/scheduler_fakes.py
@@ -11,6 +11,7 @@
 from dragonflybank.cell.background import BackgroundTasks
 from dragonflybank.cell.capacity import release, reserve
 from dragonflybank.cell.election import Leadership
+from dragonflybank.cell.limits import CellLimits
 from dragonflybank.cell.metrics import CellMetrics
 from dragonflybank.cell.state import AttemptPhase
 from dragonflybank.cell.workload import Workload
@@ -43,6 +44,7 @@
 
     def __init__(self, executors, clock=None):
         self.clock = clock or VirtualClock()
+        self.limits = CellLimits()
         self.fleet = _Fleet({e.info.id: e for e in executors})
         self.workload = Workload()
         self.leadership = Leadership(1, 1, 0.0, float("inf"))
--- a/libs/cell/dragonflybank/cell/tests/test_leader_cost.py
+++ b/libs/cell/dragonflybank/cell/tests/test_leader_cost.py
@@ -88,7 +88,7 @@
     assert min(most, named) == min(most, math.ceil(enough / share))
 
 
-def test_only_unclaimed_executors_with_attempts_are_released_by_time():
+def test_only_executors_out_of_touch_with_attempts_are_released_by_time():
     """Guards against a pass that computes lease times of all executors.
 
     It must still release what a former leader started on an executor that
@@ -100,8 +100,10 @@
         leadership=types.SimpleNamespace(began_at=0.0),
         limits=CellLimits(),
         attempts=types.SimpleNamespace(
-            release_lost=lambda executor, reason: released.append(
+            release_lost=lambda executor, reason, is_lost: released.extend(
                 executor.info.id
+                for attempt in executor.attempts.values()
+                if is_lost(attempt)
             )
         ),
     )
@@ -111,9 +113,9 @@
     for task, executor in zip(step.tasks, (claimed, silent), strict=True):
         reserve(executor, task, 1, phase=AttemptPhase.RUNNING, now=0.0)
     fleet.executors = {e.info.id: e for e in (claimed, silent, idle)}
-    fleet.release_expired_unclaimed(12.0)
+    fleet.release_expired(12.0)
     assert released == []
-    fleet.release_expired_unclaimed(30.0)
+    fleet.release_expired(30.0)
     assert released == ["b"]
 
 
--- a/libs/cell/dragonflybank/cell/tests/test_takeover.py
+++ b/libs/cell/dragonflybank/cell/tests/test_takeover.py
@@ -71,7 +71,7 @@
             now = clock.now()
             leader.attempts.process_running(executor, (row,), now, now)
             self.assertThat(link.stop.call_count, Equals(1))
-            leader.fleet.release_expired_unclaimed(clock.now() + 60.0)
+            leader.fleet.release_expired(clock.now() + 60.0)
             self.assertThat(leader.workload.jobs, Not(Contains(JOB_ID)))
             await leader.close()
 
