--- a/libs/cli/dragonflybank/cli/explain.py
+++ b/libs/cli/dragonflybank/cli/explain.py
@@ -1,10 +1,17 @@
 """History of one request, read from the structured logs of a cell's hosts.
 
 `dragonflybank.cell.logs` writes these logs. Their events name a job by the
-identifier that its caller chose.
+identifier that its caller chose, and a task by that of its job with numbers
+appended.
 """
 
-__all__ = ["Event", "format_history", "read_events", "related_events"]
+__all__ = [
+    "Event",
+    "format_history",
+    "is_part_of",
+    "read_events",
+    "related_events",
+]
 
 import json
 from collections.abc import Iterable, Iterator
@@ -49,22 +56,40 @@
             row = json.loads(brace + rest)
         except ValueError:
             continue
-        if isinstance(row, dict) and "at" in row and "event" in row:
+        if not isinstance(row, dict) or "event" not in row:
+            continue
+        if isinstance(row.get("at"), int | float):
             words = before.split()
             host = words[-1] if words else ""
             fields = {k: v for k, v in row.items() if k not in _HIDDEN}
             yield Event(row["at"], host, row["event"], fields)
 
 
-def related_events(events: Iterable[Event], job: str) -> list[Event]:
+def is_part_of(name: str, identifier: str) -> bool:
+    """Returns whether a task or step is an identified one or belongs to it.
+
+    Example:
+        >>> is_part_of("7d.0.0.4", "7d"), is_part_of("7d.0.0.4", "7d.0.0")
+        (True, True)
+        >>> is_part_of("7d.0.0.4", "7")
+        False
+    """
+    return name == identifier or name.startswith(f"{identifier}.")
+
+
+def related_events(events: Iterable[Event], identifier: str) -> list[Event]:
     """Returns the events of a job and of the executors it was placed on.
 
     Events of these executors are included from the job's first to its last
     event, since a lost or failing executor explains what happened to the job.
     Changes of leadership in this time are included as well.
+
+    Args:
+        events: All events of the logs, in any order.
+        identifier: Identifier of the job, or of one of its tasks.
     """
     ordered = sorted(events, key=lambda event: event.at)
-    own = [event for event in ordered if _mentions_job(event, job)]
+    own = [event for event in ordered if _mentions(event, identifier)]
     if not own:
         return []
     first, last = own[0].at, own[-1].at
@@ -72,14 +97,19 @@
     return [
         event
         for event in ordered
-        if _mentions_job(event, job)
+        if _mentions(event, identifier)
         or (first <= event.at <= last and _is_related_event(event, used))
     ]
 
 
-def format_history(events: list[Event], job: str) -> list[str]:
-    """Formats one line for each event and marks the longest pause."""
-    own = [event for event in events if _mentions_job(event, job)]
+def format_history(events: list[Event], identifier: str) -> list[str]:
+    """Formats one line for each event and marks the longest pause.
+
+    Args:
+        events: What `related_events` returned.
+        identifier: Identifier of the job or task.
+    """
+    own = [event for event in events if _mentions(event, identifier)]
     pauses = [
         (later.at - event.at, later)
         for event, later in zip(own, own[1:], strict=False)
@@ -95,13 +125,22 @@
     return lines
 
 
-def _mentions_job(event: Event, job: str) -> bool:
+def _mentions(event: Event, identifier: str) -> bool:
     fields = event.fields
-    if fields.get("job") == job:
+    if fields.get("job") == identifier:
         return True
-    names = (fields.get("task"), fields.get("step"))
+    lost = fields.get("tasks")
+    names = (
+        fields.get("task"),
+        fields.get("step"),
+        *(
+            str(entry).split("/")[0]
+            for entry in lost or ()
+            if "/" in str(entry)
+        ),
+    )
     return any(
-        isinstance(name, str) and name.split(".")[0] == job for name in names
+        isinstance(name, str) and is_part_of(name, identifier) for name in names
     )
 
 
