--- a/libs/cli/dragonflybank/cli/tests/test_fault_logs.py
+++ b/libs/cli/dragonflybank/cli/tests/test_fault_logs.py
@@ -5,10 +5,12 @@
 import tempfile
 
 import testtools
-from testtools.matchers import Contains, Equals, GreaterThan
+from testtools.matchers import Contains, Equals, GreaterThan, Is, IsInstance
 
 from dragonflybank.cell.logs import JsonLinesHandler
+from dragonflybank.cli.attempt_history import AttemptTracker, EndingKind
 from dragonflybank.cli.explain import Event, read_events, related_events
+from dragonflybank.cli.restarts import find_interruptions
 from dragonflybank.standins.cell.fault_scenarios import run_scenario
 
 
@@ -65,6 +67,35 @@
         job = again.fields["task"].split(".")[0]
         self.assertThat(event_names(events, job), Contains("attempts lost"))
 
+    def test_attempts_of_restarted_executors_are_explained(self):
+        events = events_of_fault("executors_crash", 1)
+        restarted = [
+            found for found in find_interruptions(events) if found.is_restarted
+        ]
+        self.assertThat(len(restarted), GreaterThan(0))
+        for found in restarted:
+            self.assertThat(found.incarnation, Equals(2))
+        tracker = AttemptTracker()
+        for event in events:
+            tracker.process(event)
+        attempts = tracker.attempts.values()
+        calls = [call for attempt in attempts for call in attempt.calls]
+        self.assertThat(len(calls), GreaterThan(0))
+        for call in calls:
+            self.assertThat(call.meant_for, IsInstance(int))
+            self.assertThat(call.answered_by is None, Is(not call.is_answered))
+        losses = [
+            ending
+            for attempt in attempts
+            for ending in attempt.endings
+            if ending.kind is EndingKind.LOST
+        ]
+        self.assertThat(len(losses), GreaterThan(0))
+        for ending in losses:
+            self.assertThat(ending.is_named, Is(True))
+            self.assertThat(ending.silent_s, IsInstance(float))
+            self.assertThat(ending.lease_s, IsInstance(float))
+
     def test_delayed_request_is_logged_until_it_ends(self):
         events = events_of_fault("leader_killed", 1)
         late = max(
