Add the command restarts, and the attempts to explain

Change: 'explain ID' prints the attempts after the history, and ID may name a task. The commands that read logs have their own module.

--- a/libs/cli/dragonflybank/cli/commands.py
+++ b/libs/cli/dragonflybank/cli/commands.py
@@ -9,6 +9,7 @@
     "Init",
     "Lookup",
     "Query",
+    "Restarts",
     "Status",
     "Submit",
     "Version",
@@ -30,6 +31,8 @@
     help="Text, @FILE, or - for standard input.",
 )
 
+_LOG = cappa.Arg(long=True, help="Log file; repeat for several hosts.")
+
 
 @attrs.frozen
 class Submit:
@@ -151,12 +154,39 @@
 
 @attrs.frozen
 class Explain:
-    """Prints the history of one request from the hosts' logs."""
+    """Prints the history of one request from the hosts' logs.
 
-    job: Annotated[str, cappa.Arg(help="Identifier of the request.")]
-    log: Annotated[
-        list[str],
-        cappa.Arg(long=True, help="Log file; repeat for several hosts."),
+    The history of its attempts follows: which incarnation of an executor each
+    command was meant for, which one answered, and how the attempt ended.
+    """
+
+    job: Annotated[
+        str, cappa.Arg(help="Identifier of the request, or of a task of it.")
+    ]
+    log: Annotated[list[str], _LOG]
+
+
+@attrs.frozen
+class Restarts:
+    """Prints how silences and restarts of executors delayed their tasks."""
+
+    log: Annotated[list[str], _LOG]
+    each: Annotated[
+        bool,
+        cappa.Arg(
+            long=True,
+            default=False,
+            help="One row for each silence or restart, not each executor.",
+        ),
+    ]
+    origin: Annotated[
+        float | None,
+        cappa.Arg(
+            long=True,
+            default=None,
+            show_default=False,
+            help="Seconds since 1970 that count as 0; the first line if unset.",
+        ),
     ]
 
 
@@ -198,6 +228,7 @@
         | Query
         | Check
         | Explain
+        | Restarts
         | Init
         | Codes
         | Version
--- a/libs/cli/dragonflybank/cli/main.py
+++ b/libs/cli/dragonflybank/cli/main.py
@@ -5,7 +5,6 @@
 import asyncio
 import getpass
 import importlib.metadata
-import itertools
 import json
 import pathlib
 import sys
@@ -20,11 +19,7 @@
 from dragonflybank.cli.answers import answer_as_text, exit_status
 from dragonflybank.cli.checks import check_file
 from dragonflybank.cli.client import Call, HostClient
-from dragonflybank.cli.explain import (
-    format_history,
-    read_events,
-    related_events,
-)
+from dragonflybank.cli.log_commands import run_explain, run_restarts
 from dragonflybank.config.editor import ConfigEditor
 from dragonflybank.config.operator import OperatorConfig, decode_operator_config
 from dragonflybank.config.validation import HTTP_URL
@@ -89,7 +84,9 @@
         case commands.Check() as command:
             return _run_check(command, args.json, write)
         case commands.Explain() as command:
-            return _run_explain(command, write)
+            return run_explain(command, args.json, write)
+        case commands.Restarts() as command:
+            return run_restarts(command, args.json, write)
         case commands.Init() as command:
             return _print_answer(await _run_init(command), args.json, write)
         case commands.Codes():
@@ -102,24 +99,6 @@
     return 0 if _is_accepted(args.command, answer) else status
 
 
-def _run_explain(command: commands.Explain, write) -> int:
-    try:
-        texts = [
-            pathlib.Path(path).read_text(encoding="utf-8", errors="replace")
-            for path in command.log
-        ]
-    except OSError as exc:
-        write(f"cannot read the logs: {exc}")
-        return 2
-    lines = itertools.chain.from_iterable(t.splitlines() for t in texts)
-    found = related_events(read_events(lines), command.job)
-    for line in format_history(found, command.job):
-        write(line)
-    if not found:
-        write(f"no line of {', '.join(command.log)} names {command.job}")
-    return 0 if found else 1
-
-
 def _print_answer(answer: Answer, as_json: bool, write) -> int:
     document = attrs.asdict(answer)
     write(json.dumps(document) if as_json else answer_as_text(answer))
