Tell the decision that an attempt is over from the wait for a place

Need: the time from a silence to the next start of a task contains the wait for a free place.

Change: columns over_median_s and over_longest_s of restarts. Attempts whose release earlier logs don't contain aren't in them. The test of the percentile uses a number of values for which rounding up and down differ.

--- a/libs/cli/dragonflybank/cli/restarts.py
+++ b/libs/cli/dragonflybank/cli/restarts.py
@@ -15,7 +15,7 @@
 import itertools
 import math
 import statistics
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
@@ -56,6 +56,8 @@
         attempts: Attempts that were on it, or were placed on it meanwhile.
         delays_s: Time from the begin to the next start of each task that was
             started again because of it, in seconds.
+        releases_s: Time from the begin until the attempts of these tasks were
+            taken to be over, in seconds, as far as it is logged.
     """
 
     executor: str
@@ -70,6 +72,7 @@
     kept: int = 0
     attempts: list[AttemptHistory] = attrs.field(factory=list)
     delays_s: list[float] = attrs.field(factory=list)
+    releases_s: list[float] = attrs.field(factory=list)
 
 
 def find_interruptions(events: Iterable[Event]) -> list[Interruption]:
@@ -164,7 +167,7 @@
         for current in self._current.values():
             _count_kept(current)
         for interruption in self.found:
-            interruption.delays_s.extend(self._delays_s(interruption))
+            self._measure(interruption)
 
     def _process_executor(self, event: Event, executor: str) -> None:
         fields = event.fields
@@ -230,7 +233,7 @@
             self._latest_by_attempt[id(attempt)] = current
             current.attempts.append(attempt)
 
-    def _delays_s(self, interruption: Interruption) -> Iterable[float]:
+    def _measure(self, interruption: Interruption) -> None:
         for attempt in interruption.attempts:
             if self._latest_by_attempt[id(attempt)] is not interruption:
                 # It was still on the executor in a later interruption.
@@ -238,8 +241,13 @@
             followed = next_start(
                 attempt, self._tracker.attempts_of(attempt.task)
             )
-            if followed is not None and _is_cause(interruption, attempt):
-                yield followed - interruption.began_at
+            if followed is None or not _is_cause(interruption, attempt):
+                continue
+            interruption.delays_s.append(followed - interruption.began_at)
+            if attempt.endings:
+                interruption.releases_s.append(
+                    attempt.endings[0].at - interruption.began_at
+                )
 
 
 def _count_kept(interruption: Interruption) -> None:
@@ -288,22 +296,25 @@
 
 def _count_cells(group: Sequence[Interruption]) -> tuple:
     delays_s = [delay for found in group for delay in found.delays_s]
-    delays = ("", "", "")
-    if delays_s:
-        delays = (
-            statistics.median(delays_s),
-            _percentile_95(delays_s),
-            max(delays_s),
-        )
+    releases_s = [each for found in group for each in found.releases_s]
     return (
         sum(len(found.attempts) for found in group),
         sum(found.lost for found in group),
         sum(found.kept for found in group),
         len(delays_s),
-        *delays,
+        *_summary(releases_s, statistics.median, max),
+        *_summary(delays_s, statistics.median, _percentile_95, max),
     )
 
 
+def _summary(
+    values: Sequence[float], *functions: Callable[[Sequence[float]], float]
+) -> tuple:
+    if not values:
+        return ("",) * len(functions)
+    return tuple(function(values) for function in functions)
+
+
 def _percentile_95(values: Sequence[float]) -> float:
     """Returns the 95th percentile by the nearest-rank method."""
     return sorted(values)[math.ceil(0.95 * len(values)) - 1]
@@ -326,6 +337,8 @@
         "lost",
         "kept",
         "started_again",
+        "over_median_s",
+        "over_longest_s",
         "median_s",
         "p95_s",
         "longest_s",
--- a/libs/cli/dragonflybank/cli/tests/test_log_commands.py
+++ b/libs/cli/dragonflybank/cli/tests/test_log_commands.py
@@ -71,7 +71,7 @@
         _, row, total, _ = written[0].splitlines()
         self.assertThat(
             " ".join(row.split()),
-            Equals("i-0 1 1.000 no answer 0 1 1 0 1 7.5 7.5 7.5"),
+            Equals("i-0 1 1.000 no answer 0 1 1 0 1 7 7 7.5 7.5 7.5"),
         )
         self.assertThat(total.split()[0], Equals("all"))
 
--- a/libs/cli/dragonflybank/cli/tests/test_restarts.py
+++ b/libs/cli/dragonflybank/cli/tests/test_restarts.py
@@ -174,6 +174,17 @@
         )
         self.assertThat(found, Equals([7.5, 9.0]))
 
+    def test_time_until_the_attempt_is_over_is_told_apart(self):
+        found = only_one(
+            *PLACED,
+            SILENT,
+            lost(17.0, "a.0/1"),
+            about(17.5, "place", "a.0", 2, "i-2"),
+            about(18.0, "place", "b.0", 2, "i-2"),
+        )
+        self.assertThat(found.releases_s, Equals([7.0]))
+        self.assertThat(found.delays_s, Equals([7.5, 8.0]))
+
     def test_refused_start_is_not_the_next_one(self):
         found = self.delays(
             lost(17.0, "a.0/1"),
@@ -238,7 +249,7 @@
 
     def setUp(self):
         super().setUp()
-        tasks = [f"t{number}.0" for number in range(20)]
+        tasks = [f"t{number}.0" for number in range(21)]
         self.found = find_interruptions(
             [
                 *(about(1.0, "place", task) for task in tasks),
@@ -264,11 +275,11 @@
             Equals(
                 (
                     ("i-2", 1, "0.000", "1.000", "not logged", 0)
-                    + (0, 0, 0, 0, "", "", ""),
+                    + (0, 0, 0, 0, "", "", "", "", ""),
                     ("i-1", 2, "5.000", "no answer", "", 0)
-                    + (20, 20, 0, 20, 17.5, 26.0, 27.0),
+                    + (21, 21, 0, 21, 7.0, 7.0, 18.0, 27.0, 28.0),
                     ("all", 3, "", "", "", 0)
-                    + (20, 20, 0, 20, 17.5, 26.0, 27.0),
+                    + (21, 21, 0, 21, 7.0, 7.0, 18.0, 27.0, 28.0),
                 )
             ),
         )
