--- a/libs/cell/dragonflybank/cell/attempts.py
+++ b/libs/cell/dragonflybank/cell/attempts.py
@@ -13,7 +13,10 @@
 
 from dragonflybank.cell.capacity import release, reserve
 from dragonflybank.cell.jobs import JobPhase, TaskId
-from dragonflybank.cell.lease_bounds import latest_start_arrival
+from dragonflybank.cell.lease_bounds import (
+    latest_start_arrival,
+    may_run_until,
+)
 from dragonflybank.cell.ports import (
     AttemptEnd,
     CommandReply,
@@ -339,6 +342,18 @@
                     "tasks": [
                         f"{a.task.id}/{a.number} in {a.seen_in}" for a in lost
                     ],
+                    "held_until_s": [
+                        round(
+                            may_run_until(
+                                a,
+                                self._leader.limits,
+                                self._leader.leadership.began_at,
+                            )
+                            - now,
+                            3,
+                        )
+                        for a in lost
+                    ],
                     "silent_s": round(now - executor.last_reply_at, 3),
                     "lease_s": round(
                         executor.lease_until_s - executor.clock_s, 3
