Keep work off a new incarnation while renewals for a former one may arrive

A renewal without an answer may reach the new incarnation seconds later and extend its lease to the platform's longest, which a later leader doesn't know of. Waiting for this after each change of leader would keep tasks of executors that are gone back for 28.5 s, longer than the 14 s in which users expect jobs to end (finish_s). So the new incarnation gets no work until such a renewal can't arrive, as it was for acknowledgements, and what has begun there is stopped. A new leader waits 12.7 s again, or until a start of its predecessor and the longest lease after it are over.

--- a/libs/cell/dragonflybank/cell/fleet.py
+++ b/libs/cell/dragonflybank/cell/fleet.py
@@ -210,6 +210,11 @@
                 that commands in transit do not reach it.
         """
         now = self._leader.clock.now()
+        executor.closed_until = max(
+            executor.closed_until,
+            executor.acks_arrive_until,
+            executor.renewals_arrive_until,
+        )
         _log.warning(
             "executor restarted",
             extra={
@@ -217,9 +222,7 @@
                 "former_incarnation": executor.answered_incarnation,
                 "attempts": len(executor.attempts),
                 "silent_s": round(now - executor.last_reply_at, 3),
-                "closed_s": max(
-                    0.0, round(executor.acks_arrive_until - now, 3)
-                ),
+                "closed_s": max(0.0, round(executor.closed_until - now, 3)),
                 "has_left_address": has_left_address,
             },
         )
@@ -231,9 +234,6 @@
             ),
         )
         executor.former_renewals_arrive_until = executor.renewals_arrive_until
-        executor.closed_until = max(
-            executor.closed_until, executor.acks_arrive_until
-        )
         executor.acked_end = executor.seen_end = executor.confirmed_ack = 0
         executor.is_ack_blocked = False
         executor.lease_until_s = 0.0
@@ -316,6 +316,9 @@
                         "ends": len(new_ends),
                     },
                 )
+            if executor.closed_until > now:
+                for attempt in list(executor.attempts.values()):
+                    self._leader.attempts.stop(attempt, "executor closed")
             self._leader.attempts.update_speed_limits(executor, now)
             self._leader.wake()
         return bool(new_ends)
--- a/libs/cell/dragonflybank/cell/lease_bounds.py
+++ b/libs/cell/dragonflybank/cell/lease_bounds.py
@@ -78,10 +78,10 @@
     """
     executor, lease_s = attempt.executor, longest_lease_s(limits)
     if not executor.answered_incarnation:
-        # Calls of former leaders may still arrive, and nothing is known of
-        # the clocks that their leases were counted on.
-        last_call_at = leader_since + MAX_UNCONFIRMED_RENEWAL_S
-        return last_call_at + limits.max_call_delay_s + lease_s
+        return max(
+            _former_leases_end(limits, leader_since),
+            attempt.start_arrives_until + lease_s,
+        )
     known = _known_lease_end(executor)
     if executor.former_renewals_arrive_until > float("-inf"):
         known = max(known, executor.former_renewals_arrive_until + lease_s)
@@ -108,6 +108,21 @@
             yield from executor.orphan_attempts
 
 
+def _former_leases_end(limits: CellLimits, leader_since: float) -> float:
+    """Returns until when leases that former leaders renewed may last.
+
+    They counted them on the clock of an incarnation that had just answered. A
+    renewal that arrives late at a newer one finds nothing to extend, since
+    that gets no work as long as one may arrive (`Executor.closed_until`).
+    """
+    return (
+        leader_since
+        + MAX_UNCONFIRMED_RENEWAL_S
+        + limits.lease_s / MIN_CLOCK_RATE
+        + 2 * LEASE_EXPIRY_MARGIN_S
+    )
+
+
 def _known_lease_end(executor: Executor) -> float:
     left_s = executor.lease_until_s - executor.clock_s
     return (
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -316,7 +316,8 @@
         acks_arrive_until: Latest time at which an acknowledgement of ends
             without an answer may still arrive.
         closed_until: Time before which a new incarnation gets no work, since
-            acknowledgements meant for a former one would remove its ends.
+            polls meant for a former one may still extend its lease or remove
+            its ends.
         is_listed: Whether it has an entry in the platform's list.
         answered_incarnation: Incarnation in its last poll reply to this leader;
             0 before the first one.
