Count the longest lease until an incarnation was heard for long enough

The new leader heard that incarnation, counted the 6 s that it asked for itself, and gave the attempt up at 33.7 s; the run lapsed at 36.5 s, 0.3 s after the next one began.

Change: the lease of an incarnation counts as the longest one from its first reply to a leader, whatever that leader asked for.

--- a/libs/cell/dragonflybank/cell/fleet.py
+++ b/libs/cell/dragonflybank/cell/fleet.py
@@ -277,13 +277,15 @@
             # Before its first reply, its lists show what has ended.
             if executor.answered_incarnation:
                 self.on_new_incarnation(executor)
-                # Leases were requested on the clock of a former incarnation.
-                executor.lease_until_s = (
-                    reply.clock_s + self._leader.limits.max_lease_s
-                )
             executor.info = attrs.evolve(
                 executor.info, incarnation=reply.incarnation
             )
+        if executor.answered_incarnation != reply.incarnation:
+            # Calls of former leaders, and calls that were meant for a former
+            # incarnation, may have got the longest lease.
+            executor.lease_until_s = (
+                reply.clock_s + self._leader.limits.max_lease_s
+            )
         executor.answered_incarnation = reply.incarnation
         if executor.silent_since is not None:
             executor.silent_since = None
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -443,7 +443,9 @@
             The incarnation that answered.
         """
         executor = self._executor
-        answerer = identify_answerer(executor, answer.clock_s, sent_at)
+        answerer = identify_answerer(
+            executor, answer.clock_s, sent_at, self._leader.clock.now()
+        )
         _log.info(
             event,
             extra={
--- a/libs/standins/dragonflybank/standins/cell/executors.py
+++ b/libs/standins/dragonflybank/standins/cell/executors.py
@@ -27,6 +27,7 @@
 from dragonflybank.standins.cell.virtual_time import create_task_in_process
 
 MAX_LEASE_S = 10.0
+MAX_FIRST_CLOCK_S = 10_000.0
 STOP_DURATION_S = 0.3
 GANG_ASSEMBLY_TIMEOUT_S = 3.0
 
@@ -197,8 +198,12 @@
         self.faults.is_replaced = True
 
     def clock_s(self) -> float:
-        """Returns the time of its own monotonic clock in seconds."""
-        return (self._now() - self._started_at) * self._clock_rate + 1.0
+        """Returns the time of its own monotonic clock in seconds.
+
+        Each incarnation's clock starts at another value.
+        """
+        passed_s = (self._now() - self._started_at) * self._clock_rate
+        return self._first_clock_s + passed_s
 
     def used_capacity(self) -> tuple[int, int]:
         """Returns the thousandths of cores and the MiB of memory in use."""
@@ -323,6 +328,7 @@
         self.running: dict[tuple[TaskId, int], AttemptRun] = {}
         self._runs: dict[tuple[TaskId, int], AttemptRun] = {}
         self._started_at = self._now()
+        self._first_clock_s = self.rng.uniform(1.0, MAX_FIRST_CLOCK_S)
         self._epoch = 0
         self._lease_until_s = 0.0
         self._ends: list[AttemptEnd] = []
--- a/libs/standins/dragonflybank/standins/cell/tests/test_restarted_executor.py
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_restarted_executor.py
@@ -37,6 +37,9 @@
     def test_new_leader_counts_the_longest_lease(self):
         self._assert_holds(self._leader_killed_beside_longest_lease)
 
+    def test_new_leader_hears_an_executor_with_the_longest_lease(self):
+        self._assert_holds(self._cut_after_claim_by_new_leader)
+
     def test_start_for_a_former_incarnation_is_executed_late(self):
         self._assert_holds(self._late_start_at_next_incarnation)
 
@@ -110,6 +113,23 @@
         cell.kill_host(cell.leader())
         await asyncio.sleep(40.0)
 
+    async def _cut_after_claim_by_new_leader(self, cell: SimulatedCell) -> None:
+        """A start of the former leader got more than the new leader asks for.
+
+        That one is elected, hears the executor, and asks for 6 s.
+        """
+        executor = await _occupy_all_but_one(cell, run_s=5.0)
+        await _wait_for_poll(executor)
+        await executor.restart_after(DARK_S)
+        await _submit(cell, run_s=LONG_RUN_S)
+        run = await _wait_for_run(executor)
+        self.assertThat(run.executor, Equals(f"{executor.info.id}/2"))
+        cell.kill_host(cell.leader())
+        leader = await cell.wait_for_leader()
+        await _wait_until(lambda: _has_claimed(cell, leader, executor))
+        executor.faults.is_cut = True
+        await asyncio.sleep(20.0)
+
     async def _late_start_at_next_incarnation(
         self, cell: SimulatedCell
     ) -> None:
@@ -182,6 +202,13 @@
     )
 
 
+def _has_claimed(
+    cell: SimulatedCell, leader: str, executor: MemoryExecutor
+) -> bool:
+    known = cell.hosts[leader].leader.fleet.executors.get(executor.info.id)
+    return known is not None and known.claimed
+
+
 async def _wait_for_poll(executor: MemoryExecutor) -> None:
     """Waits until a poll waits at the executor."""
     await asyncio.sleep(0.2)
