Issue tickets of the stated form in the simulated large cell too

What was seen: test_large_cell.py and test_leader_choice.py failed and took minutes. Since executors check tickets, they refused those of the large cell's own stand-in of the advice service, ticket/EXECUTOR, and each start was tried again.

Change: MemoryExecutor.issue_ticket makes the tickets that it accepts, for both stand-ins of the advice service. test_large_cell.py passes again.

--- a/libs/standins/dragonflybank/standins/cell/executors.py
+++ b/libs/standins/dragonflybank/standins/cell/executors.py
@@ -295,6 +295,13 @@
             tuple(self._ends[:500]),
         )
 
+    def issue_ticket(self, step: str) -> str:
+        """Returns a ticket for a step as the advice service issues it.
+
+        It names the step, the executor, its incarnation and the time.
+        """
+        return f"{step}/{self.info.id}/{self.info.incarnation}/{self._now()}"
+
     def is_reachable(self, host: str, address: str) -> bool:
         """Returns whether calls of a host to an address reach the executor."""
         faults = self.faults
@@ -343,9 +350,8 @@
     def _accepts_ticket(self, command: StartCommand) -> bool:
         """Returns whether a start has a valid ticket or needs none.
 
-        The stand-in of the advice service in `memory_platform` issues tickets
-        of the form step/executor/incarnation/time. A ticket without the last
-        two is valid at any time, in any incarnation.
+        A ticket without incarnation and time, as the HTTP server of advice
+        issues, is valid at any time, in any incarnation.
         """
         valid_s = self._ticket_valid_s(command.task)
         if valid_s is None:
--- a/libs/standins/dragonflybank/standins/cell/large_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/large_cell.py
@@ -127,7 +127,7 @@
     async def start_host(self, name: str) -> None:
         """See `SimulatedCell.start_host`."""
         await super().start_host(name)
-        self.hosts[name].platform.advice = _PatternAdvice(self.patterns)
+        self.hosts[name].platform.advice = _PatternAdvice(self)
 
     def draw_pattern_job(self) -> Job:
         """Draws a job of one of the patterns."""
@@ -286,13 +286,15 @@
 class _PatternAdvice(AdviceService):
     """Advice with the timing and the share of good executors of a pattern."""
 
-    def __init__(self, patterns: Mapping[str, WorkPattern]):
-        self._patterns = patterns
+    def __init__(self, cell: LargeCell):
+        self._cell = cell
         self._lock = asyncio.Lock()
 
     async def advise(self, step, executors, *, timeout_s):
         pattern = next(
-            p for p in self._patterns.values() if p.priority == int(step[0], 16)
+            p
+            for p in self._cell.patterns.values()
+            if p.priority == int(step[0], 16)
         )
         timing: AdviceTiming = pattern.advice
         async with self._lock:
@@ -300,7 +302,7 @@
         limit = 1000 * pattern.good_share
         return Success(
             {
-                name: f"ticket/{name}"
+                name: self._cell.executors[name].issue_ticket(step)
                 for name in executors
                 if zlib.crc32(f"{step}/{name}".encode()) % 1000 < limit
             }
--- a/libs/standins/dragonflybank/standins/cell/memory_platform.py
+++ b/libs/standins/dragonflybank/standins/cell/memory_platform.py
@@ -62,8 +62,6 @@
 class MemoryAdvice(AdviceService):
     """Finds two of three executors suitable for a step on average.
 
-    Its tickets name the incarnation of the executor and the time of the answer.
-
     Attributes:
         call_s: Duration of a call in seconds.
 
@@ -83,12 +81,9 @@
         async with self._lock:
             await asyncio.sleep(self.call_s)
         suitable = [e for e in executors if is_suitable(step, e)]
-        return Success({e: self._ticket(step, e) for e in suitable})
-
-    def _ticket(self, step: str, executor: str) -> str:
-        now = asyncio.get_running_loop().time()
-        incarnation = self._cell.executors[executor].info.incarnation
-        return f"{step}/{executor}/{incarnation}/{now}"
+        return Success(
+            {e: self._cell.executors[e].issue_ticket(step) for e in suitable}
+        )
 
 
 def is_suitable(step: str, executor: str) -> bool:
