--- a/libs/standins/dragonflybank/standins/cell/schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/schedules.py
@@ -1,10 +1,17 @@
 """Random schedules of overlapping faults for a simulated cell.
 
 ``python -m dragonflybank.standins.cell.schedules FIRST LAST`` runs the
-schedules of a range of seeds and prints those that violated a rule.
+schedules of a range of seeds and prints those that violated a rule. With the
+option ``--restart-series``, executors restart in series and are cut off.
 """
 
-__all__ = ["FAULTS", "ScheduledFault", "draw_schedule", "play_schedule"]
+__all__ = [
+    "FAULTS",
+    "ScheduledFault",
+    "draw_restart_series",
+    "draw_schedule",
+    "play_schedule",
+]
 
 import asyncio
 import random
@@ -26,11 +33,18 @@
 
 LOAD = SubmissionLoad(jobs_per_s=5.0, duration_s=12.0)
 LAST_START_S = 12.0
-MAX_FAULTS = 7
+# So many that series overlap.
+MAX_FAULTS = 10
 # The remaining executors must have capacity for the widest gang.
 MAX_REPLACED = 2
 DURATIONS_S = (0.2, 1.0, 2.5, 5.0)
 SLOW_ROUND_TRIP_S = 0.25
+HEARTBEAT_INTERVAL_S = 1.5
+# Ranges of `executor_back_and_cut`, in seconds.
+DARK_RANGE_S = (0.2, 1.0)
+BACK_RANGE_S = (0.3, 3.0)
+CUT_RANGE_S = (2.0, 12.0)
+MAX_CALL_DELAY_S = 0.5
 
 
 @attrs.frozen
@@ -77,6 +91,45 @@
     ]
 
 
+def draw_restart_series(seed: int) -> list[ScheduledFault]:
+    """Draws executors that are back under their old ids and then cut off.
+
+    Several executors restart, each twice in a row, beside calls that are late,
+    lost or reordered; leaders are killed between a restart and the cut.
+    """
+    rng = random.Random(f"restart series {seed}")
+    series: list[ScheduledFault] = []
+    for first in range(rng.randint(2, 4)):
+        start_s = rng.uniform(2.0, LAST_START_S)
+        again_s = start_s + rng.uniform(1.5, 8.0)
+        # Consecutive numbers select different executors.
+        target = 2 * (first + rng.randrange(2))
+        series += [
+            ScheduledFault(at, "executor_back_and_cut", target, 0.0)
+            for at in (start_s, again_s)
+        ]
+        if rng.random() < 0.4:
+            # An odd number selects the leader.
+            series.append(
+                ScheduledFault(
+                    start_s + rng.uniform(*DARK_RANGE_S) + 0.1,
+                    rng.choice(("host_killed", "host_frozen")),
+                    2 * rng.randrange(50) + 1,
+                    rng.choice(DURATIONS_S),
+                )
+            )
+        if rng.random() < 0.7:
+            series.append(
+                ScheduledFault(
+                    max(0.0, start_s - rng.uniform(0.0, 2.0)),
+                    rng.choice(("calls_unanswered", "calls_reordered")),
+                    rng.randrange(100),
+                    rng.choice(DURATIONS_S),
+                )
+            )
+    return series
+
+
 async def _run(seed: int, schedule: Sequence[ScheduledFault]) -> list[str]:
     cell = SimulatedCell(seed)
     await cell.start()
@@ -135,6 +188,13 @@
     await cell.start_host(name)
 
 
+async def host_frozen(cell: SimulatedCell, scheduled: ScheduledFault) -> None:
+    """A host's process stands still and goes on."""
+    name = _select_host(cell, scheduled)
+    if name:
+        await cell.freeze_host(name, scheduled.duration_s)
+
+
 async def host_seems_gone(
     cell: SimulatedCell, scheduled: ScheduledFault
 ) -> None:
@@ -280,6 +340,54 @@
         cell.write_executor_entry(executor)
 
 
+async def executor_back_and_cut(
+    cell: SimulatedCell, scheduled: ScheduledFault
+) -> None:
+    """An executor is back at once under its identifier, and then cut off."""
+    rng = random.Random(f"{scheduled.start_s} {scheduled.target}")
+    executor = _select_executor(cell, scheduled)
+    if executor.faults.is_replaced or executor.faults.is_crashed:
+        return
+    await executor.restart_after(rng.uniform(*DARK_RANGE_S))
+    back_s = rng.uniform(*BACK_RANGE_S)
+    heartbeat_s = rng.uniform(0.0, HEARTBEAT_INTERVAL_S)
+    await asyncio.sleep(min(back_s, heartbeat_s))
+    if heartbeat_s < back_s and executor.is_serving(executor.info.address):
+        cell.write_executor_entry(executor)
+    await asyncio.sleep(max(0.0, back_s - heartbeat_s))
+    executor.faults.is_cut = True
+    await asyncio.sleep(rng.uniform(*CUT_RANGE_S))
+    executor.faults.is_cut = False
+    if executor.is_serving(executor.info.address):
+        cell.write_executor_entry(executor)
+
+
+async def calls_unanswered(
+    cell: SimulatedCell, scheduled: ScheduledFault
+) -> None:
+    """Calls of all executors are late, or lose their answers."""
+    await _fault_of_all(cell, scheduled, late_share=0.2, lost_share=0.2)
+
+
+async def calls_reordered(
+    cell: SimulatedCell, scheduled: ScheduledFault
+) -> None:
+    """Calls and answers of all executors overtake each other."""
+    await _fault_of_all(cell, scheduled, max_delay_s=MAX_CALL_DELAY_S)
+
+
+async def _fault_of_all(
+    cell: SimulatedCell, scheduled: ScheduledFault, **values: float
+) -> None:
+    await asyncio.gather(
+        *(
+            _set_fault(executor.faults, scheduled, name, value)
+            for executor in cell.executors.values()
+            for name, value in values.items()
+        )
+    )
+
+
 async def executor_moves(
     cell: SimulatedCell, scheduled: ScheduledFault
 ) -> None:
@@ -331,6 +439,7 @@
     for fault in (
         host_killed,
         host_dark,
+        host_frozen,
         host_seems_gone,
         host_cut_from_store,
         host_turned_away,
@@ -348,6 +457,9 @@
         executor_failing,
         executor_hanging,
         executor_crashed,
+        executor_back_and_cut,
+        calls_unanswered,
+        calls_reordered,
         executor_moves,
         executor_leaves,
         executor_replaced,
@@ -355,15 +467,19 @@
 }
 
 
-def main(first: int, last: int) -> int:
-    """Runs the schedules of a range of seeds.
+def main(
+    first: int,
+    last: int,
+    draw: Callable[[int], list[ScheduledFault]] = draw_schedule,
+) -> int:
+    """Runs the schedules that are drawn for a range of seeds.
 
     Returns:
         The number of schedules that violated a rule.
     """
     violating = 0
     for seed in range(first, last + 1):
-        schedule = draw_schedule(seed)
+        schedule = draw(seed)
         found = play_schedule(seed, schedule)
         violating += bool(found)
         if found:
@@ -373,4 +489,10 @@
 
 
 if __name__ == "__main__":
-    sys.exit(1 if main(int(sys.argv[1]), int(sys.argv[2])) else 0)
+    is_series = "--restart-series" in sys.argv[3:]
+    violating = main(
+        int(sys.argv[1]),
+        int(sys.argv[2]),
+        draw_restart_series if is_series else draw_schedule,
+    )
+    sys.exit(1 if violating else 0)
--- a/libs/standins/dragonflybank/standins/cell/simulated_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/simulated_cell.py
@@ -3,7 +3,6 @@
 __all__ = ["SimulatedCell", "SubmissionLoad"]
 
 import asyncio
-import functools
 import random
 from collections.abc import Mapping, Sequence
 
@@ -21,12 +20,13 @@
     TaskId,
 )
 from dragonflybank.cell.limits import CellLimits
-from dragonflybank.cell.ports import EndKind, ExecutorInfo
+from dragonflybank.cell.ports import ExecutorInfo
 from dragonflybank.cell.teams import Team
 from dragonflybank.model.codes import Code
 from dragonflybank.standins.cell.caller_keys import CallerKeys
 from dragonflybank.standins.cell.checks import CallerHistory, find_violations
-from dragonflybank.standins.cell.executors import AttemptRun, MemoryExecutor
+from dragonflybank.standins.cell.executors import MemoryExecutor
+from dragonflybank.standins.cell.gang_runs import GangRuns
 from dragonflybank.standins.cell.memory_platform import (
     MemoryPeers,
     MemoryPlatform,
@@ -96,8 +96,7 @@
         self._process_of_host: dict[str, str] = {}
         self._run_times_s: dict[str, float] = {}
         self._failing_jobs: set[str] = set()
-        self._gang_runs: dict[tuple, list[tuple[MemoryExecutor, AttemptRun]]]
-        self._gang_runs = {}
+        self._gang_runs = GangRuns(self._find_step)
         self._clock = VirtualClock()
         self._services = tuple(services)
         self.teams = dict(teams or {})
@@ -234,6 +233,22 @@
         self.handlers_of_host.pop(name, None)
         asyncio.get_running_loop().kill(self._process_of_host[name])
 
+    async def freeze_host(self, name: str, seconds: float) -> None:
+        """Lets the process of a host stand still and then go on.
+
+        Other hosts get no answer from it meanwhile; it misses their calls.
+
+        Args:
+            name: Name of the host.
+            seconds: Duration.
+        """
+        loop, process = asyncio.get_running_loop(), self._process_of_host[name]
+        self.cut_peers.add(name)
+        loop.freeze(process)
+        await asyncio.sleep(seconds)
+        loop.thaw(process)
+        self.cut_peers.discard(name)
+
     def leader(self) -> str:
         """Returns the name of the leader, or an empty string without one."""
         return next(
@@ -452,48 +467,9 @@
             clock_rate=self.rng.uniform(0.98, 1.0),
             rng=random.Random(self.rng.getrandbits(32)),
         )
-        executor.on_run_started = functools.partial(
-            self._record_gang_run, executor
-        )
-        executor.count_gang_members = self._count_gang_members
-        executor.on_gang_member_ended = self._end_gang
+        self._gang_runs.connect(executor)
         return executor
 
     def _find_step(self, task: TaskId) -> Step | None:
         job = self.history.jobs.get(task.job)
         return job.steps[task.step] if job else None
-
-    def _running_gang_members(
-        self, run: AttemptRun
-    ) -> list[tuple[MemoryExecutor, AttemptRun]]:
-        return [
-            (executor, other)
-            for executor, other in self._gang_runs.get(_gang_key(run), ())
-            if other.ended_at is None
-        ]
-
-    def _record_gang_run(
-        self, executor: MemoryExecutor, run: AttemptRun
-    ) -> None:
-        step = self._find_step(run.task)
-        if step is not None and step.gang:
-            self._gang_runs.setdefault(_gang_key(run), []).append(
-                (executor, run)
-            )
-
-    def _count_gang_members(self, run: AttemptRun) -> int:
-        return len({other.task for _, other in self._running_gang_members(run)})
-
-    def _end_gang(self, run: AttemptRun, kind: EndKind) -> None:
-        step = self._find_step(run.task)
-        if step is None or not step.gang:
-            return
-        is_done = kind is EndKind.DONE
-        for executor, other in self._running_gang_members(run):
-            executor.end_by_gang(
-                other, EndKind.DONE if is_done else EndKind.BROKEN
-            )
-
-
-def _gang_key(run: AttemptRun) -> tuple[str, int, int]:
-    return run.task.job, run.task.step, run.attempt
--- a/libs/standins/dragonflybank/standins/cell/tests/test_schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_schedules.py
@@ -11,6 +11,7 @@
     LAST_START_S,
     MAX_FAULTS,
     ScheduledFault,
+    draw_restart_series,
     play_schedule,
 )
 
@@ -27,6 +28,7 @@
     ),
     max_size=MAX_FAULTS,
 )
+RESTART_SERIES_SEEDS = (1, 2, 3, 4)
 # Schedules that once violated a rule, with the seed of their cell, by the
 # cause of the violation.
 REGRESSIONS = {
@@ -90,6 +92,10 @@
         self.assertThat("\n".join(found), Equals(""))
 
 
+class TestRestartSeries(testtools.TestCase):
+    """Guards against tasks that run twice beside restarts (issue 36)."""
+
+
 def _make_test(seed: int, schedule: list[ScheduledFault]):
     def test(self):
         found = play_schedule(seed, schedule)
@@ -100,3 +106,10 @@
 
 for name, (cell_seed, schedule) in REGRESSIONS.items():
     setattr(TestSchedules, f"test_{name}", _make_test(cell_seed, schedule))
+
+for seed in RESTART_SERIES_SEEDS:
+    setattr(
+        TestRestartSeries,
+        f"test_seed__{seed}",
+        _make_test(seed, draw_restart_series(seed)),
+    )
--- a/libs/standins/dragonflybank/standins/cell/virtual_time.py
+++ b/libs/standins/dragonflybank/standins/cell/virtual_time.py
@@ -13,6 +13,7 @@
 ]
 
 import asyncio
+import collections
 import contextvars
 import selectors
 import weakref
@@ -56,6 +57,15 @@
             weakref.WeakKeyDictionary()
         )
         self.set_task_factory(_create_task)
+        self._ready = _ReadyQueue(self)
+
+    def freeze(self, process: str) -> None:
+        """Lets a process stand still until `thaw`; its timers go on."""
+        self._ready.frozen.add(process)
+
+    def thaw(self, process: str) -> None:
+        """Lets a frozen process go on with all that was due meanwhile."""
+        self._ready.thaw(process)
 
     def kill(self, process: str) -> None:
         """Cancels all tasks that belong to a process."""
@@ -74,6 +84,31 @@
     return task
 
 
+class _ReadyQueue(collections.deque):
+    """Callbacks that are due; those of frozen processes are kept back."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        super().__init__()
+        self._skipped = asyncio.Handle(lambda: None, (), loop)
+        self._skipped.cancel()
+        self.frozen: set[str] = set()
+        self._kept: list[asyncio.Handle] = []
+
+    def popleft(self) -> asyncio.Handle:
+        """Returns the next callback, or a cancelled one if it is kept back."""
+        handle = super().popleft()
+        if self.frozen and handle._context.get(current_process) in self.frozen:
+            self._kept.append(handle)
+            return self._skipped
+        return handle
+
+    def thaw(self, process: str) -> None:
+        """Makes the callbacks of a process due again, in their order."""
+        self.frozen.discard(process)
+        kept, self._kept = self._kept, []
+        self.extend(kept)
+
+
 class _TimeSelector(selectors.SelectSelector):
     def __init__(self):
         super().__init__()
