Count calls that are under way when a restart is noticed

A poll that the new incarnation answered could also confirm the acknowledgement of the former one's ends, so that its own were never acknowledged and polls returned at once (1,667 in 5 s).

Change: calls_under_way records a call when it is sent and settles it only by an answer of the incarnation that it was meant for. A new incarnation is closed as long as such a call for a former one may arrive; a start with a ticket only as long as that is valid. Renewals and acknowledgements are sent at most 0.5 s after a reply. A look that fails after a newer reply changes nothing. An answer of another incarnation to a start counts as a renewal there. The starts of a former leader count until its last confirmation is too old.

--- a/libs/cell/dragonflybank/cell/attempts.py
+++ b/libs/cell/dragonflybank/cell/attempts.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from dragonflybank.cell.capacity import release, reserve
+from dragonflybank.cell.election import CONFIRMATION_MAX_AGE_S
 from dragonflybank.cell.jobs import JobPhase, TaskId
 from dragonflybank.cell.lease_bounds import (
     latest_start_arrival,
@@ -112,7 +113,9 @@
             attempt.start_arrives_until = latest_start_arrival(
                 task.step.job_state.queue,
                 self._leader.limits,
-                self._leader.leadership.began_at,
+                # A former leader starts attempts until its last confirmation
+                # is too old.
+                self._leader.leadership.began_at + CONFIRMATION_MAX_AGE_S,
             )
         return len(placed)
 
--- a/libs/cell/dragonflybank/cell/capacity.py
+++ b/libs/cell/dragonflybank/cell/capacity.py
@@ -12,6 +12,7 @@
     "time_to_room_s",
 ]
 
+from dragonflybank.cell.calls_under_way import is_closed
 from dragonflybank.cell.jobs import Step
 from dragonflybank.cell.state import (
     Attempt,
@@ -152,7 +153,8 @@
         and executor.is_listed
         and not executor.info.draining
         and executor.silent_since is None
-        and executor.closed_until <= now
+        and executor.entry_incarnation >= executor.answered_incarnation
+        and not is_closed(executor, now)
         and not executor.orphan_attempts
     )
 
--- a/libs/cell/dragonflybank/cell/fleet.py
+++ b/libs/cell/dragonflybank/cell/fleet.py
@@ -17,6 +17,7 @@
 
 import attrs
 
+from dragonflybank.cell.calls_under_way import note_restart
 from dragonflybank.cell.draining import attempts_to_evacuate, has_left
 from dragonflybank.cell.isolation import IsolatedExecutorClient
 from dragonflybank.cell.lease_bounds import (
@@ -76,7 +77,7 @@
         """
         executor = self.executors.get(info.id)
         if executor is None:
-            executor = Executor(info)
+            executor = Executor(info, entry_incarnation=info.incarnation)
             self.executors[info.id] = executor
             self._connect(executor)
             if info.draining:
@@ -93,7 +94,7 @@
         self, executor: Executor, info: ExecutorInfo, written_after: float
     ) -> None:
         """Updates a known executor from an entry."""
-        known = executor.info
+        known, entry_incarnation = executor.info, info.incarnation
         info = attrs.evolve(
             info, incarnation=info.incarnation or known.incarnation
         )
@@ -122,6 +123,7 @@
             return
         if info.draining:
             self._record_draining(executor, info, written_after)
+        executor.entry_incarnation = entry_incarnation
         executor.info = info
         executor.is_listed = True
         if has_moved or info.id not in self._links:
@@ -210,11 +212,7 @@
                 that commands in transit do not reach it.
         """
         now = self._leader.clock.now()
-        executor.closed_until = max(
-            executor.closed_until,
-            executor.acks_arrive_until,
-            executor.renewals_arrive_until,
-        )
+        note_restart(executor)
         _log.warning(
             "executor restarted",
             extra={
@@ -233,7 +231,6 @@
                 has_left_address or not a.may_run_on_newer_incarnation
             ),
         )
-        executor.former_renewals_arrive_until = executor.renewals_arrive_until
         executor.acked_end = executor.seen_end = executor.confirmed_ack = 0
         executor.is_ack_blocked = False
         executor.lease_until_s = 0.0
--- a/libs/cell/dragonflybank/cell/lease_bounds.py
+++ b/libs/cell/dragonflybank/cell/lease_bounds.py
@@ -19,6 +19,7 @@
     "latest_start_arrival",
     "longest_lease_s",
     "may_run_until",
+    "needs_lease",
     "running_orphans",
 ]
 
@@ -91,6 +92,26 @@
     return max(known, newer + lease_s)
 
 
+def needs_lease(executor: Executor, confirmed_at: float, now: float) -> bool:
+    """Returns whether an executor's lease has to be renewed.
+
+    The lease of a silent executor is not renewed, so that it expires if the
+    executor is gone. An executor that runs nothing needs no lease; without
+    one, it is known to run nothing soon after it is gone.
+
+    Args:
+        executor: The executor.
+        confirmed_at: Time at which the leadership was last confirmed.
+        now: Current time.
+    """
+    return (
+        executor.claimed
+        and executor.silent_since is None
+        and bool(executor.attempts or executor.orphan_attempts)
+        and now - confirmed_at <= MAX_UNCONFIRMED_RENEWAL_S
+    )
+
+
 def has_lease_expired(executor: Executor, now: float) -> bool:
     """Returns whether the lease of the known incarnation has expired."""
     return now >= _known_lease_end(executor)
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -25,11 +25,9 @@
 from returns.result import Failure, Result, Success
 
 from dragonflybank.cell.background import BackgroundTasks
+from dragonflybank.cell.calls_under_way import begin_call, end_call
 from dragonflybank.cell.incarnations import Answerer, identify_answerer
-from dragonflybank.cell.lease_bounds import (
-    MAX_UNCONFIRMED_RENEWAL_S,
-    latest_start_arrival,
-)
+from dragonflybank.cell.lease_bounds import latest_start_arrival, needs_lease
 from dragonflybank.cell.ports import (
     CommandAnswer,
     CommandReply,
@@ -37,7 +35,7 @@
     PollReply,
     StartCommand,
 )
-from dragonflybank.cell.state import Attempt, AttemptPhase, Executor
+from dragonflybank.cell.state import Attempt, AttemptPhase, Call, Executor
 from dragonflybank.model.codes import Code, Problem, failure
 
 if TYPE_CHECKING:
@@ -47,6 +45,9 @@
 
 # The platform allows a wait of 2 s; a shorter one detects silence earlier.
 POLL_WAIT_S = 1.5
+# A renewal or an acknowledgement is sent this long after a reply at most, so
+# that it reaches the incarnation that replied.
+MAX_REPLY_AGE_S = 0.5
 # Less than a wait, so that each poll that waited is followed by a renewal.
 RENEWAL_INTERVAL_S = 1.0
 # An executor without attempts is only polled to see whether it still runs.
@@ -152,50 +153,43 @@
         executor.lease_until_s = max(executor.lease_until_s, until_s)
         return until_s
 
-    def _needs_lease(self, now: float) -> bool:
-        """Returns whether the executor's lease has to be renewed.
-
-        The lease of a silent executor is not renewed, so that it expires if
-        the executor is gone. An executor that runs nothing needs no lease;
-        without one, it is known to run nothing soon after it is gone.
-        """
-        executor, leadership = self._executor, self._leader.leadership
-        is_used = executor.attempts or executor.orphan_attempts
-        is_silent = executor.silent_since is not None
-        confirmed_s = now - leadership.confirmed_at
-        return (
-            executor.claimed
-            and bool(is_used)
-            and not is_silent
-            and confirmed_s <= MAX_UNCONFIRMED_RENEWAL_S
-        )
-
     async def _poll_forever(self) -> None:
         leader, executor = self._leader, self._executor
         while True:
             now = leader.clock.now()
             self._acknowledge()
-            is_silent = executor.silent_since is not None
             has_acks = executor.acked_end > executor.confirmed_ack
-            acked_end = executor.acked_end if has_acks and not is_silent else 0
-            is_renewal = self._needs_lease(now) and (
-                acked_end > 0 or now - self._renewed_at >= RENEWAL_INTERVAL_S
+            is_fresh = (
+                executor.silent_since is None
+                and now - executor.last_reply_at <= MAX_REPLY_AGE_S
+            )
+            acked_end = executor.acked_end if has_acks and is_fresh else 0
+            is_due = now - self._renewed_at >= RENEWAL_INTERVAL_S
+            renews = (
+                is_fresh
+                and (is_due or acked_end)
+                and needs_lease(executor, leader.leadership.confirmed_at, now)
             )
             wait = (
                 executor.claimed
-                and not (is_silent or has_acks or is_renewal)
+                and is_fresh
+                and not (has_acks or renews)
                 and executor.acked_end >= executor.seen_end
             )
+            call = begin_call(
+                executor,
+                now + leader.limits.max_call_delay_s,
+                renews=renews,
+                acked_end=acked_end,
+            )
             got = await self._call_poll(
                 acked_end=acked_end,
-                lease_until_s=(
-                    self._record_lease_request(now) if is_renewal else 0.0
-                ),
+                lease_until_s=self._record_lease_request(now)
+                if renews
+                else 0.0,
                 wait_s=self._poll_wait_s() if wait else 0.0,
             )
-            self._record_outcome(
-                got, now, acked_end=acked_end, is_renewal=is_renewal
-            )
+            self._end_poll(call, got, now)
             match got:
                 case Success(PollReply(status=CommandReply.OK) as reply):
                     if leader.fleet.process_poll(executor, reply, sent_at=now):
@@ -241,46 +235,31 @@
         finally:
             self._poll.cancel()
 
-    def _record_outcome(
-        self,
-        got: Result[PollReply, Problem],
-        sent_at: float,
-        *,
-        acked_end: int,
-        is_renewal: bool,
+    def _end_poll(
+        self, call: Call, got: Result[PollReply, Problem], sent_at: float
     ) -> None:
-        """Records what a poll without an answer may still do when it arrives.
+        """Records the outcome of a poll.
 
         Args:
-            got: The outcome of the poll.
+            call: The poll.
+            got: Its outcome.
             sent_at: Time at which it was sent.
-            acked_end: Number of the last end that it acknowledged.
-            is_renewal: Whether it requested a lease.
         """
         executor = self._executor
+        arrives_until = float("-inf")
         match got:
-            case Success(reply):
+            case Success(reply) if reply.incarnation == call.incarnation:
                 if reply.incarnation == executor.answered_incarnation:
                     executor.confirmed_ack = max(
-                        executor.confirmed_ack, acked_end
+                        executor.confirmed_ack, call.acked_end
                     )
-                    if is_renewal:
+                    if call.renews:
                         self._renewed_at = sent_at
+            case Success():
+                arrives_until = self._leader.clock.now()
             case Failure(Problem(code=Code.TIMED_OUT)):
-                until = sent_at + self._leader.limits.max_call_delay_s
-                if is_renewal:
-                    self._record_unanswered_renewal(sent_at)
-                if acked_end:
-                    executor.acks_arrive_until = max(
-                        executor.acks_arrive_until, until
-                    )
-
-    def _record_unanswered_renewal(self, sent_at: float) -> None:
-        executor = self._executor
-        executor.renewals_arrive_until = max(
-            executor.renewals_arrive_until,
-            sent_at + self._leader.limits.max_call_delay_s,
-        )
+                arrives_until = call.arrives_until
+        end_call(executor, call, arrives_until)
 
     def look(self) -> None:
         """Polls at once, in the background, since the executor may be gone.
@@ -311,7 +290,9 @@
                         executor.seen_end,
                     )
                 self._replied.set()
-            case Failure(failed):
+            case Success(PollReply(status=CommandReply.FENCED)):
+                leader.on_fenced(executor)
+            case Failure(failed) if executor.last_reply_at <= sent_at:
                 leader.fleet.on_call_failed(executor, failed)
                 if self._poll is not None:
                     self._poll.cancel()
@@ -363,10 +344,9 @@
                 ticket,
             )
             attempt.is_start_sent = True
-            attempt.start_arrives_until = max(
-                unanswered_until,
-                latest_start_arrival(queue, leader.limits, now),
-            )
+            arrives_until = latest_start_arrival(queue, leader.limits, now)
+            attempt.start_arrives_until = max(unanswered_until, arrives_until)
+            call = begin_call(executor, arrives_until, renews=True)
             got = await self._client.start(command)
             if isinstance(got, Success):
                 answer = got.unwrap()
@@ -374,14 +354,14 @@
                 answerer = self._process_answer(
                     "start answered", attempt, answer, now, tries=sent + 1
                 )
-                if answer.reply is CommandReply.OK:
-                    self._record_start(attempt, answerer, now)
+                self._end_start(call, attempt, answer, answerer, now)
                 if answer.reply is CommandReply.OK or not sent:
                     leader.attempts.on_start_reply(attempt, answer.reply)
                     return
                 break
             failed = got.failure()
             if failed.code is Code.UNREACHABLE:
+                end_call(executor, call, float("-inf"))
                 attempt.start_arrives_until = unanswered_until
                 if not sent:
                     leader.attempts.on_start_reply(
@@ -389,27 +369,47 @@
                     )
                     return
             else:
+                end_call(executor, call, call.arrives_until)
                 unanswered_until = attempt.start_arrives_until
-                self._record_unanswered_renewal(now)
                 self.look()
         if not ticket:
             await self._wait_for_reply()
         if attempt.phase is AttemptPhase.STARTING:
             leader.attempts.on_start_outcome_unknown(attempt)
 
-    def _record_start(
-        self, attempt: Attempt, answerer: Answerer, sent_at: float
+    def _end_start(
+        self,
+        call: Call,
+        attempt: Attempt,
+        answer: CommandAnswer,
+        answerer: Answerer,
+        sent_at: float,
     ) -> None:
-        """Records which incarnation has started an attempt."""
-        if answerer is Answerer.KNOWN:
-            attempt.seen_in = self._executor.answered_incarnation
-            self._renewed_at = max(self._renewed_at, sent_at)
-            return
-        # Its lease ends at the platform's maximum: the expiry that was
-        # requested is a time on the clock of a former incarnation.
-        attempt.start_arrives_until = max(
-            attempt.start_arrives_until, self._leader.clock.now()
+        """Records which incarnation has answered a start.
+
+        Args:
+            call: The start.
+            attempt: The attempt.
+            answer: The answer.
+            answerer: The incarnation that answered.
+            sent_at: Time at which the start was sent.
+        """
+        executor, now = self._executor, self._leader.clock.now()
+        is_known = answerer is Answerer.KNOWN
+        is_meant = (
+            is_known and call.incarnation == executor.answered_incarnation
         )
+        # In another incarnation, whatever it replied, the lease is now the
+        # longest one.
+        end_call(executor, call, float("-inf") if is_meant else now)
+        if answer.reply is not CommandReply.OK:
+            return
+        if is_known:
+            attempt.seen_in = executor.answered_incarnation
+            if is_meant:
+                self._renewed_at = max(self._renewed_at, sent_at)
+        else:
+            attempt.start_arrives_until = max(attempt.start_arrives_until, now)
 
     async def _wait_for_reply(self) -> None:
         """Waits for the reply to the next poll, at most as long as for one."""
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -3,6 +3,7 @@
 __all__ = [
     "Attempt",
     "AttemptPhase",
+    "Call",
     "Executor",
     "ExecutorAdvice",
     "JobState",
@@ -293,6 +294,23 @@
         return list(self.open_attempts)
 
 
+@attrs.frozen(eq=False)
+class Call:
+    """A call to an executor that has no answer yet.
+
+    Attributes:
+        incarnation: Incarnation that it is meant for; 0 if none is known.
+        arrives_until: Latest time at which it may arrive.
+        renews: Whether it may extend the executor's lease.
+        acked_end: Number of the last end that it acknowledges; 0 for none.
+    """
+
+    incarnation: int
+    arrives_until: float
+    renews: bool
+    acked_end: int
+
+
 @attrs.define(eq=False)
 class Executor:
     """An executor and its resources in use, as far as the leader knows.
@@ -309,6 +327,9 @@
         lasting_accelerators: The same of ``used_accelerators``.
         orphan_attempts: Attempts of ended jobs that it lists as running.
         claimed: Whether it has accepted this leader's epoch.
+        entry_incarnation: Incarnation of the entry that ``info`` is from. A
+            later one may have another capacity and other labels.
+        calls_under_way: Calls without an answer that haven't timed out yet.
         renewals_arrive_until: Latest time at which a call without an answer
             may still extend its lease.
         former_renewals_arrive_until: The same for calls that were meant for a
@@ -350,6 +371,8 @@
     lasting_accelerators: int = 0
     orphan_attempts: set[tuple[TaskId, int]] = attrs.field(factory=set)
     claimed: bool = False
+    entry_incarnation: int = 0
+    calls_under_way: set[Call] = attrs.field(factory=set)
     renewals_arrive_until: float = float("-inf")
     former_renewals_arrive_until: float = float("-inf")
     acks_arrive_until: float = float("-inf")
