--- a/libs/standins/dragonflybank/standins/cell/executors.py
+++ b/libs/standins/dragonflybank/standins/cell/executors.py
@@ -165,11 +165,15 @@
             run.ended_at, run.end_kind = self._now(), EndKind.LAPSED
         self.running.clear()
 
-    def restart(self, *, address: str = "") -> None:
+    def restart(
+        self, *, address: str = "", first_clock_s: float | None = None
+    ) -> None:
         """Starts a new incarnation with the same identifier.
 
         Args:
             address: Its new address, by default the one that it had.
+            first_clock_s: Value at which its clock starts, in seconds; drawn
+                if None.
         """
         self.crash()
         self.faults.is_crashed = False
@@ -179,17 +183,22 @@
             address=address or self.info.address,
         )
         self._start_incarnation()
+        if first_clock_s is not None:
+            self._first_clock_s = first_clock_s
 
-    async def restart_after(self, dark_s: float) -> None:
+    async def restart_after(
+        self, dark_s: float, *, first_clock_s: float | None = None
+    ) -> None:
         """Crashes, and restarts at the same address.
 
         Args:
             dark_s: Time during which no call is answered, in seconds.
+            first_clock_s: See `restart`.
         """
         self.crash()
         await asyncio.sleep(dark_s)
         if self.faults.is_crashed:
-            self.restart()
+            self.restart(first_clock_s=first_clock_s)
 
     def replace(self) -> None:
         """Gives its address to an executor with another identifier for good."""
--- a/libs/standins/dragonflybank/standins/cell/tests/test_restarted_executor.py
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_restarted_executor.py
@@ -14,7 +14,8 @@
 
 SEED = 1
 DARK_S = 0.05
-# The clock of the first incarnation is ahead of that of the next one.
+# The first incarnation's clock is ahead, so that its leases are the longest.
+NEXT_CLOCK_S = 1.0
 SETTLED_S = 20.0
 # Longer than any lease and any late call.
 LONG_RUN_S = 60.0
@@ -43,6 +44,9 @@
     def test_start_for_a_former_incarnation_is_executed_late(self):
         self._assert_holds(self._late_start_at_next_incarnation)
 
+    def test_late_start_ends_before_a_late_acknowledgement(self):
+        self._assert_holds(self._late_start_and_poll_at_next_incarnation)
+
     def _assert_holds(self, drive: Callable, *args) -> None:
         async def main():
             cell = SimulatedCell(SEED, executors=2)
@@ -60,7 +64,7 @@
         """The task at the new incarnation outlives the lease that was asked."""
         executor = await _occupy_all_but_one(cell, run_s=5.0)
         await _wait_for_poll(executor)
-        await executor.restart_after(DARK_S)
+        await executor.restart_after(DARK_S, first_clock_s=NEXT_CLOCK_S)
         executor.faults.lost_share = lost_share
         await _submit(cell, run_s=LONG_RUN_S)
         run = await _wait_for_run(executor)
@@ -73,7 +77,7 @@
         executor = await _occupy_all_but_one(cell, run_s=60.0)
         await _run_to_its_end(cell, executor)
         await _wait_for_poll(executor)
-        await executor.restart_after(DARK_S)
+        await executor.restart_after(DARK_S, first_clock_s=NEXT_CLOCK_S)
         await _submit(cell, run_s=0.5)
         run = await _wait_for_run(executor)
         self.assertThat(run.executor, Equals(f"{executor.info.id}/2"))
@@ -84,7 +88,7 @@
         executor = await _occupy_all_but_one(cell, run_s=60.0)
         await _run_to_its_end(cell, executor)
         await _delay_next_poll(executor, late_s=8.0)
-        await executor.restart_after(DARK_S)
+        await executor.restart_after(DARK_S, first_clock_s=NEXT_CLOCK_S)
         # The polls after it show the leader that the executor restarted.
         await asyncio.sleep(5.0)
         await _submit(cell, run_s=0.8)
@@ -106,7 +110,7 @@
         await _submit(cell, run_s=LONG_RUN_S)
         await _run_to_its_end(cell, executor)
         await _delay_next_poll(executor, late_s=7.0)
-        await executor.restart_after(DARK_S)
+        await executor.restart_after(DARK_S, first_clock_s=NEXT_CLOCK_S)
         await _submit(cell, run_s=LONG_RUN_S)
         await _wait_for_run_on_any(cell)
         executor.faults.is_cut = True
@@ -120,7 +124,7 @@
         """
         executor = await _occupy_all_but_one(cell, run_s=5.0)
         await _wait_for_poll(executor)
-        await executor.restart_after(DARK_S)
+        await executor.restart_after(DARK_S, first_clock_s=NEXT_CLOCK_S)
         await _submit(cell, run_s=LONG_RUN_S)
         run = await _wait_for_run(executor)
         self.assertThat(run.executor, Equals(f"{executor.info.id}/2"))
@@ -142,7 +146,30 @@
         self.assertThat(executor.running, Equals({}))
         executor.faults.late_share = 0.0
         executor.faults.is_cut = True
-        await executor.restart_after(DARK_S)
+        await executor.restart_after(DARK_S, first_clock_s=NEXT_CLOCK_S)
+        await asyncio.sleep(40.0)
+
+    async def _late_start_and_poll_at_next_incarnation(
+        self, cell: SimulatedCell
+    ) -> None:
+        """The end of a late start is dropped by a poll that was sent after it.
+
+        The executor is cut off meanwhile, so that nobody reads that end.
+        """
+        executor = await _occupy_all_but_one(cell, run_s=60.0)
+        await _submit(cell, run_s=4.0)
+        first = await _wait_for_run(executor)
+        executor.faults.late_share = 1.0
+        executor.faults.late_range_s = (8.0, 8.0)
+        await _submit(cell, run_s=0.3)
+        await asyncio.sleep(0.3)
+        executor.faults.late_share = 0.0
+        await _wait_until(lambda: first.ended_at)
+        await _delay_next_poll(executor, late_s=5.0)
+        executor.faults.is_cut = True
+        await executor.restart_after(DARK_S, first_clock_s=NEXT_CLOCK_S)
+        await asyncio.sleep(5.5)
+        executor.faults.is_cut = False
         await asyncio.sleep(40.0)
 
 
