Refuse calls for a former VM of a worker by its incarnation

Callers could see a repeatable task run twice: a start for a VM that was replaced is carried out by the next VM under the same name, after the task was resolved as lost and started elsewhere. An owner that had missed the restart could also place uncounted tasks and lookups on the next VM, renew its leases, and take it from its owner by a reclaim.

Calls carried only the worker's epoch, which a restarted worker counts from 0 again. After one claim in each life both are at epoch 1. Hosts join the epoch with a tag of the incarnation among themselves, but sent the bare number to the worker. The stand-in hid this, since it dropped the calls in progress when a VM was killed.

Each call now carries a fence of incarnation and epoch, which the worker compares with its own; a claim compares both too. The stand-in keeps calls in progress for the next VM and refuses them by their fence.

The edits to existing tests only pass the fence instead of the epoch.

--- a/libs/bench/dragonflybank/bench/matrix/tests/test_broken.py
+++ b/libs/bench/dragonflybank/bench/matrix/tests/test_broken.py
@@ -20,7 +20,7 @@
 from dragonflybank.model.topology import VmInfo, VmState
 from dragonflybank.model.work import Outcome
 from dragonflybank.platform.store import HttpConfigStore
-from dragonflybank.platform.worker import HttpWorkerClient
+from dragonflybank.platform.worker import Fence, HttpWorkerClient
 from dragonflybank.standins.answers import CallerAnswer
 from dragonflybank.standins.faults import Hook, HookAction, HookTiming
 from dragonflybank.standins.invariants import check_all
@@ -64,13 +64,17 @@
         for server in (self.store, self.vmlist, *self.workers):
             await server.close()
 
+    def fence(self, number):
+        """Returns the fence of a worker that no host has claimed."""
+        return Fence(self.workers[number].incarnation, 0)
+
     async def start(self, number, task, work_class="tonnage_table"):
-        """Starts a task with the epoch that the worker reports, so unfenced."""
+        """Starts a task with the fence that the worker reports, so unfenced."""
         client = self.clients[number]
         seen = (await client.state()).unwrap()
         return await client.start(
             task,
-            epoch=seen.epoch,
+            fence=seen.fence,
             work_class=work_class,
             grant=GRANT,
             lease_s=LEASE_S,
@@ -125,7 +129,9 @@
         async def run_scheduler(standins):
             # The new owner finds no task and starts it at the other worker.
             # The former owner then sends its start with the current epoch.
-            claimed = await standins.clients[0].claim("new", epoch=0)
+            claimed = await standins.clients[0].claim(
+                "new", fence=standins.fence(0)
+            )
             self.assertThat(claimed.unwrap().state.tasks, Equals(()))
             (await standins.start(1, "t/k/2/0")).unwrap()
             (await standins.start(0, "t/k/1/0")).unwrap()
@@ -145,7 +151,7 @@
             results = [
                 await standins.clients[0].execute(
                     f"r{number}",
-                    epoch=0,
+                    fence=standins.fence(0),
                     work_class="die_lookup",
                     payload=json.dumps({"answer": number}),
                     timeout_s=1.0,
@@ -183,7 +189,8 @@
                 task = f"t/k/{number + 1}/0"
                 (await standins.start(number, task, "simulation")).unwrap()
                 client = standins.clients[number]
-                (await client.stop([task], epoch=0)).unwrap()
+                fence = standins.fence(number)
+                (await client.stop([task], fence=fence)).unwrap()
 
         self.assert_violations(run_scheduler, ["I5"])
 
--- a/libs/cluster/dragonflybank/cluster/claims.py
+++ b/libs/cluster/dragonflybank/cluster/claims.py
@@ -1,8 +1,9 @@
 """Claims of a worker, and what they decide about earlier starts.
 
 A claim raises the worker's epoch, which fences every call with an earlier
-epoch. The worker's answer to the claim lists its tasks. A start with an
-earlier epoch that is not in the list did not take effect and never will.
+epoch or for an earlier VM. The worker's answer to the claim lists its tasks. A
+start with an earlier epoch that is not in the list did not take effect and
+never will.
 """
 
 __all__ = ["claim", "reclaim", "resolve"]
@@ -18,7 +19,7 @@
 from dragonflybank.model.codes import Code, Problem, failure
 from dragonflybank.model.leases import Resolution, ResolutionKind
 from dragonflybank.model.work import StartRecord
-from dragonflybank.platform.worker import ClaimResult, WorkerState
+from dragonflybank.platform.worker import ClaimResult, Fence, WorkerState
 
 
 async def claim(
@@ -31,7 +32,7 @@
         which the claim may still have taken effect.
     """
     async with worker.lock:
-        reply = await worker.client.claim(worker.host, epoch=seen.epoch)
+        reply = await worker.client.claim(worker.host, fence=seen.fence)
         if isinstance(reply, Failure):
             return reply
         claimed = reply.unwrap()
@@ -182,9 +183,8 @@
 async def _claim_next_epoch(
     worker: ManagedWorker,
 ) -> Result[ClaimResult, Problem]:
-    reply = await worker.client.claim(
-        worker.host, epoch=worker_epoch(worker.epoch)
-    )
+    fence = Fence(worker.incarnation, worker_epoch(worker.epoch))
+    reply = await worker.client.claim(worker.host, fence=fence)
     if failed_with(reply, Code.TIMED_OUT):
         return await _claim_seen_epoch(worker, await worker.client.state())
     is_lost = reply.map(lambda claimed: not claimed.won).value_or(False)
@@ -206,4 +206,4 @@
     seen = state_reply.unwrap()
     if seen.owner != worker.host or seen.incarnation != worker.incarnation:
         return Success(ClaimResult(False, seen))
-    return await worker.client.claim(worker.host, epoch=seen.epoch)
+    return await worker.client.claim(worker.host, fence=seen.fence)
--- a/libs/cluster/dragonflybank/cluster/events.py
+++ b/libs/cluster/dragonflybank/cluster/events.py
@@ -40,7 +40,7 @@
     """
     epoch = worker.epoch
     reply = await worker.call_fenced(
-        lambda number: worker.client.events(epoch=number, wait_s=EVENT_WAIT_S)
+        lambda fence: worker.client.events(fence=fence, wait_s=EVENT_WAIT_S)
     )
     if isinstance(reply, Failure) or worker.epoch != epoch:
         return False
@@ -51,7 +51,7 @@
     if not journalled:
         return not events
     acknowledged = await worker.call_fenced(
-        lambda number: worker.client.ack(journalled, epoch=number)
+        lambda fence: worker.client.ack(journalled, fence=fence)
     )
     if isinstance(acknowledged, Success):
         worker.task_ends.acknowledge(journalled, now())
--- a/libs/cluster/dragonflybank/cluster/managed_worker.py
+++ b/libs/cluster/dragonflybank/cluster/managed_worker.py
@@ -17,6 +17,7 @@
 from dragonflybank.model.resources import Resources
 from dragonflybank.model.topology import VmInfo, VmState
 from dragonflybank.platform.worker import (
+    Fence,
     WorkerClient,
     WorkerState,
     WorkerTask,
@@ -266,16 +267,16 @@
         self.not_owned.set()
 
     async def call_fenced(
-        self, call: Callable[[int], Awaitable[Result]]
+        self, call: Callable[[Fence], Awaitable[Result]]
     ) -> Result:
-        """Calls the worker with its epoch.
+        """Calls the worker with the incarnation and epoch that this host owns.
 
-        The ownership is dropped if the worker refuses the epoch as stale.
+        The ownership is dropped if the worker refuses them as stale.
         """
         epoch = self.epoch
         if not epoch:
             return failure(Code.NOT_OWNER, f"{self.name} is not owned here")
-        reply = await call(worker_epoch(epoch))
+        reply = await call(Fence(self.incarnation, worker_epoch(epoch)))
         is_stale = failed_with(reply, Code.STALE_EPOCH) and self.epoch == epoch
         # The epoch may be stale because this host's own claim in progress has
         # raised it.
--- a/libs/cluster/dragonflybank/cluster/renewals.py
+++ b/libs/cluster/dragonflybank/cluster/renewals.py
@@ -78,7 +78,7 @@
         return
     epoch = worker.epoch
     reply = await worker.call_fenced(
-        lambda number: worker.client.renew(epoch=number, lease_s=LEASE_S)
+        lambda fence: worker.client.renew(fence=fence, lease_s=LEASE_S)
     )
     if not failed_with(reply, Code.UNREACHABLE):
         worker.liveness.on_lease_sent(now)
@@ -149,7 +149,7 @@
             worker.name,
         )
         await worker.call_fenced(
-            lambda number: worker.client.stop(task_ids, epoch=number)
+            lambda fence: worker.client.stop(task_ids, fence=fence)
         )
 
 
--- a/libs/cluster/dragonflybank/cluster/sessions.py
+++ b/libs/cluster/dragonflybank/cluster/sessions.py
@@ -1,8 +1,9 @@
 """Placement, starts and lookups on one worker, at the host that owns it.
 
 A session keeps the owner's decisions in memory. Every call that starts work
-carries the worker's epoch, and the worker refuses it once another host is the
-owner, so a session that has lost its worker can do no harm.
+carries the worker's incarnation and epoch. The worker refuses it once another
+host is the owner or the VM was replaced, so a session that has lost its worker
+can do no harm.
 """
 
 __all__ = ["WorkerSession"]
@@ -101,9 +102,9 @@
             if refused is not None:
                 return _timed_out_if_sent(refused, was_sent)
             reply = await self.call_fenced(
-                lambda number: self.client.start(
+                lambda fence: self.client.start(
                     start.task_id,
-                    epoch=number,
+                    fence=fence,
                     work_class=work_class,
                     grant=start.grant,
                     lease_s=LEASE_S,
@@ -164,13 +165,13 @@
     async def stop(self, task_ids: Sequence[str]) -> Result[None, Problem]:
         """Stops tasks; their ends are reported as events."""
         return await self.call_fenced(
-            lambda number: self.client.stop(task_ids, epoch=number)
+            lambda fence: self.client.stop(task_ids, fence=fence)
         )
 
     async def throttle(self, task_ids: Sequence[str]) -> Result[None, Problem]:
         """Throttles tasks to half of their cores."""
         return await self.call_fenced(
-            lambda number: self.client.throttle(task_ids, epoch=number)
+            lambda fence: self.client.throttle(task_ids, fence=fence)
         )
 
     async def checkpoint(
@@ -178,7 +179,7 @@
     ) -> Result[None, Problem]:
         """Checkpoints tasks, which then stop."""
         return await self.call_fenced(
-            lambda number: self.client.checkpoint(task_ids, epoch=number)
+            lambda fence: self.client.checkpoint(task_ids, fence=fence)
         )
 
     async def resolve(
@@ -259,9 +260,9 @@
         self, request_id: str, work_class: str, payload: str, timeout_s: float
     ) -> Result[str, Problem]:
         return await self.call_fenced(
-            lambda number: self.client.execute(
+            lambda fence: self.client.execute(
                 request_id,
-                epoch=number,
+                fence=fence,
                 work_class=work_class,
                 payload=payload,
                 timeout_s=timeout_s,
--- a/libs/cluster/dragonflybank/cluster/tests/fakes.py
+++ b/libs/cluster/dragonflybank/cluster/tests/fakes.py
@@ -105,7 +105,9 @@
 
     Attributes:
         faults: Names of calls -> how they fail: ``drop`` (no effect),
-            ``lose`` (effect, no answer), ``refuse`` (connection refused).
+            ``lose`` (effect, no answer), ``refuse`` (connection refused),
+            ``hold`` (no answer, effect at `carry_out_held_calls`).
+        held_calls: Effects of the calls that are held back.
         calls: Names of all calls that took effect.
         started_ids: Every task id that was ever started, in order.
     """
@@ -121,6 +123,7 @@
         self.end_events = {}
         self.usage = Resources()
         self.faults = {}
+        self.held_calls = []
         self.calls = []
         self.started_ids = []
         self.renewed_at = 0.0
@@ -143,6 +146,12 @@
         self.incarnation += "'"
         self.tasks, self.end_events = {}, {}
 
+    def carry_out_held_calls(self):
+        """Carries out the held calls now, on the present VM."""
+        held, self.held_calls = self.held_calls, []
+        for effect in held:
+            effect()
+
     def expire_leases(self):
         """Ends the tasks whose lease has expired, as a worker does."""
         for task_id in list(self.tasks):
@@ -154,14 +163,14 @@
         self.end_events[task_id] = TaskEvent(task_id, "w1", state, result)
         self.changed.set()
 
-    async def claim(self, host, *, epoch):
-        return await self._call("claim", lambda: self._claim(host, epoch))
+    async def claim(self, host, *, fence):
+        return await self._call("claim", lambda: self._claim(host, fence))
 
     async def state(self):
         return await self._call("state", lambda: Success(self._state()))
 
     async def start(
-        self, task_id, *, epoch, work_class, grant, lease_s, payload
+        self, task_id, *, fence, work_class, grant, lease_s, payload
     ):
         def effect():
             if task_id in self.tasks or task_id in self.end_events:
@@ -173,17 +182,17 @@
             )
             return Success(StartReply.STARTED)
 
-        return await self._call_with_epoch("start", epoch, effect)
+        return await self._call_fenced("start", fence, effect)
 
-    async def renew(self, *, epoch, lease_s):
+    async def renew(self, *, fence, lease_s):
         def effect():
             self.renewed_at = self.clock.time
             self.leases = dict.fromkeys(self.tasks, self.clock.time)
             return Success(self._state())
 
-        return await self._call_with_epoch("renew", epoch, effect)
+        return await self._call_fenced("renew", fence, effect)
 
-    async def events(self, *, epoch, wait_s):
+    async def events(self, *, fence, wait_s):
         if not self.end_events and "events" not in self.faults:
             self.changed.clear()
             waits = [
@@ -195,35 +204,35 @@
             finally:
                 for wait in waits:
                     wait.cancel()
-        return await self._call_with_epoch(
-            "events", epoch, lambda: Success(tuple(self.end_events.values()))
+        return await self._call_fenced(
+            "events", fence, lambda: Success(tuple(self.end_events.values()))
         )
 
-    async def ack(self, task_ids, *, epoch):
+    async def ack(self, task_ids, *, fence):
         def effect():
             for task_id in task_ids:
                 self.end_events.pop(task_id, None)
             return Success(None)
 
-        return await self._call_with_epoch("ack", epoch, effect)
+        return await self._call_fenced("ack", fence, effect)
 
-    async def stop(self, task_ids, *, epoch):
+    async def stop(self, task_ids, *, fence):
         def effect():
             for task_id in set(task_ids) & set(self.tasks):
                 self.end_task(task_id, TaskState.STOPPED, "")
             return Success(None)
 
-        return await self._call_with_epoch("stop", epoch, effect)
+        return await self._call_fenced("stop", fence, effect)
 
     throttle = checkpoint = stop
 
     async def execute(
-        self, request_id, *, epoch, work_class, payload, timeout_s
+        self, request_id, *, fence, work_class, payload, timeout_s
     ):
         if self.execute_gate is not None:
             await self.execute_gate.wait()
-        return await self._call_with_epoch(
-            "execute", epoch, lambda: Success(payload.upper())
+        return await self._call_fenced(
+            "execute", fence, lambda: Success(payload.upper())
         )
 
     async def _call(self, name, effect):
@@ -234,21 +243,23 @@
             return failure(Code.UNREACHABLE, name)
         if fault == "drop":
             return failure(Code.TIMED_OUT, name)
+        if fault == "hold":
+            self.held_calls.append(effect)
+            return failure(Code.TIMED_OUT, name)
         self.calls.append(name)
         reply = effect()
         return failure(Code.TIMED_OUT, name) if fault == "lose" else reply
 
-    def _claim(self, host, epoch):
-        won = epoch == self.epoch
+    def _claim(self, host, fence):
+        won = fence == self._state().fence
         if won:
-            self.epoch, self.owner = epoch + 1, host
+            self.epoch, self.owner = self.epoch + 1, host
         return Success(ClaimResult(won, self._state()))
 
-    async def _call_with_epoch(self, name, epoch, effect):
+    async def _call_fenced(self, name, fence, effect):
         def fenced():
-            return (
-                effect() if epoch == self.epoch else failure(Code.STALE_EPOCH)
-            )
+            is_stale = fence != self._state().fence
+            return failure(Code.STALE_EPOCH) if is_stale else effect()
 
         return await self._call(name, fenced)
 
--- a/libs/cluster/dragonflybank/cluster/tests/test_reclaim.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_reclaim.py
@@ -20,8 +20,8 @@
         self.claimed = asyncio.Event()
         self.answer = asyncio.Event()
 
-    async def claim(self, host, *, epoch):
-        reply = await super().claim(host, epoch=epoch)
+    async def claim(self, host, *, fence):
+        reply = await super().claim(host, fence=fence)
         self.claimed.set()
         await self.answer.wait()
         return reply
@@ -56,7 +56,7 @@
     def test_call_with_the_former_epoch_does_not_drop_the_worker(self):
         async def renew(session, worker):
             reply = await session.call_fenced(
-                lambda number: worker.renew(epoch=number, lease_s=LEASE_S)
+                lambda fence: worker.renew(fence=fence, lease_s=LEASE_S)
             )
             return reply.failure().code
 
--- a/libs/cluster/dragonflybank/cluster/tests/test_sessions.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_sessions.py
@@ -21,7 +21,7 @@
 from dragonflybank.model.resources import Resources
 from dragonflybank.model.topology import VmState
 from dragonflybank.model.work import StartRecord
-from dragonflybank.platform.worker import WorkerTask
+from dragonflybank.platform.worker import Fence, WorkerTask
 
 TASK_SIZE = Resources(4, 1024, 0, 1, 1)
 
@@ -156,7 +156,7 @@
         del worker.faults["start"]
         late = await worker.start(
             "t1",
-            epoch=1,
+            fence=Fence("vm-1", 1),
             work_class="sweep",
             grant=TASK_SIZE,
             lease_s=15,
--- a/libs/platform/dragonflybank/platform/worker.py
+++ b/libs/platform/dragonflybank/platform/worker.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "ClaimResult",
+    "Fence",
     "HttpWorkerClient",
     "WorkerClient",
     "WorkerState",
@@ -24,6 +25,22 @@
 CALL_TIMEOUT_S = 2.0
 
 
+@attrs.frozen
+class Fence:
+    """What a worker compares before it carries out a call.
+
+    A worker that restarts counts its epochs from 0 again, so the epoch alone
+    does not tell calls for its former VM from calls for the present one.
+
+    Attributes:
+        incarnation: Identifier of the boot of the worker's VM.
+        epoch: Ownership epoch.
+    """
+
+    incarnation: str
+    epoch: int
+
+
 @attrs.frozen
 class WorkerTask:
     """A task that runs on a worker or ended there and is not acknowledged.
@@ -65,6 +82,11 @@
     tasks: tuple[WorkerTask, ...] = ()
     usage: Resources = Resources()
 
+    @property
+    def fence(self) -> Fence:
+        """The fence of calls at the time of this state."""
+        return Fence(self.incarnation, self.epoch)
+
 
 @attrs.frozen
 class ClaimResult:
@@ -84,18 +106,20 @@
 
     Every method fails with ``UNREACHABLE`` if the call certainly had no
     effect, with ``TIMED_OUT`` if it may have had one, and with
-    ``STALE_EPOCH`` if the worker has another epoch.
+    ``STALE_EPOCH`` if the worker has another incarnation or epoch than the
+    call's fence. A refused call has no effect, however late it arrives.
     """
 
     @abc.abstractmethod
     async def claim(
-        self, host: str, *, epoch: int
+        self, host: str, *, fence: Fence
     ) -> Result[ClaimResult, Problem]:
-        """Makes a host the owner if the worker's epoch is ``epoch``.
+        """Makes a host the owner if the worker has the fence.
 
         Args:
             host: Name of the claiming host.
-            epoch: Epoch that the worker must have; a won claim raises it.
+            fence: Incarnation and epoch that the worker must have; a won claim
+                raises the epoch.
         """
 
     @abc.abstractmethod
@@ -107,7 +131,7 @@
         self,
         task_id: str,
         *,
-        epoch: int,
+        fence: Fence,
         work_class: str,
         grant: Resources,
         lease_s: float,
@@ -117,7 +141,7 @@
 
         Args:
             task_id: Identifier of the start.
-            epoch: Ownership epoch of the caller.
+            fence: Incarnation and epoch under which the caller is the owner.
             work_class: Name of the work class.
             grant: Resources that the lease grants.
             lease_s: Duration of the lease in seconds.
@@ -126,42 +150,42 @@
 
     @abc.abstractmethod
     async def renew(
-        self, *, epoch: int, lease_s: float
+        self, *, fence: Fence, lease_s: float
     ) -> Result[WorkerState, Problem]:
         """Renews the leases of all tasks of the worker."""
 
     @abc.abstractmethod
     async def events(
-        self, *, epoch: int, wait_s: float
+        self, *, fence: Fence, wait_s: float
     ) -> Result[tuple[TaskEvent, ...], Problem]:
         """Returns the ends of tasks that are not yet acknowledged.
 
         Args:
-            epoch: Ownership epoch of the caller.
+            fence: Incarnation and epoch under which the caller is the owner.
             wait_s: Longest time to wait for the first end, in seconds.
         """
 
     @abc.abstractmethod
     async def ack(
-        self, task_ids: Sequence[str], *, epoch: int
+        self, task_ids: Sequence[str], *, fence: Fence
     ) -> Result[None, Problem]:
         """Acknowledges ended tasks, which the worker then forgets."""
 
     @abc.abstractmethod
     async def stop(
-        self, task_ids: Sequence[str], *, epoch: int
+        self, task_ids: Sequence[str], *, fence: Fence
     ) -> Result[None, Problem]:
         """Stops tasks."""
 
     @abc.abstractmethod
     async def throttle(
-        self, task_ids: Sequence[str], *, epoch: int
+        self, task_ids: Sequence[str], *, fence: Fence
     ) -> Result[None, Problem]:
         """Throttles tasks to half of their cores."""
 
     @abc.abstractmethod
     async def checkpoint(
-        self, task_ids: Sequence[str], *, epoch: int
+        self, task_ids: Sequence[str], *, fence: Fence
     ) -> Result[None, Problem]:
         """Checkpoints tasks and stops them."""
 
@@ -170,7 +194,7 @@
         self,
         request_id: str,
         *,
-        epoch: int,
+        fence: Fence,
         work_class: str,
         payload: str,
         timeout_s: float,
@@ -179,7 +203,7 @@
 
         Args:
             request_id: Identifier that the answer must carry.
-            epoch: Ownership epoch of the caller.
+            fence: Incarnation and epoch under which the caller is the owner.
             work_class: Name of the work class.
             payload: Request body.
             timeout_s: Timeout of the call in seconds.
@@ -211,11 +235,11 @@
             await http.close()
 
     async def claim(
-        self, host: str, *, epoch: int
+        self, host: str, *, fence: Fence
     ) -> Result[ClaimResult, Problem]:
         """See `WorkerClient.claim`."""
         reply = await self._http.call(
-            "POST", "/v1/claim", json={"host": host, "epoch": epoch}
+            "POST", "/v1/claim", json={"host": host, **attrs.asdict(fence)}
         )
         return reply.bind(
             lambda r: r.json_for_status(200, 409).map(
@@ -236,7 +260,7 @@
         self,
         task_id: str,
         *,
-        epoch: int,
+        fence: Fence,
         work_class: str,
         grant: Resources,
         lease_s: float,
@@ -245,7 +269,7 @@
         """See `WorkerClient.start`."""
         body = {
             "task_id": task_id,
-            "epoch": epoch,
+            **attrs.asdict(fence),
             "work_class": work_class,
             "grant": attrs.asdict(grant),
             "lease_s": lease_s,
@@ -255,20 +279,20 @@
         return reply.bind(_decode_start_reply)
 
     async def renew(
-        self, *, epoch: int, lease_s: float
+        self, *, fence: Fence, lease_s: float
     ) -> Result[WorkerState, Problem]:
         """See `WorkerClient.renew`."""
-        body = {"epoch": epoch, "lease_s": lease_s}
+        body = {**attrs.asdict(fence), "lease_s": lease_s}
         return (await self._post("/v1/renew", body)).map(_decode_worker_state)
 
     async def events(
-        self, *, epoch: int, wait_s: float
+        self, *, fence: Fence, wait_s: float
     ) -> Result[tuple[TaskEvent, ...], Problem]:
         """See `WorkerClient.events`."""
         reply = await self._event_http.call(
             "GET",
             "/v1/events",
-            params={"epoch": str(epoch), "wait_s": str(wait_s)},
+            params={**attrs.asdict(fence), "wait_s": str(wait_s)},
             server_wait_s=wait_s,
         )
         return reply.bind(_check_epoch).map(
@@ -281,7 +305,7 @@
         self,
         request_id: str,
         *,
-        epoch: int,
+        fence: Fence,
         work_class: str,
         payload: str,
         timeout_s: float,
@@ -289,7 +313,7 @@
         """See `WorkerClient.execute`."""
         body = {
             "request_id": request_id,
-            "epoch": epoch,
+            **attrs.asdict(fence),
             "work_class": work_class,
             "payload": payload,
         }
@@ -303,9 +327,9 @@
         return reply.bind(_check_epoch)
 
     async def _post_task_ids(
-        self, path: str, task_ids: Sequence[str], *, epoch: int
+        self, path: str, task_ids: Sequence[str], *, fence: Fence
     ) -> Result[None, Problem]:
-        body = {"epoch": epoch, "task_ids": list(task_ids)}
+        body = {**attrs.asdict(fence), "task_ids": list(task_ids)}
         return (await self._post(path, body)).map(lambda _: None)
 
     ack = functools.partialmethod(_post_task_ids, "/v1/ack")
@@ -316,7 +340,9 @@
 
 def _check_epoch(reply) -> Result[dict, Problem]:
     if reply.status == 409:
-        return failure(Code.STALE_EPOCH, "the worker has another epoch")
+        return failure(
+            Code.STALE_EPOCH, "the worker has another incarnation or epoch"
+        )
     return reply.json_for_status(200)
 
 
@@ -328,7 +354,9 @@
 
 def _decode_lookup_answer(reply, request_id: str) -> Result[str, Problem]:
     if reply.status == 409:
-        return failure(Code.STALE_EPOCH, "the worker has another epoch")
+        return failure(
+            Code.STALE_EPOCH, "the worker has another incarnation or epoch"
+        )
     if reply.status == 503:
         return failure(Code.FULL, "the executor has no free slot")
     if reply.status == 500:
--- a/libs/standins/dragonflybank/standins/tests/test_worker_server.py
+++ b/libs/standins/dragonflybank/standins/tests/test_worker_server.py
@@ -9,11 +9,12 @@
 from dragonflybank.model.codes import Code
 from dragonflybank.model.leases import StartReply, TaskState
 from dragonflybank.model.resources import Resources
-from dragonflybank.platform.worker import HttpWorkerClient
-from dragonflybank.standins.faults import Hook
+from dragonflybank.platform.worker import Fence, HttpWorkerClient
+from dragonflybank.standins.faults import Hook, HookAction
 from dragonflybank.standins.simulation import expected_result
 from dragonflybank.standins.worker_server import WorkerServer
 
+INCARNATION = "vm-1"
 SIZE = Resources(cores=4, memory_mb=1000, slots=2, connections=3)
 GRANT = Resources(cores=1, memory_mb=100, slots=1, connections=1)
 
@@ -22,10 +23,14 @@
     return json.dumps(fields)
 
 
+def _fence(epoch=1):
+    return Fence(INCARNATION, epoch)
+
+
 def _start(client, task_id, payload, *, epoch=1, lease_s=30.0):
     return client.start(
         task_id,
-        epoch=epoch,
+        fence=_fence(epoch),
         work_class="sweep",
         grant=GRANT,
         lease_s=lease_s,
@@ -36,7 +41,7 @@
 def _execute(client, request_id, payload):
     return client.execute(
         request_id,
-        epoch=1,
+        fence=_fence(),
         work_class="die_lookup",
         payload=payload,
         timeout_s=30,
@@ -44,16 +49,17 @@
 
 
 async def _ends(client, *, epoch=1):
-    events = await client.events(epoch=epoch, wait_s=30)
+    events = await client.events(fence=_fence(epoch), wait_s=30)
     return [(e.task_id, e.state, e.reason) for e in events.unwrap()]
 
 
 async def _with_worker(steps):
     server = WorkerServer("w1", SIZE)
+    server.incarnation = INCARNATION
     await server.start()
     client = HttpWorkerClient("w1", server.url)
     try:
-        await client.claim("h1", epoch=0)
+        await client.claim("h1", fence=_fence(0))
         return await steps(server, client)
     finally:
         await client.close()
@@ -68,8 +74,8 @@
 
     def test_claim_is_a_compare_and_swap_on_the_epoch(self):
         async def steps(server, client):
-            lost = (await client.claim("h2", epoch=0)).unwrap()
-            won = (await client.claim("h2", epoch=1)).unwrap()
+            lost = (await client.claim("h2", fence=_fence(0))).unwrap()
+            won = (await client.claim("h2", fence=_fence())).unwrap()
             stale = await _start(client, "t/k/1/0", "", epoch=1)
             return lost.won, lost.state.owner, won.won, stale.failure().code
 
@@ -80,15 +86,17 @@
 
     def test_each_call_of_a_former_owner_is_refused(self):
         async def steps(server, client):
-            waiting = asyncio.create_task(client.events(epoch=1, wait_s=30))
+            waiting = asyncio.create_task(
+                client.events(fence=_fence(), wait_s=30)
+            )
             hook = server.arm(Hook("events"))
             await hook.fired.wait()
-            await client.claim("h2", epoch=1)
+            await client.claim("h2", fence=_fence())
             replies = [
                 await waiting,
-                await client.events(epoch=1, wait_s=30),
-                await client.renew(epoch=1, lease_s=1),
-                await client.stop(["t"], epoch=1),
+                await client.events(fence=_fence(), wait_s=30),
+                await client.renew(fence=_fence(), lease_s=1),
+                await client.stop(["t"], fence=_fence()),
                 await _execute(client, "r", ""),
             ]
             return {reply.failure().code for reply in replies}
@@ -100,8 +108,8 @@
             payload = _payload(run_s=0.01, answer="x")
             first = await _start(client, "t/k/1/0", payload)
             again = await _start(client, "t/k/1/0", payload)
-            event = (await client.events(epoch=1, wait_s=30)).unwrap()[0]
-            await client.ack([event.task_id], epoch=1)
+            event = (await client.events(fence=_fence(), wait_s=30)).unwrap()[0]
+            await client.ack([event.task_id], fence=_fence())
             state = (await client.state()).unwrap()
             expected = expected_result("sweep", payload)
             is_expected = event.result == expected
@@ -116,13 +124,13 @@
         async def steps(server, client):
             await _start(client, "size", _payload(run_s=0.01, memory_mb=200))
             ends = await _ends(client)
-            await client.ack(["size"], epoch=1)
+            await client.ack(["size"], fence=_fence())
             await _start(client, "lease", _payload(run_s=60), lease_s=0.01)
             ends += await _ends(client)
-            await client.ack(["lease"], epoch=1)
+            await client.ack(["lease"], fence=_fence())
             await _start(client, "stop", _payload(run_s=60))
-            await client.throttle(["stop"], epoch=1)
-            await client.checkpoint(["stop"], epoch=1)
+            await client.throttle(["stop"], fence=_fence())
+            await client.checkpoint(["stop"], fence=_fence())
             return ends + await _ends(client)
 
         self.assertThat(
@@ -181,3 +189,34 @@
         self.assertThat(
             self.run_steps(steps), Equals((Code.UNREACHABLE, True, 0, ()))
         )
+
+    def test_calls_for_a_killed_vm_are_refused_by_the_next_one(self):
+        async def steps(server, client):
+            hook = server.arm(Hook("start", HookAction.HOLD))
+            late = asyncio.create_task(_start(client, "t", _payload(run_s=60)))
+            await hook.fired.wait()
+            await server.set_faults(killed=True)
+            await late
+            await server.set_faults(killed=False)
+            seen = (await client.state()).unwrap()
+            # The epochs are equal, only the incarnations differ.
+            claimed = await client.claim("h2", fence=seen.fence)
+            stale_claim = await client.claim("h1", fence=_fence())
+            replies = [
+                await _start(client, "t", _payload(run_s=60)),
+                await _execute(client, "r", ""),
+                await client.renew(fence=_fence(), lease_s=1),
+                await client.events(fence=_fence(), wait_s=30),
+                await client.ack(["t"], fence=_fence()),
+                await client.stop(["t"], fence=_fence()),
+            ]
+            await server.set_faults(release=True)
+            codes = {reply.failure().code for reply in replies}
+            state = (await client.state()).unwrap()
+            epochs = (claimed.unwrap().state.epoch, state.epoch)
+            return codes, stale_claim.unwrap().won, epochs, state.tasks
+
+        self.assertThat(
+            self.run_steps(steps),
+            Equals(({Code.STALE_EPOCH}, False, (1, 1), ())),
+        )
--- a/libs/standins/dragonflybank/standins/worker_server.py
+++ b/libs/standins/dragonflybank/standins/worker_server.py
@@ -1,8 +1,9 @@
 """A stand-in of the platform's worker API.
 
-One process serves many workers, each on a separate port. A start is refused if
-its epoch isn't the worker's, but not for lack of free resources. A VM that
-replaces a killed one has a new incarnation and epoch 0.
+One process serves many workers, each on a separate port. A call is refused if
+its incarnation or epoch isn't the worker's, but a start isn't refused for lack
+of free resources. A VM that replaces a killed one has a new incarnation and
+epoch 0; it carries out calls that the killed one had received.
 """
 
 __all__ = ["WorkerServer", "main"]
@@ -11,6 +12,8 @@
 import asyncio
 import json
 import time
+from collections.abc import Mapping
+from typing import Any
 
 import attrs
 from aiohttp import web
@@ -63,7 +66,8 @@
     Attributes:
         epoch: Ownership epoch, 0 before the first claim.
         owner: Name of the owning host.
-        incarnation: Identifier of this start of the VM.
+        incarnation: Identifier of this start of the VM, empty while it is
+            killed.
         work: Simulation of its tasks and lookups.
 
     Args:
@@ -137,8 +141,8 @@
         if new.leaving != old.leaving:
             self._announce_leaving()
         if new.killed and not old.killed:
-            # A call that is held back must not take effect on the next VM.
-            self._injector.cancel()
+            # Calls that the VM had received can't take effect on it any more.
+            self.incarnation = ""
             self.work.fail_all()
         if old.killed and not new.killed:
             self._start_incarnation()
@@ -150,7 +154,7 @@
 
     async def _claim(self, request: web.Request) -> web.Response:
         body = await request.json()
-        if body["epoch"] != self.epoch:
+        if not self._is_current(body):
             return self._reply_stale_epoch("claim", body["host"], body["epoch"])
         self.epoch += 1
         self.owner = body["host"]
@@ -165,7 +169,7 @@
 
     async def _start_task(self, request: web.Request) -> web.Response:
         body = await request.json()
-        if body["epoch"] != self.epoch:
+        if not self._is_current(body):
             return self._reply_stale_epoch(
                 "start", body["task_id"], body["epoch"]
             )
@@ -183,21 +187,21 @@
 
     async def _renew(self, request: web.Request) -> web.Response:
         body = await request.json()
-        if body["epoch"] != self.epoch:
+        if not self._is_current(body):
             return self._reply_stale_epoch("renew", self.name, body["epoch"])
         self.work.renew(body["lease_s"])
         return web.json_response(self._encode_state())
 
     async def _events(self, request: web.Request) -> web.Response:
-        epoch = int(request.query["epoch"])
+        fence = {**request.query, "epoch": int(request.query["epoch"])}
         try:
             async with asyncio.timeout(float(request.query["wait_s"])):
-                while epoch == self.epoch and not self.work.unacked_tasks():
+                while self._is_current(fence) and not self.work.unacked_tasks():
                     await self.work.changed.wait()
         except TimeoutError:
             pass
-        if epoch != self.epoch:
-            return self._reply_stale_epoch("events", self.name, epoch)
+        if not self._is_current(fence):
+            return self._reply_stale_epoch("events", self.name, fence["epoch"])
         rows = [_encode_event(task) for task in self.work.unacked_tasks()]
         return web.json_response({"events": rows})
 
@@ -225,7 +229,7 @@
 
     async def _apply_to_tasks(self, request, kind, operation) -> web.Response:
         body = await request.json()
-        if body["epoch"] != self.epoch:
+        if not self._is_current(body):
             return self._reply_stale_epoch(
                 kind, ",".join(body["task_ids"]), body["epoch"]
             )
@@ -235,7 +239,7 @@
     async def _execute(self, request: web.Request) -> web.Response:
         body = await request.json()
         request_id = body["request_id"]
-        if body["epoch"] != self.epoch:
+        if not self._is_current(body):
             return self._reply_stale_epoch("execute", request_id, body["epoch"])
         done = self.work.executor.execute(
             request_id, body["work_class"], body["payload"]
@@ -250,10 +254,18 @@
         headers = {"X-Request-Id": request_id, "X-Digest": digest(answer)}
         return web.Response(body=answer, headers=headers)
 
+    def _is_current(self, fence: Mapping[str, Any]) -> bool:
+        """Returns whether a call is meant for the present VM and epoch."""
+        current = (self.incarnation, self.epoch)
+        return (fence["incarnation"], fence["epoch"]) == current
+
     def _reply_stale_epoch(
         self, kind: str, subject: str, epoch: int
     ) -> web.Response:
-        reason = f"stale epoch {epoch}, current epoch {self.epoch}"
+        reason = (
+            f"stale epoch {epoch}, current epoch {self.epoch} "
+            f"of {self.incarnation}"
+        )
         self._record_refusal(kind, subject, reason)
         return web.json_response(self._encode_state(), status=409)
 
