End leases at a time on the worker's clock

Callers could see a repeatable task run twice, and work on a worker that its owner had taken for idle. A start or renewal that the same VM carries out late, as after a pause of the VM, gave its tasks 15 s from then. The owner, or a host that took over from it, counts 20 s from the sending and then resolves the task as lost, and its home starts it elsewhere. A start that waited for other calls of its session got a lease that counted from later than the owner believed.

The calls carried the duration of the lease, so its end depended on when the worker got to them. The margin of 5 s was the only bound on that delay, and docs/platform.md gave none.

Workers now show their clock, and the calls name the end of the lease on it, at most 15 s after they were decided. Late calls extend nothing, and a renewal shortens no lease. A start whose lease has ended is refused. The owner reads the clock at the claim and at each renewal, counts from the arrival of the answer, and so sets the end rather early. A longer margin instead would have needed an assumed longest delay and would have delayed each repetition of lost work by as much.

Existing tests only pass the end of the lease instead of its duration.

--- a/libs/bench/dragonflybank/bench/matrix/tests/test_broken.py
+++ b/libs/bench/dragonflybank/bench/matrix/tests/test_broken.py
@@ -77,7 +77,7 @@
             fence=seen.fence,
             work_class=work_class,
             grant=GRANT,
-            lease_s=LEASE_S,
+            lease_until_s=seen.clock_s + LEASE_S,
             payload=PAYLOAD,
         )
 
--- a/libs/cluster/dragonflybank/cluster/liveness.py
+++ b/libs/cluster/dragonflybank/cluster/liveness.py
@@ -82,6 +82,10 @@
     def have_leases_expired(self, now: float, *, is_owned: bool) -> bool:
         """Returns whether every lease of the worker has certainly expired.
 
+        Every lease ends at a time on the worker's clock that was computed
+        before the call was sent, and at most ``LEASE_S`` later. So it does not
+        matter when the worker carries the call out.
+
         Args:
             now: Current time.
             is_owned: Whether this host is the owner. The time counts from the
--- a/libs/cluster/dragonflybank/cluster/managed_worker.py
+++ b/libs/cluster/dragonflybank/cluster/managed_worker.py
@@ -13,7 +13,7 @@
 from dragonflybank.cluster.liveness import WorkerLiveness
 from dragonflybank.cluster.task_ends import TaskEnds
 from dragonflybank.model.codes import Code, failure
-from dragonflybank.model.leases import TaskEvent, TaskState
+from dragonflybank.model.leases import LEASE_S, TaskEvent, TaskState
 from dragonflybank.model.resources import Resources
 from dragonflybank.model.topology import VmInfo, VmState
 from dragonflybank.platform.worker import (
@@ -117,6 +117,8 @@
         self._dropped_task_ids: tuple[str, ...] = ()
         self.handover_until = 0.0
         self.claimed_at = 0.0
+        # The worker's clock minus this host's, or less.
+        self._clock_offset_s = 0.0
 
     @property
     def name(self) -> str:
@@ -174,6 +176,26 @@
             return failure(Code.UNREACHABLE, f"{self.name} does not answer")
         return None
 
+    def on_clock_read(self, clock_s: float, now: float) -> None:
+        """Records the worker's clock.
+
+        Args:
+            clock_s: The clock in an answer of the owned incarnation.
+            now: Current time, at or after the arrival of the answer.
+        """
+        self._clock_offset_s = clock_s - now
+
+    def lease_until(self, now: float) -> float:
+        """Returns the end of a lease on the worker's clock.
+
+        It ends no later than ``LEASE_S`` after ``now``, up to the difference of
+        the clock rates, whenever the worker carries out the call.
+
+        Args:
+            now: Time from which the lease counts.
+        """
+        return now + self._clock_offset_s + LEASE_S
+
     def become_owner(self, state: WorkerState) -> None:
         """Makes this host the owner, given the state that a claim returned.
 
--- a/libs/cluster/dragonflybank/cluster/renewals.py
+++ b/libs/cluster/dragonflybank/cluster/renewals.py
@@ -17,7 +17,7 @@
     failed_with,
 )
 from dragonflybank.model.codes import Code
-from dragonflybank.model.leases import LEASE_S, RENEW_INTERVAL_S
+from dragonflybank.model.leases import RENEW_INTERVAL_S
 from dragonflybank.platform.worker import WorkerState
 
 _log = logging.getLogger(__name__)
@@ -28,6 +28,9 @@
 POLL_RETRY_DELAY_S = 1.0
 # Limits the rate of polls of a worker whose tasks end quickly.
 MIN_POLL_INTERVAL_S = 0.05
+# Longest time from a renewal to its answer for which the worker's clock in the
+# answer is used.
+MAX_CLOCK_READ_S = 2.0
 # An unanswered start keeps its resources until it is resolved. If its home does
 # not resolve it within this time, a claim does.
 RECLAIM_UNANSWERED_AFTER_S = 10.0
@@ -59,7 +62,7 @@
         )
 
 
-async def renew_leases(worker: ManagedWorker, now: float) -> None:
+async def renew_leases(worker: ManagedWorker, now: float) -> WorkerState | None:
     """Renews the leases of a worker's tasks once.
 
     After an unanswered renewal the worker is first probed, which extends no
@@ -69,34 +72,47 @@
     Args:
         worker: An owned worker.
         now: Current time, which counts as the time of the renewal.
+
+    Returns:
+        The state in the answer to the renewal, None if there is none.
     """
     worker.task_ends.purge(now)
     worker.capacity.expire(now)
     if now - worker.claimed_at > MAX_LOOKUP_S:
         worker.capacity.clear_former_lookups()
     if worker.liveness.is_renewal_unconfirmed and not await _probe(worker, now):
-        return
+        return None
     epoch = worker.epoch
     reply = await worker.call_fenced(
-        lambda fence: worker.client.renew(fence=fence, lease_s=LEASE_S)
+        lambda fence: worker.client.renew(
+            fence=fence, lease_until_s=worker.lease_until(now)
+        )
     )
     if not failed_with(reply, Code.UNREACHABLE):
         worker.liveness.on_lease_sent(now)
     if worker.epoch != epoch:
-        return
+        return None
     if isinstance(reply, Failure):
         worker.liveness.is_renewal_unconfirmed = True
         await _on_no_answer(worker, now)
-    elif _confirm_same_vm(worker, reply.unwrap()):
-        worker.liveness.on_answer()
-        worker.update_from_renewal(reply.unwrap())
-        await _stop_presumed_ended(worker)
+        return None
+    if not _confirm_same_vm(worker, reply.unwrap()):
+        return None
+    worker.liveness.on_answer()
+    worker.update_from_renewal(reply.unwrap())
+    await _stop_presumed_ended(worker)
+    return reply.unwrap()
 
 
 async def _renew_loop(worker: ManagedWorker, clock: Clock) -> None:
     while worker.is_owned:
         now = clock.now()
-        await renew_leases(worker, now)
+        renewed = await renew_leases(worker, now)
+        answered_at = clock.now()
+        # The time of a late reading, as after a pause of this host, is too
+        # inexact: the next leases would be too short.
+        if renewed is not None and answered_at - now <= MAX_CLOCK_READ_S:
+            worker.on_clock_read(renewed.clock_s, answered_at)
         if worker.capacity.has_unanswered_before(
             now - RECLAIM_UNANSWERED_AFTER_S
         ):
--- a/libs/cluster/dragonflybank/cluster/sessions.py
+++ b/libs/cluster/dragonflybank/cluster/sessions.py
@@ -22,7 +22,6 @@
 )
 from dragonflybank.model.codes import Code, Problem, failure
 from dragonflybank.model.leases import (
-    LEASE_S,
     Reservation,
     Resolution,
     StartReply,
@@ -107,7 +106,7 @@
                     fence=fence,
                     work_class=work_class,
                     grant=start.grant,
-                    lease_s=LEASE_S,
+                    lease_until_s=self.lease_until(now),
                     payload=payload,
                 )
             )
--- a/libs/cluster/dragonflybank/cluster/takeover.py
+++ b/libs/cluster/dragonflybank/cluster/takeover.py
@@ -115,6 +115,8 @@
 def _record_claim(
     worker: ManagedWorker, seen: WorkerState, is_handed_over: bool, now: float
 ) -> None:
+    # The claim is won only on the incarnation whose clock was seen.
+    worker.on_clock_read(seen.clock_s, now)
     # The former owner may have renewed the leases until just before the claim.
     worker.liveness.on_lease_sent(now)
     worker.claimed_at = now
--- a/libs/cluster/dragonflybank/cluster/tests/fakes.py
+++ b/libs/cluster/dragonflybank/cluster/tests/fakes.py
@@ -20,7 +20,7 @@
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.cluster.peers import Peers
 from dragonflybank.model.codes import Code, failure
-from dragonflybank.model.leases import LEASE_S, StartReply, TaskEvent, TaskState
+from dragonflybank.model.leases import StartReply, TaskEvent, TaskState
 from dragonflybank.model.resources import Resources
 from dragonflybank.model.topology import VmInfo
 from dragonflybank.platform.worker import (
@@ -128,9 +128,15 @@
         self.started_ids = []
         self.renewed_at = 0.0
         self.leases = {}
+        self.booted_at = 0.0
         self.changed = asyncio.Event()
         self.execute_gate = None
 
+    @property
+    def clock_s(self):
+        """The clock of the leases, which a new VM starts anew."""
+        return self.clock.time - self.booted_at
+
     def for_host(self, host, cut_hosts):
         """Returns a client of one host, which fails while the host is cut off.
 
@@ -143,6 +149,7 @@
     def replace_vm(self):
         """Replaces the VM by a new one without tasks."""
         self.epoch, self.owner = 0, ""
+        self.booted_at = self.clock.time
         self.incarnation += "'"
         self.tasks, self.end_events = {}, {}
 
@@ -155,7 +162,7 @@
     def expire_leases(self):
         """Ends the tasks whose lease has expired, as a worker does."""
         for task_id in list(self.tasks):
-            if self.clock.time > self.leases.get(task_id, 0.0) + LEASE_S:
+            if self.clock_s > self.leases.get(task_id, 0.0):
                 self.end_task(task_id, TaskState.LAPSED, "")
 
     def end_task(self, task_id, state=TaskState.DONE, result="ok"):
@@ -170,13 +177,15 @@
         return await self._call("state", lambda: Success(self._state()))
 
     async def start(
-        self, task_id, *, fence, work_class, grant, lease_s, payload
+        self, task_id, *, fence, work_class, grant, lease_until_s, payload
     ):
         def effect():
             if task_id in self.tasks or task_id in self.end_events:
                 return Success(StartReply.KNOWN)
+            if lease_until_s <= self.clock_s:
+                return failure(Code.UNREACHABLE, "the lease had ended")
             self.started_ids.append(task_id)
-            self.leases[task_id] = self.clock.time
+            self.leases[task_id] = lease_until_s
             self.tasks[task_id] = WorkerTask(
                 task_id, work_class, TaskState.RUNNING, grant, self.clock.time
             )
@@ -184,10 +193,13 @@
 
         return await self._call_fenced("start", fence, effect)
 
-    async def renew(self, *, fence, lease_s):
+    async def renew(self, *, fence, lease_until_s):
         def effect():
             self.renewed_at = self.clock.time
-            self.leases = dict.fromkeys(self.tasks, self.clock.time)
+            self.leases = {
+                task: max(lease_until_s, self.leases.get(task, 0.0))
+                for task in self.tasks
+            }
             return Success(self._state())
 
         return await self._call_fenced("renew", fence, effect)
@@ -276,6 +288,7 @@
             self.leaving,
             (*self.tasks.values(), *ended),
             self.usage,
+            self.clock_s,
         )
 
 
--- a/libs/cluster/dragonflybank/cluster/tests/test_late_calls.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_late_calls.py
@@ -1,11 +1,15 @@
 """Tests of calls that a worker carries out long after they were sent."""
 
+import asyncio
+
 import testtools
 from testtools.matchers import Equals
 
 from dragonflybank.cluster.claims import claim, reclaim
+from dragonflybank.cluster.ranking import first_host
 from dragonflybank.cluster.renewals import renew_leases
 from dragonflybank.cluster.sessions import WorkerSession
+from dragonflybank.cluster.tests.fake_cluster import with_cluster
 from dragonflybank.cluster.tests.fakes import run_lookup, with_worker, worker_vm
 from dragonflybank.model.leases import ResolutionKind
 from dragonflybank.model.resources import Resources
@@ -16,7 +20,9 @@
 
 async def _owner(worker, host="a"):
     session = WorkerSession(worker_vm(), worker, host=host)
-    await claim(session, (await worker.state()).unwrap())
+    seen = (await worker.state()).unwrap()
+    await claim(session, seen)
+    session.on_clock_read(seen.clock_s, worker.clock.time)
     session.liveness.last_step_at = worker.clock.time
     return session
 
@@ -111,7 +117,118 @@
         worker.faults.clear()
         worker.replace_vm()
         successor = await _owner(worker, "b")
-        await _start(successor, 1001.0)
-        worker.clock.time = 1010.0
+        await _start(successor, 1000.0)
+        worker.carry_out_held_calls()
+        self.assertThat(worker.leases["t1"], Equals(15.0))
+
+
+class TestLateCallsForTheSameVm(testtools.TestCase):
+    """Guards against tasks that run on after their leases count as expired.
+
+    A VM that was paused, or that only some hosts reach, carries out calls long
+    after their senders have given up.
+    """
+
+    async def resolve_unreachable(self, session, start, now):
+        """Resolves a start after the owner has probed an unreachable worker."""
+        session.client.faults["all"] = "drop"
+        session.client.clock.time = now
+        session.liveness.is_renewal_unconfirmed = True
+        session.liveness.last_step_at = now
+        await renew_leases(session, now)
+        resolved = await session.resolve(start, now=now)
+        session.client.expire_leases()
+        return resolved.unwrap().kind, list(session.client.tasks)
+
+    @with_worker
+    async def test_late_start_does_not_run_beyond_the_lease(self, worker):
+        session = await _owner(worker)
+        worker.faults["start"] = "hold"
+        start = await _start(session, 1000.0)
+        early = await self.resolve_unreachable(session, start, 1014.0)
+        worker.carry_out_held_calls()
+        late = await self.resolve_unreachable(session, start, 1020.0)
+        self.assertThat(
+            (early, late),
+            Equals(
+                (
+                    (ResolutionKind.UNDECIDED, []),
+                    (ResolutionKind.LEASE_LAPSED, []),
+                )
+            ),
+        )
+
+    @with_worker
+    async def test_late_renewal_does_not_extend_a_lease_that_counts_as_expired(
+        self, worker
+    ):
+        session = await _owner(worker)
+        start = await _start(session, 1000.0)
+        worker.faults["renew"] = "hold"
+        await renew_leases(session, 1003.0)
+        early = await self.resolve_unreachable(session, start, 1014.0)
         worker.carry_out_held_calls()
-        self.assertThat(worker.leases["t1"], Equals(1000.0))
+        late = await self.resolve_unreachable(session, start, 1023.0)
+        self.assertThat(
+            (early, late),
+            Equals(
+                (
+                    (ResolutionKind.ADOPTED, ["t1"]),
+                    (ResolutionKind.LEASE_LAPSED, []),
+                )
+            ),
+        )
+
+    @with_worker
+    async def test_late_renewal_does_not_shorten_a_newer_lease(self, worker):
+        session = await _owner(worker)
+        await _start(session, 1000.0)
+        worker.faults["renew"] = "hold"
+        await renew_leases(session, 1003.0)
+        worker.faults.clear()
+        await renew_leases(session, 1006.0)
+        worker.carry_out_held_calls()
+        worker.clock.time = 1020.0
+        worker.expire_leases()
+        self.assertThat(list(worker.tasks), Equals(["t1"]))
+
+    @with_worker
+    async def test_start_that_waited_for_other_calls_gets_no_longer_lease(
+        self, worker
+    ):
+        session = await _owner(worker)
+        async with session.lock:
+            waiting = asyncio.create_task(_start(session, 1000.0))
+            await asyncio.sleep(0)
+            worker.clock.time = 1014.0
+        start = await waiting
+        late = await self.resolve_unreachable(session, start, 1020.0)
+        self.assertThat(late, Equals((ResolutionKind.LEASE_LAPSED, [])))
+
+    @with_cluster()
+    async def test_dead_owners_late_renewal_does_not_outlive_the_takeover(
+        self, c
+    ):
+        await c.clock.advance_until(c.owners)
+        owner = c.owners()[0]
+        session, worker = c.session(), c.workers["w1"]
+        start = await _start(session, c.clock.time)
+        await c.clock.advance(6.0)
+        worker.faults["renew"] = "hold"
+        await c.clock.advance_until(lambda: worker.held_calls)
+        await c.kill(owner)
+        c.cut_from_workers |= set(c.hosts)
+        successor = c.hosts[first_host("w1", tuple(set(c.hosts) - {owner}))]
+        successor = successor.sessions["w1"]
+        await c.clock.advance_until(
+            lambda: successor.liveness.taken_over_at is not None
+        )
+        await c.clock.advance(8.0)
+        worker.carry_out_held_calls()
+        await c.clock.advance(12.0)
+        resolved = await successor.resolve(start, now=c.clock.time)
+        worker.expire_leases()
+        self.assertThat(
+            (resolved.unwrap().kind, list(worker.tasks)),
+            Equals((ResolutionKind.LEASE_LAPSED, [])),
+        )
--- a/libs/cluster/dragonflybank/cluster/tests/test_reclaim.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_reclaim.py
@@ -9,7 +9,6 @@
 from dragonflybank.cluster.sessions import WorkerSession
 from dragonflybank.cluster.tests.fakes import FakeClock, FakeWorker, worker_vm
 from dragonflybank.model.codes import Code
-from dragonflybank.model.leases import LEASE_S
 
 
 class _SlowClaimWorker(FakeWorker):
@@ -56,7 +55,9 @@
     def test_call_with_the_former_epoch_does_not_drop_the_worker(self):
         async def renew(session, worker):
             reply = await session.call_fenced(
-                lambda fence: worker.renew(fence=fence, lease_s=LEASE_S)
+                lambda fence: worker.renew(
+                    fence=fence, lease_until_s=session.lease_until(1000.0)
+                )
             )
             return reply.failure().code
 
--- a/libs/cluster/dragonflybank/cluster/tests/test_sessions.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_sessions.py
@@ -159,7 +159,7 @@
             fence=Fence("vm-1", 1),
             work_class="sweep",
             grant=TASK_SIZE,
-            lease_s=15,
+            lease_until_s=1015.0,
             payload="",
         )
         free = session.free_for_tasks.slots
--- a/libs/model/dragonflybank/model/leases.py
+++ b/libs/model/dragonflybank/model/leases.py
@@ -30,7 +30,8 @@
 # ends within this time.
 LEASE_S = 15.0
 RENEW_INTERVAL_S = 3.0
-# Allows for clock drift and the network delay of the last renewal.
+# Allows for the rates of the clocks. A lease ends at a time on the worker's
+# clock, so a call that is carried out late gives no longer lease.
 LEASE_MARGIN_S = 5.0
 
 
--- a/libs/platform/dragonflybank/platform/worker.py
+++ b/libs/platform/dragonflybank/platform/worker.py
@@ -23,6 +23,8 @@
 from dragonflybank.platform.http_client import HttpClient
 
 CALL_TIMEOUT_S = 2.0
+# HTTP status of calls that arrived after the time in them.
+EXPIRED = 410
 
 
 @attrs.frozen
@@ -72,6 +74,8 @@
         leaving: Whether the VM is leaving.
         tasks: Running tasks, and ended ones that are not yet acknowledged.
         usage: Measured resource usage, some seconds old.
+        clock_s: The clock by which the worker ends leases, in seconds; another
+            incarnation starts it anew.
     """
 
     epoch: int
@@ -81,6 +85,7 @@
     leaving: bool
     tasks: tuple[WorkerTask, ...] = ()
     usage: Resources = Resources()
+    clock_s: float = 0.0
 
     @property
     def fence(self) -> Fence:
@@ -134,7 +139,7 @@
         fence: Fence,
         work_class: str,
         grant: Resources,
-        lease_s: float,
+        lease_until_s: float,
         payload: str,
     ) -> Result[StartReply, Problem]:
         """Starts a task with a lease; a known task is not started again.
@@ -144,15 +149,24 @@
             fence: Incarnation and epoch under which the caller is the owner.
             work_class: Name of the work class.
             grant: Resources that the lease grants.
-            lease_s: Duration of the lease in seconds.
+            lease_until_s: End of the lease on the worker's clock, see
+                `WorkerState.clock_s`. A call that arrives later has failed
+                with ``UNREACHABLE``.
             payload: Request body of the job.
         """
 
     @abc.abstractmethod
     async def renew(
-        self, *, fence: Fence, lease_s: float
+        self, *, fence: Fence, lease_until_s: float
     ) -> Result[WorkerState, Problem]:
-        """Renews the leases of all tasks of the worker."""
+        """Renews the leases of all tasks of the worker.
+
+        Leases that end later stay as they are.
+
+        Args:
+            fence: Incarnation and epoch under which the caller is the owner.
+            lease_until_s: New end of the leases on the worker's clock.
+        """
 
     @abc.abstractmethod
     async def events(
@@ -263,7 +277,7 @@
         fence: Fence,
         work_class: str,
         grant: Resources,
-        lease_s: float,
+        lease_until_s: float,
         payload: str,
     ) -> Result[StartReply, Problem]:
         """See `WorkerClient.start`."""
@@ -272,17 +286,17 @@
             **attrs.asdict(fence),
             "work_class": work_class,
             "grant": attrs.asdict(grant),
-            "lease_s": lease_s,
+            "lease_until_s": lease_until_s,
             "payload": payload,
         }
         reply = await self._http.call("POST", "/v1/tasks", json=body)
         return reply.bind(_decode_start_reply)
 
     async def renew(
-        self, *, fence: Fence, lease_s: float
+        self, *, fence: Fence, lease_until_s: float
     ) -> Result[WorkerState, Problem]:
         """See `WorkerClient.renew`."""
-        body = {**attrs.asdict(fence), "lease_s": lease_s}
+        body = {**attrs.asdict(fence), "lease_until_s": lease_until_s}
         return (await self._post("/v1/renew", body)).map(_decode_worker_state)
 
     async def events(
@@ -349,6 +363,8 @@
 def _decode_start_reply(reply) -> Result[StartReply, Problem]:
     if reply.status == 201:
         return Success(StartReply.STARTED)
+    if reply.status == EXPIRED:
+        return failure(Code.UNREACHABLE, "the lease had ended on arrival")
     return _check_epoch(reply).map(lambda _: StartReply.KNOWN)
 
 
@@ -377,6 +393,7 @@
         leaving=body["leaving"],
         tasks=tuple(_decode_task(row) for row in body["tasks"]),
         usage=Resources(**body["usage"]),
+        clock_s=body["clock_s"],
     )
 
 
--- a/libs/standins/dragonflybank/standins/simulated_worker.py
+++ b/libs/standins/dragonflybank/standins/simulated_worker.py
@@ -173,7 +173,7 @@
         self._record_usage()
 
     def renew(self, lease_s: float) -> None:
-        """Renews the leases of all running tasks."""
+        """Renews the leases of all running tasks; shortens none."""
         for task in self.running_tasks():
             self._extend_lease(task, lease_s)
 
@@ -237,12 +237,14 @@
         return self._usage.reported_at(now)
 
     def _extend_lease(self, task: SimulatedTask, lease_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + lease_s
         if task.lease is not None:
+            if task.lease.when() >= end:
+                return
             task.lease.cancel()
         lapsed = PlannedEnd(0.0, TaskState.LAPSED, "lease_expired")
-        task.lease = asyncio.get_running_loop().call_later(
-            lease_s, self._end, task, lapsed
-        )
+        task.lease = loop.call_at(end, self._end, task, lapsed)
 
     def _process_held_ends(self) -> None:
         if self._is_holding_ends or self._paused:
--- a/libs/standins/dragonflybank/standins/tests/test_worker_server.py
+++ b/libs/standins/dragonflybank/standins/tests/test_worker_server.py
@@ -27,13 +27,13 @@
     return Fence(INCARNATION, epoch)
 
 
-def _start(client, task_id, payload, *, epoch=1, lease_s=30.0):
+def _start(server, client, task_id, payload, *, epoch=1, lease_s=30.0):
     return client.start(
         task_id,
         fence=_fence(epoch),
         work_class="sweep",
         grant=GRANT,
-        lease_s=lease_s,
+        lease_until_s=server.clock_s + lease_s,
         payload=payload,
     )
 
@@ -76,7 +76,7 @@
         async def steps(server, client):
             lost = (await client.claim("h2", fence=_fence(0))).unwrap()
             won = (await client.claim("h2", fence=_fence())).unwrap()
-            stale = await _start(client, "t/k/1/0", "", epoch=1)
+            stale = await _start(server, client, "t/k/1/0", "", epoch=1)
             return lost.won, lost.state.owner, won.won, stale.failure().code
 
         self.assertThat(
@@ -95,7 +95,7 @@
             replies = [
                 await waiting,
                 await client.events(fence=_fence(), wait_s=30),
-                await client.renew(fence=_fence(), lease_s=1),
+                await client.renew(fence=_fence(), lease_until_s=1),
                 await client.stop(["t"], fence=_fence()),
                 await _execute(client, "r", ""),
             ]
@@ -106,8 +106,8 @@
     def test_known_task_is_not_started_again(self):
         async def steps(server, client):
             payload = _payload(run_s=0.01, answer="x")
-            first = await _start(client, "t/k/1/0", payload)
-            again = await _start(client, "t/k/1/0", payload)
+            first = await _start(server, client, "t/k/1/0", payload)
+            again = await _start(server, client, "t/k/1/0", payload)
             event = (await client.events(fence=_fence(), wait_s=30)).unwrap()[0]
             await client.ack([event.task_id], fence=_fence())
             state = (await client.state()).unwrap()
@@ -122,13 +122,17 @@
 
     def test_task_ends_at_its_memory_limit_its_lease_or_a_stop(self):
         async def steps(server, client):
-            await _start(client, "size", _payload(run_s=0.01, memory_mb=200))
+            await _start(
+                server, client, "size", _payload(run_s=0.01, memory_mb=200)
+            )
             ends = await _ends(client)
             await client.ack(["size"], fence=_fence())
-            await _start(client, "lease", _payload(run_s=60), lease_s=0.01)
+            await _start(
+                server, client, "lease", _payload(run_s=60), lease_s=0.01
+            )
             ends += await _ends(client)
             await client.ack(["lease"], fence=_fence())
-            await _start(client, "stop", _payload(run_s=60))
+            await _start(server, client, "stop", _payload(run_s=60))
             await client.throttle(["stop"], fence=_fence())
             await client.checkpoint(["stop"], fence=_fence())
             return ends + await _ends(client)
@@ -177,7 +181,7 @@
     def test_vm_that_replaces_a_killed_one_has_no_tasks(self):
         async def steps(server, client):
             before = (await client.state()).unwrap()
-            await _start(client, "t", _payload(run_s=60))
+            await _start(server, client, "t", _payload(run_s=60))
             await server.set_faults(killed=True)
             # The first call may still use the closed connection.
             gone = [await client.state() for _ in range(2)][1]
@@ -193,7 +197,9 @@
     def test_calls_for_a_killed_vm_are_refused_by_the_next_one(self):
         async def steps(server, client):
             hook = server.arm(Hook("start", HookAction.HOLD))
-            late = asyncio.create_task(_start(client, "t", _payload(run_s=60)))
+            late = asyncio.create_task(
+                _start(server, client, "t", _payload(run_s=60))
+            )
             await hook.fired.wait()
             await server.set_faults(killed=True)
             await late
@@ -203,9 +209,9 @@
             claimed = await client.claim("h2", fence=seen.fence)
             stale_claim = await client.claim("h1", fence=_fence())
             replies = [
-                await _start(client, "t", _payload(run_s=60)),
+                await _start(server, client, "t", _payload(run_s=60)),
                 await _execute(client, "r", ""),
-                await client.renew(fence=_fence(), lease_s=1),
+                await client.renew(fence=_fence(), lease_until_s=1),
                 await client.events(fence=_fence(), wait_s=30),
                 await client.ack(["t"], fence=_fence()),
                 await client.stop(["t"], fence=_fence()),
@@ -220,3 +226,17 @@
             self.run_steps(steps),
             Equals(({Code.STALE_EPOCH}, False, (1, 1), ())),
         )
+
+    def test_late_calls_neither_start_a_task_nor_change_a_longer_lease(self):
+        async def steps(server, client):
+            late = await _start(server, client, "late", "", lease_s=-1.0)
+            await _start(server, client, "t", _payload(run_s=60))
+            before = server.work.tasks["t"].lease.when()
+            old = await client.renew(fence=_fence(), lease_until_s=1.0)
+            shortened = server.work.tasks["t"].lease.when() < before
+            tasks = [task.task_id for task in old.unwrap().tasks]
+            return late.failure().code, tasks, shortened
+
+        self.assertThat(
+            self.run_steps(steps), Equals((Code.UNREACHABLE, ["t"], False))
+        )
--- a/libs/standins/dragonflybank/standins/worker_server.py
+++ b/libs/standins/dragonflybank/standins/worker_server.py
@@ -37,6 +37,8 @@
     SimulatedWorker,
 )
 
+# HTTP status of starts whose lease has ended.
+EXPIRED = 410
 DEFAULT_SIZE = Resources(
     cores=64, memory_mb=256 * 1024, slots=8, connections=64
 )
@@ -101,6 +103,11 @@
         self.incarnation = ""
         self._start_incarnation()
 
+    @property
+    def clock_s(self) -> float:
+        """Clock of the leases: seconds since the VM started."""
+        return time.monotonic() - self._started_at
+
     def routes(self) -> list[Route]:
         """See `StandinServer.routes`."""
         return [
@@ -125,6 +132,7 @@
         self.epoch = 0
         self.owner = ""
         self.incarnation = f"{self.name}-{time.time_ns()}"
+        self._started_at = time.monotonic()
         now = time.time()
         self.log.add(WorkerUp(now, self.name, self.incarnation, self.size))
         if self.switches.leaving:
@@ -175,12 +183,18 @@
             )
         if body["task_id"] in self.work.tasks:
             return web.json_response({})
+        lease_s = body["lease_until_s"] - self.clock_s
+        if lease_s <= 0:
+            self._record_refusal("start", body["task_id"], "lease has ended")
+            return web.json_response(
+                {"error": "lease has ended"}, status=EXPIRED
+            )
         self.work.start(
             body["task_id"],
             body["work_class"],
             epoch=self.epoch,
             grant=Resources(**body["grant"]),
-            lease_s=body["lease_s"],
+            lease_s=lease_s,
             payload=body["payload"],
         )
         return web.json_response({}, status=201)
@@ -189,7 +203,7 @@
         body = await request.json()
         if not self._is_current(body):
             return self._reply_stale_epoch("renew", self.name, body["epoch"])
-        self.work.renew(body["lease_s"])
+        self.work.renew(body["lease_until_s"] - self.clock_s)
         return web.json_response(self._encode_state())
 
     async def _events(self, request: web.Request) -> web.Response:
@@ -283,6 +297,7 @@
             "leaving": self.switches.leaving,
             "tasks": [_encode_task(task) for task in self.work.tasks.values()],
             "usage": attrs.asdict(self.work.usage(time.time())),
+            "clock_s": self.clock_s,
         }
 
 
