Send a start to its worker at most once in an epoch

Work that must run once could run twice. A peer connection that breaks during a call repeats the home's request to the owner. If the first call to the worker had no answer, the owner sent the start again. The second call ran, its end was journalled and acknowledged, so the worker forgot the task; then it carried out the late first call, and the epoch was the same.

The owner now answers the repeated request with the open outcome, as it does for other refusals of a start that may have been sent. The home then resolves the start, which raises the epoch. Workers could instead remember acknowledged tasks, but that would be one more assumption about the platform.

test_late_copy_of_a_repeated_start_does_not_run_again started t1 twice before.

--- a/libs/cluster/dragonflybank/cluster/capacity.py
+++ b/libs/cluster/dragonflybank/cluster/capacity.py
@@ -109,13 +109,11 @@
         """Counts a start that is about to be sent to the worker.
 
         The start replaces a reservation of equal size; without one its
-        resources must be free. A start that was sent before is counted once.
+        resources must be free.
 
         Returns:
             Whether the start is counted; False if it does not fit.
         """
-        if task_id in self._unanswered:
-            return True
         matching = [
             k for k, r in self._reservations.items() if r.grant == grant
         ]
--- a/libs/cluster/dragonflybank/cluster/sessions.py
+++ b/libs/cluster/dragonflybank/cluster/sessions.py
@@ -81,7 +81,7 @@
     async def start(
         self, start: StartRecord, *, work_class: str, payload: str, now: float
     ) -> Result[StartReply, Problem]:
-        """Sends a journalled start to the worker.
+        """Sends a journalled start to the worker, at most once in an epoch.
 
         Returns:
             The worker's answer. ``FULL``, ``DRAINING`` and ``UNREACHABLE``
@@ -96,10 +96,15 @@
                 )
             if start.task_id in self.tasks or start.task_id in self.task_ends:
                 return Success(StartReply.KNOWN)
-            was_sent = self.capacity.is_unanswered(start.task_id)
+            if self.capacity.is_unanswered(start.task_id):
+                # A second call could run, end and be forgotten by the worker
+                # before it carries out the first one.
+                return failure(
+                    Code.TIMED_OUT, "the start was sent and has no answer yet"
+                )
             refused = self.refusal(now) or self._add_start(start, now)
             if refused is not None:
-                return _timed_out_if_sent(refused, was_sent)
+                return refused
             reply = await self.call_fenced(
                 lambda fence: self.client.start(
                     start.task_id,
@@ -110,7 +115,7 @@
                     payload=payload,
                 )
             )
-            return self._on_start_reply(start, work_class, reply, was_sent, now)
+            return self._on_start_reply(start, work_class, reply, now)
 
     async def execute(
         self,
@@ -223,7 +228,6 @@
         start: StartRecord,
         work_class: str,
         reply: Result[StartReply, Problem],
-        was_sent: bool,
         now: float,
     ) -> Result[StartReply, Problem]:
         if isinstance(reply, Success):
@@ -239,9 +243,8 @@
             return reply
         if failed_with(reply, Code.UNREACHABLE):
             self.liveness.on_no_answer()
-        if not was_sent:
-            self.capacity.remove_task(start.task_id)
-        return _timed_out_if_sent(reply, was_sent)
+        self.capacity.remove_task(start.task_id)
+        return reply
 
     def _add_running_task(
         self, start: StartRecord, work_class: str, now: float
@@ -267,11 +270,3 @@
                 timeout_s=timeout_s,
             )
         )
-
-
-def _timed_out_if_sent(refused: Failure, was_sent: bool) -> Failure:
-    if not was_sent:
-        return refused
-    return failure(
-        Code.TIMED_OUT, "an earlier attempt to start has no answer yet"
-    )
--- a/libs/cluster/dragonflybank/cluster/tests/test_late_calls.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_late_calls.py
@@ -6,6 +6,7 @@
 from testtools.matchers import Equals
 
 from dragonflybank.cluster.claims import claim, reclaim
+from dragonflybank.cluster.events import poll_events
 from dragonflybank.cluster.ranking import first_host
 from dragonflybank.cluster.renewals import renew_leases
 from dragonflybank.cluster.sessions import WorkerSession
@@ -33,6 +34,10 @@
     return start
 
 
+async def _journal_end(event, session):
+    return True
+
+
 class TestCallsForAReplacedVm(testtools.TestCase):
     """Guards against calls for a replaced VM that take effect on the next one.
 
@@ -232,3 +237,29 @@
             (resolved.unwrap().kind, list(worker.tasks)),
             Equals((ResolutionKind.LEASE_LAPSED, [])),
         )
+
+
+class TestRepeatedStarts(testtools.TestCase):
+    """Guards against a start that a worker carries out twice.
+
+    A peer connection that breaks during a call repeats the request of a home.
+    """
+
+    @with_worker
+    async def test_late_copy_of_a_repeated_start_does_not_run_again(
+        self, worker
+    ):
+        session = await _owner(worker)
+        worker.faults["start"] = "hold"
+        await _start(session, 1000.0)
+        worker.faults.clear()
+        repeated = await _start(session, 1000.0)
+        for task_id in tuple(worker.tasks):
+            worker.end_task(task_id)
+            await poll_events(session, _journal_end, worker.clock.now)
+        worker.carry_out_held_calls()
+        resolved = await session.resolve(repeated, now=1000.0)
+        self.assertThat(
+            (worker.started_ids, resolved.unwrap().kind),
+            Equals((["t1"], ResolutionKind.ADOPTED)),
+        )
