Count the leases of an unlisted worker from the last denied ownership

A repeatable task could run twice if its worker was missing from the VM list of another host. That host counted the longest lease from the first request to resolve the start, and asked the others about the ownership only at the end. An owner that renewed the leases until it died at that moment was no longer asked, so the task counted as lost with up to 15 s of its lease left. The count also went on while the worker was listed again, so one list without it was enough later.

The time now counts from the first request at which every host denies owning the worker, and starts again if the worker is listed or owned at a later request, as it does for an unreachable worker that is listed.

Two new tests in test_ownership.py fail before.

--- a/libs/cluster/dragonflybank/cluster/tests/test_ownership.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_ownership.py
@@ -301,14 +301,59 @@
         self.assertThat(first.failure().code, Equals(Code.NOT_OWNER))
         self.assertThat(second.unwrap().kind, Equals("lease_lapsed"))
 
+    @with_cluster(names=("a", "b"), workers=("w1", "gone"))
+    async def test_unlisted_worker_is_not_gone_while_a_dead_owners_leases_run(
+        self, c
+    ):
+        host = c.hosts["a"]
+        host.update_workers([worker_vm("w1")], c.clock.time + 1e4)
+        host.update_workers([worker_vm("w1")], c.clock.time + 2e4)
+        c.gossip_blocked.add(("b", "a"))
+        await _wait_owned(c, "gone", "b")
+        start = await _start_task(c, "t1", "gone")
+        first = await host.resolve(start, now=c.clock.time)
+        await c.clock.advance(30.0)
+        await c.kill("b")
+        died_at = c.clock.time
+        await c.clock.advance(5.0)
+        codes = []
+        for end in (died_at + 5.0, died_at + 24.9, died_at + 25.0):
+            await c.clock.advance(end - c.clock.time)
+            host.update_workers([worker_vm("w1")], c.clock.time)
+            resolved = await host.resolve(start, now=c.clock.time)
+            codes.append(resolved.map(lambda r: r.kind).value_or("not_owner"))
+        self.assertThat(first.failure().code, Equals(Code.NOT_OWNER))
+        self.assertThat(
+            codes, Equals(["not_owner", "not_owner", "lease_lapsed"])
+        )
+
+    @with_cluster()
+    async def test_worker_that_was_listed_meanwhile_is_not_gone_at_once(
+        self, c
+    ):
+        host = c.hosts["a"]
+        start = StartRecord("t", "gone", 5, TASK_SIZE, 0.0)
+        await host.resolve(start, now=c.clock.time)
+        await c.clock.advance(25.0)
+        elsewhere = worker_vm("gone", region="south")
+        host.update_workers([worker_vm("w1"), elsewhere], c.clock.time)
+        listed = await host.resolve(start, now=c.clock.time)
+        await c.clock.advance(3.0)
+        host.update_workers([worker_vm("w1")], c.clock.time)
+        unlisted = await host.resolve(start, now=c.clock.time)
+        self.assertThat(
+            [r.failure().code for r in (listed, unlisted)],
+            Equals([Code.NOT_OWNER] * 2),
+        )
+
 
 async def _start_first_task(c):
     await _wait_owned(c)
     return await _start_task(c, "t1")
 
 
-async def _start_task(c, task_id):
-    session = c.session()
-    start = StartRecord(task_id, "w1", session.epoch, TASK_SIZE, c.clock.time)
+async def _start_task(c, task_id, worker="w1"):
+    session = c.session(worker)
+    start = StartRecord(task_id, worker, session.epoch, TASK_SIZE, c.clock.time)
     await session.start(start, work_class="s", payload="", now=c.clock.time)
     return start
--- a/libs/cluster/dragonflybank/cluster/unlisted_workers.py
+++ b/libs/cluster/dragonflybank/cluster/unlisted_workers.py
@@ -27,16 +27,18 @@
     ):
         self._registry = registry
         self._is_ownership_denied = is_ownership_denied
-        self._first_asked_at: dict[str, float] = {}
+        # Time since which a worker is unlisted and every host denies owning it.
+        self._denied_since: dict[str, float] = {}
 
     async def resolve(
         self, start: StartRecord, now: float
     ) -> Result[Resolution, Problem]:
         """Returns ``LEASE_LAPSED`` once the worker is certainly gone.
 
-        The worker is gone if a VM list that was received at least the longest
-        lease after the first request still lacks it, and all other hosts deny
-        owning it. Until then the result is ``NOT_OWNER``.
+        The worker is gone if all other hosts deny owning it, and a VM list that
+        was received at least the longest lease after they first did still
+        lacks it. Until then the result is ``NOT_OWNER``. The time starts again
+        if the worker is listed or owned at a later request.
         """
         not_owner = failure(
             Code.NOT_OWNER,
@@ -44,11 +46,14 @@
             retry_after_s=1.0,
         )
         listed_at = self._registry.listed_at
-        if listed_at is None or self._registry.is_listed(start.worker):
+        if (
+            listed_at is None
+            or self._registry.is_listed(start.worker)
+            or not await self._is_ownership_denied(start.worker, now)
+        ):
+            self._denied_since.pop(start.worker, None)
             return not_owner
-        first_asked_at = self._first_asked_at.setdefault(start.worker, now)
-        if listed_at < first_asked_at + LEASE_S + LEASE_MARGIN_S:
-            return not_owner
-        if not await self._is_ownership_denied(start.worker, now):
+        denied_since = self._denied_since.setdefault(start.worker, now)
+        if listed_at < denied_since + LEASE_S + LEASE_MARGIN_S:
             return not_owner
         return Success(Resolution(ResolutionKind.LEASE_LAPSED))
