Refuse lookups that arrive after their slots were freed

A VM could be given more work than it has slots for. Lookups that a paused VM had received ran when it resumed, but their owner had freed their slots 2 s after their time-outs and placed tasks there.

Lookups now name the time on the worker's clock at which their slots are freed, and the worker refuses them from then on. The 2 s also allow for the error of the clock that the owner knows, so that lookups that arrive in time are not refused.

test_lookup_does_not_begin_after_its_slot_was_freed fails before. A lookup that already ran when its VM was paused can still outlast its slot; it is not changed here.

--- a/libs/bench/dragonflybank/bench/matrix/tests/test_broken.py
+++ b/libs/bench/dragonflybank/bench/matrix/tests/test_broken.py
@@ -155,6 +155,7 @@
                     work_class="die_lookup",
                     payload=json.dumps({"answer": number}),
                     timeout_s=1.0,
+                    begin_until_s=60.0,
                 )
                 for number in range(2)
             ]
--- a/libs/cluster/dragonflybank/cluster/managed_worker.py
+++ b/libs/cluster/dragonflybank/cluster/managed_worker.py
@@ -185,6 +185,10 @@
         """
         self._clock_offset_s = clock_s - now
 
+    def worker_time(self, now: float) -> float:
+        """Returns the time of the worker's clock at ``now``, or earlier."""
+        return now + self._clock_offset_s
+
     def lease_until(self, now: float) -> float:
         """Returns the end of a lease on the worker's clock.
 
@@ -194,7 +198,7 @@
         Args:
             now: Time from which the lease counts.
         """
-        return now + self._clock_offset_s + LEASE_S
+        return self.worker_time(now) + LEASE_S
 
     def become_owner(self, state: WorkerState) -> None:
         """Makes this host the owner, given the state that a claim returned.
--- a/libs/cluster/dragonflybank/cluster/sessions.py
+++ b/libs/cluster/dragonflybank/cluster/sessions.py
@@ -150,7 +150,9 @@
             key, now + timeout_s + LOST_LOOKUP_HOLD_S
         )
         epoch = self.epoch
-        reply = await self._execute(request_id, work_class, payload, timeout_s)
+        reply = await self._execute(
+            request_id, work_class, payload, timeout_s, now
+        )
         if failed_with(reply, Code.STALE_EPOCH) and self.epoch not in (
             0,
             epoch,
@@ -158,7 +160,7 @@
             # This host has raised the epoch by another claim meanwhile. The
             # refused call has not run, so it is repeated.
             reply = await self._execute(
-                request_id, work_class, payload, timeout_s
+                request_id, work_class, payload, timeout_s, now
             )
         if not failed_with(reply, Code.TIMED_OUT):
             self.capacity.remove_lookup(key)
@@ -259,8 +261,15 @@
         )
 
     async def _execute(
-        self, request_id: str, work_class: str, payload: str, timeout_s: float
+        self,
+        request_id: str,
+        work_class: str,
+        payload: str,
+        timeout_s: float,
+        now: float,
     ) -> Result[str, Problem]:
+        # It must not begin once its slot counts as free again.
+        begin_until_s = self.worker_time(now) + timeout_s + LOST_LOOKUP_HOLD_S
         return await self.call_fenced(
             lambda fence: self.client.execute(
                 request_id,
@@ -268,5 +277,6 @@
                 work_class=work_class,
                 payload=payload,
                 timeout_s=timeout_s,
+                begin_until_s=begin_until_s,
             )
         )
--- a/libs/cluster/dragonflybank/cluster/tests/fakes.py
+++ b/libs/cluster/dragonflybank/cluster/tests/fakes.py
@@ -110,6 +110,7 @@
         held_calls: Effects of the calls that are held back.
         calls: Names of all calls that took effect.
         started_ids: Every task id that was ever started, in order.
+        executed_ids: Request ids of the lookups that ran, in order.
     """
 
     def __init__(self, clock, *, size=SIZE):
@@ -126,6 +127,7 @@
         self.held_calls = []
         self.calls = []
         self.started_ids = []
+        self.executed_ids = []
         self.renewed_at = 0.0
         self.leases = {}
         self.booted_at = 0.0
@@ -239,13 +241,25 @@
     throttle = checkpoint = stop
 
     async def execute(
-        self, request_id, *, fence, work_class, payload, timeout_s
+        self,
+        request_id,
+        *,
+        fence,
+        work_class,
+        payload,
+        timeout_s,
+        begin_until_s,
     ):
         if self.execute_gate is not None:
             await self.execute_gate.wait()
-        return await self._call_fenced(
-            "execute", fence, lambda: Success(payload.upper())
-        )
+
+        def effect():
+            if self.clock_s >= begin_until_s:
+                return failure(Code.UNREACHABLE, "too late")
+            self.executed_ids.append(request_id)
+            return Success(payload.upper())
+
+        return await self._call_fenced("execute", fence, effect)
 
     async def _call(self, name, effect):
         await asyncio.sleep(0)
--- a/libs/cluster/dragonflybank/cluster/tests/test_late_calls.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_late_calls.py
@@ -8,7 +8,7 @@
 from dragonflybank.cluster.claims import claim, reclaim
 from dragonflybank.cluster.events import poll_events
 from dragonflybank.cluster.ranking import first_host
-from dragonflybank.cluster.renewals import renew_leases
+from dragonflybank.cluster.renewals import MAX_CLOCK_READ_S, renew_leases
 from dragonflybank.cluster.sessions import WorkerSession
 from dragonflybank.cluster.tests.fake_cluster import with_cluster
 from dragonflybank.cluster.tests.fakes import run_lookup, with_worker, worker_vm
@@ -239,6 +239,30 @@
         )
 
 
+class TestLateLookups(testtools.TestCase):
+    """Guards against lookups that run on slots which count as free."""
+
+    @with_worker
+    async def test_lookup_does_not_begin_after_its_slot_was_freed(self, worker):
+        session = await _owner(worker)
+        worker.faults["execute"] = "hold"
+        await run_lookup(session, timeout_s=1.0)
+        session.capacity.expire(1003.0)
+        free = session.free_for_lookups.slots
+        worker.clock.time = 1003.0
+        worker.carry_out_held_calls()
+        self.assertThat((free, worker.executed_ids), Equals((8, [])))
+
+    @with_worker
+    async def test_lookup_is_not_refused_for_an_inexact_clock(self, worker):
+        session = await _owner(worker)
+        clock_s = (await worker.state()).unwrap().clock_s
+        session.on_clock_read(clock_s, 1000.0 + MAX_CLOCK_READ_S)
+        worker.clock.time = 1000.2
+        await run_lookup(session, timeout_s=0.3)
+        self.assertThat(worker.executed_ids, Equals(["r"]))
+
+
 class TestRepeatedStarts(testtools.TestCase):
     """Guards against a start that a worker carries out twice.
 
--- a/libs/platform/dragonflybank/platform/worker.py
+++ b/libs/platform/dragonflybank/platform/worker.py
@@ -212,6 +212,7 @@
         work_class: str,
         payload: str,
         timeout_s: float,
+        begin_until_s: float,
     ) -> Result[str, Problem]:
         """Runs a lookup on an executor slot and returns the complete answer.
 
@@ -221,6 +222,8 @@
             work_class: Name of the work class.
             payload: Request body.
             timeout_s: Timeout of the call in seconds.
+            begin_until_s: Time on the worker's clock after which the call has
+                no effect and fails with ``UNREACHABLE``.
         """
 
 
@@ -323,6 +326,7 @@
         work_class: str,
         payload: str,
         timeout_s: float,
+        begin_until_s: float,
     ) -> Result[str, Problem]:
         """See `WorkerClient.execute`."""
         body = {
@@ -330,6 +334,7 @@
             **attrs.asdict(fence),
             "work_class": work_class,
             "payload": payload,
+            "begin_until_s": begin_until_s,
         }
         reply = await self._lookup_http.call(
             "POST", "/v1/execute", json=body, timeout_s=timeout_s
@@ -373,6 +378,8 @@
         return failure(
             Code.STALE_EPOCH, "the worker has another incarnation or epoch"
         )
+    if reply.status == EXPIRED:
+        return failure(Code.UNREACHABLE, "the lookup arrived too late")
     if reply.status == 503:
         return failure(Code.FULL, "the executor has no free slot")
     if reply.status == 500:
--- a/libs/standins/dragonflybank/standins/tests/test_worker_server.py
+++ b/libs/standins/dragonflybank/standins/tests/test_worker_server.py
@@ -38,13 +38,14 @@
     )
 
 
-def _execute(client, request_id, payload):
+def _execute(client, request_id, payload, *, begin_until_s=1e9):
     return client.execute(
         request_id,
         fence=_fence(),
         work_class="die_lookup",
         payload=payload,
         timeout_s=30,
+        begin_until_s=begin_until_s,
     )
 
 
@@ -227,16 +228,18 @@
             Equals(({Code.STALE_EPOCH}, False, (1, 1), ())),
         )
 
-    def test_late_calls_neither_start_a_task_nor_change_a_longer_lease(self):
+    def test_late_calls_neither_start_work_nor_change_a_longer_lease(self):
         async def steps(server, client):
             late = await _start(server, client, "late", "", lease_s=-1.0)
             await _start(server, client, "t", _payload(run_s=60))
+            lookup = await _execute(client, "r", "", begin_until_s=0.0)
             before = server.work.tasks["t"].lease.when()
             old = await client.renew(fence=_fence(), lease_until_s=1.0)
             shortened = server.work.tasks["t"].lease.when() < before
             tasks = [task.task_id for task in old.unwrap().tasks]
-            return late.failure().code, tasks, shortened
+            codes = {reply.failure().code for reply in (late, lookup)}
+            return codes, tasks, shortened
 
         self.assertThat(
-            self.run_steps(steps), Equals((Code.UNREACHABLE, ["t"], False))
+            self.run_steps(steps), Equals(({Code.UNREACHABLE}, ["t"], False))
         )
--- a/libs/standins/dragonflybank/standins/worker_server.py
+++ b/libs/standins/dragonflybank/standins/worker_server.py
@@ -37,7 +37,7 @@
     SimulatedWorker,
 )
 
-# HTTP status of starts whose lease has ended.
+# HTTP status of calls that arrived after the time in them.
 EXPIRED = 410
 DEFAULT_SIZE = Resources(
     cores=64, memory_mb=256 * 1024, slots=8, connections=64
@@ -255,6 +255,9 @@
         request_id = body["request_id"]
         if not self._is_current(body):
             return self._reply_stale_epoch("execute", request_id, body["epoch"])
+        if body["begin_until_s"] <= self.clock_s:
+            self._record_refusal("execute", request_id, "too late")
+            return web.json_response({"error": "too late"}, status=EXPIRED)
         done = self.work.executor.execute(
             request_id, body["work_class"], body["payload"]
         )
