Simulate late calls and replaced VMs at random

The random simulation of ownership held no calls back and replaced no VMs. The new test does, with fixed seeds.

--- a/libs/cluster/dragonflybank/cluster/tests/test_faults.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_faults.py
@@ -28,9 +28,10 @@
 class _Simulation:
     """Starts and resolves tasks at random hosts while faults come and go."""
 
-    def __init__(self, seed, *, cuts):
+    def __init__(self, seed, *, cuts, late=False):
         self.rng = random.Random(seed)
         self.cuts = cuts
+        self.late = late
         self.cluster = FakeCluster(workers=WORKERS)
         self.starts, self.not_running, self.violations = {}, {}, []
 
@@ -38,6 +39,8 @@
         for _ in range(SIMULATED_STEPS):
             await cluster.clock.advance(self.rng.choice((0.25, 0.5, 1.0)))
             self.change_faults()
+            if self.late:
+                self.delay_calls()
             self.end_tasks()
             for host in sorted(set(HOSTS) - cluster.paused):
                 for session in cluster.hosts[host].sessions.values():
@@ -45,6 +48,7 @@
             self.check_workers()
         for worker in cluster.workers.values():
             worker.faults = {}
+            worker.carry_out_held_calls()
         for faulty in (
             cluster.paused,
             cluster.cut_from_peers,
@@ -69,6 +73,18 @@
         if self.cuts and rng.random() < 0.04:
             cluster.cut_from_workers ^= {host}
 
+    def delay_calls(self):
+        """Holds calls, carries held ones out, and replaces VMs at random."""
+        rng = self.rng
+        worker = self.cluster.workers[rng.choice(WORKERS)]
+        if rng.random() < 0.1:
+            worker.faults = {rng.choice(CALLS): "hold"}
+        if rng.random() < 0.05:
+            worker.replace_vm()
+        if rng.random() < 0.1:
+            worker.carry_out_held_calls()
+            worker.faults = {}
+
     def end_tasks(self):
         for worker in self.cluster.workers.values():
             worker.expire_leases()
@@ -136,9 +152,9 @@
     has one owner, which lists exactly the tasks that run there.
     """
 
-    def _run(self, seed, *, cuts):
+    def _run(self, seed, *, cuts, late=False):
         async def main():
-            simulation = _Simulation(seed, cuts=cuts)
+            simulation = _Simulation(seed, cuts=cuts, late=late)
             return await simulation.cluster.run(simulation.run)
 
         self.assertThat(asyncio.run(main()), Equals([]))
@@ -152,3 +168,9 @@
         # count as proof that another host became the owner.
         for seed in (4, 5):
             self._run(seed, cuts=True)
+
+    def test_late_calls_and_replaced_vms(self):
+        # Fails with these seeds if workers compare only the epoch of a call and
+        # not its incarnation.
+        for seed in (1, 5):
+            self._run(seed, cuts=False, late=True)
