Don't send starts that were resolved as lost or waited out a pause

A repeatable task could run twice with a start that its owner sent long after its home had given it up. An owner that was paused carried out the requests that had waited for it before it noticed the pause; a host that had taken over but can't reach the worker resolves such starts as lost after 20 s, and the epoch at the worker is still that of the paused owner. And a copy of a start was sent again after the owner itself had reported the task as lost, once the worker had forgotten it.

An owner now sends no start until it has made a step after a pause, as it already takes no lease for over, and none of a task that it has reported as lost.

The two new tests of TestRepeatedStarts fail before.

--- a/libs/cluster/dragonflybank/cluster/liveness.py
+++ b/libs/cluster/dragonflybank/cluster/liveness.py
@@ -26,8 +26,9 @@
             have reached the worker was sent, seconds since 1970.
         taken_over_at: Time since which no other host can renew the leases of a
             worker that this host could not claim, None if there is none.
-        last_step_at: Time of the last ownership step. Leases do not count as
-            expired if it is long ago, since this process was paused then.
+        last_step_at: Time of the last ownership step. If it is long ago, this
+            process was paused; leases do not count as expired and no start is
+            sent until the next step.
         must_verify: Whether another host may have claimed the worker while
             this process was paused; this host then stays the owner only if the
             worker confirms it.
@@ -79,6 +80,10 @@
         if self.taken_over_at is not None:
             self.taken_over_at = now
 
+    def was_paused(self, now: float) -> bool:
+        """Returns whether this host was paused and has made no step since."""
+        return now - self.last_step_at > PAUSE_THRESHOLD_S
+
     def have_leases_expired(self, now: float, *, is_owned: bool) -> bool:
         """Returns whether every lease of the worker has certainly expired.
 
@@ -92,6 +97,6 @@
                 last lease that it sent if so, otherwise from its takeover.
         """
         start = self.last_lease_sent_at if is_owned else self.taken_over_at
-        if start is None or now - self.last_step_at > PAUSE_THRESHOLD_S:
+        if start is None or self.was_paused(now):
             return False
         return now >= start + LEASE_S + LEASE_MARGIN_S
--- a/libs/cluster/dragonflybank/cluster/sessions.py
+++ b/libs/cluster/dragonflybank/cluster/sessions.py
@@ -96,13 +96,12 @@
                 )
             if start.task_id in self.tasks or start.task_id in self.task_ends:
                 return Success(StartReply.KNOWN)
-            if self.capacity.is_unanswered(start.task_id):
-                # A second call could run, end and be forgotten by the worker
-                # before it carries out the first one.
-                return failure(
-                    Code.TIMED_OUT, "the start was sent and has no answer yet"
-                )
-            refused = self.refusal(now) or self._add_start(start, now)
+            refused = (
+                self._refuse_copy(start)
+                or self._refuse_after_pause(now)
+                or self.refusal(now)
+                or self._add_start(start, now)
+            )
             if refused is not None:
                 return refused
             reply = await self.call_fenced(
@@ -219,6 +218,24 @@
         self.handover_until = now + HANDOVER_HOLD_S
         return False
 
+    def _refuse_copy(self, start: StartRecord) -> Failure | None:
+        if self.capacity.is_unanswered(start.task_id):
+            # A second call could run, end and be forgotten by the worker before
+            # it carries out the first one.
+            return failure(
+                Code.TIMED_OUT, "the start was sent and has no answer yet"
+            )
+        if start.task_id in self.presumed_ended_ids:
+            # Its home may have started the task elsewhere.
+            return failure(Code.TIMED_OUT, "the task was reported as lost")
+        return None
+
+    def _refuse_after_pause(self, now: float) -> Failure | None:
+        if not self.liveness.was_paused(now):
+            return None
+        # Another host may have resolved a start that was waiting here.
+        return failure(Code.UNREACHABLE, "the owner was paused")
+
     def _add_start(self, start: StartRecord, now: float) -> Failure | None:
         self.capacity.expire(now)
         if self.capacity.add_start(start.task_id, start.grant, now):
--- a/libs/cluster/dragonflybank/cluster/tests/test_late_calls.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_late_calls.py
@@ -287,3 +287,32 @@
             (worker.started_ids, resolved.unwrap().kind),
             Equals((["t1"], ResolutionKind.ADOPTED)),
         )
+
+    @with_worker
+    async def test_start_that_arrived_during_a_pause_of_the_owner_is_not_sent(
+        self, worker
+    ):
+        # A host that can't reach the worker has resolved it as lost meanwhile.
+        session = await _owner(worker)
+        await _start(session, 1030.0)
+        self.assertThat(worker.started_ids, Equals([]))
+
+    @with_worker
+    async def test_copy_of_a_start_that_was_resolved_as_lost_is_not_sent(
+        self, worker
+    ):
+        session = await _owner(worker)
+        await _start(session, 1000.0)
+        worker.faults["all"] = "drop"
+        worker.clock.time = session.liveness.last_step_at = 1020.0
+        session.liveness.is_renewal_unconfirmed = True
+        await renew_leases(session, 1020.0)
+        worker.faults.clear()
+        worker.expire_leases()
+        worker.end_events.clear()
+        await renew_leases(session, 1020.0)
+        await _start(session, 1020.0)
+        self.assertThat(
+            (list(session.lost_events), worker.started_ids),
+            Equals((["t1"], ["t1"])),
+        )
