Read the worker's clock again before leases are renewed after a pause

A lease could end later than its owner believes after the clock of the host was set forward: the end of the next renewal was computed with the difference of the clocks before the step. The owner takes the step for a pause and probes the worker first, so the answer to the probe now gives the difference. It counts from the time-out of the probe, which makes the lease up to 2 s shorter until the next renewal.

--- a/libs/cluster/dragonflybank/cluster/renewals.py
+++ b/libs/cluster/dragonflybank/cluster/renewals.py
@@ -18,7 +18,7 @@
 )
 from dragonflybank.model.codes import Code
 from dragonflybank.model.leases import RENEW_INTERVAL_S
-from dragonflybank.platform.worker import WorkerState
+from dragonflybank.platform.worker import CALL_TIMEOUT_S, WorkerState
 
 _log = logging.getLogger(__name__)
 
@@ -152,6 +152,10 @@
             worker.drop_ownership(DropReason.STALE)
         return False
     worker.liveness.on_answer()
+    # The clock of this host may have been set since the last reading, and the
+    # renewal that follows must not count from that one. The answer arrived
+    # within the time-out of the call.
+    worker.on_clock_read(state.clock_s, now + CALL_TIMEOUT_S)
     return True
 
 
--- a/libs/cluster/dragonflybank/cluster/tests/test_late_calls.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_late_calls.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import testtools
-from testtools.matchers import Equals
+from testtools.matchers import Equals, LessThan
 
 from dragonflybank.cluster.claims import claim, reclaim
 from dragonflybank.cluster.events import poll_events
@@ -191,7 +191,8 @@
         worker.faults["renew"] = "hold"
         await renew_leases(session, 1003.0)
         worker.faults.clear()
-        await renew_leases(session, 1006.0)
+        worker.clock.time = 1008.0
+        await renew_leases(session, 1008.0)
         worker.carry_out_held_calls()
         worker.clock.time = 1020.0
         worker.expire_leases()
@@ -210,6 +211,18 @@
         late = await self.resolve_unreachable(session, start, 1020.0)
         self.assertThat(late, Equals((ResolutionKind.LEASE_LAPSED, [])))
 
+    @with_worker
+    async def test_lease_is_not_extended_by_a_step_of_the_hosts_clock(
+        self, worker
+    ):
+        session = await _owner(worker)
+        await _start(session, 1000.0)
+        # The clock of the host is set forward; the worker's goes on.
+        worker.clock.time, worker.booted_at = 1060.0, 60.0
+        session.liveness.require_confirmation()
+        await renew_leases(session, 1060.0)
+        self.assertThat(worker.leases["t1"], LessThan(1015.1))
+
     @with_cluster()
     async def test_dead_owners_late_renewal_does_not_outlive_the_takeover(
         self, c
@@ -239,6 +252,27 @@
         )
 
 
+class TestLateClaims(testtools.TestCase):
+    """Guards against a worker that is left to a host which doesn't know it."""
+
+    @with_cluster()
+    async def test_late_claim_in_the_same_life_loses_no_task(self, c):
+        await c.clock.advance_until(c.owners)
+        owner, worker = c.owners()[0], c.workers["w1"]
+        await _start(c.session(), c.clock.time)
+        other = next(host for host in c.hosts if host != owner)
+        seen = (await worker.state()).unwrap()
+        await worker.claim(other, fence=seen.fence)
+        await c.clock.advance_until(
+            lambda: c.owners() == [owner] and worker.owner == owner
+        )
+        await c.clock.advance(20.0)
+        self.assertThat(
+            (c.owners(), list(worker.tasks), c.reported_ends),
+            Equals(([owner], ["t1"], [])),
+        )
+
+
 class TestLateLookups(testtools.TestCase):
     """Guards against lookups that run on slots which count as free."""
 
--- a/libs/platform/dragonflybank/platform/worker.py
+++ b/libs/platform/dragonflybank/platform/worker.py
@@ -1,6 +1,7 @@
 """The platform's worker API: claims, tasks with leases, and lookups."""
 
 __all__ = [
+    "CALL_TIMEOUT_S",
     "ClaimResult",
     "Fence",
     "HttpWorkerClient",
