--- a/libs/cluster/dragonflybank/cluster/renewals.py
+++ b/libs/cluster/dragonflybank/cluster/renewals.py
@@ -29,7 +29,7 @@
 # Limits the rate of polls of a worker whose tasks end quickly.
 MIN_POLL_INTERVAL_S = 0.05
 # Longest time from a renewal to its answer for which the worker's clock in the
-# answer is used.
+# answer is used. It bounds the error of that clock.
 MAX_CLOCK_READ_S = 2.0
 # An unanswered start keeps its resources until it is resolved. If its home does
 # not resolve it within this time, a claim does.
--- a/libs/platform/dragonflybank/platform/worker.py
+++ b/libs/platform/dragonflybank/platform/worker.py
@@ -151,8 +151,8 @@
             work_class: Name of the work class.
             grant: Resources that the lease grants.
             lease_until_s: End of the lease on the worker's clock, see
-                `WorkerState.clock_s`. A call that arrives later has failed
-                with ``UNREACHABLE``.
+                `WorkerState.clock_s`. A call that arrives later has no
+                effect and fails with ``UNREACHABLE``.
             payload: Request body of the job.
         """
 
--- a/libs/standins/dragonflybank/standins/worker_server.py
+++ b/libs/standins/dragonflybank/standins/worker_server.py
@@ -3,7 +3,7 @@
 One process serves many workers, each on a separate port. A call is refused if
 its incarnation or epoch isn't the worker's, but a start isn't refused for lack
 of free resources. A VM that replaces a killed one has a new incarnation and
-epoch 0; it carries out calls that the killed one had received.
+epoch 0; calls that the killed one had received arrive at it.
 """
 
 __all__ = ["WorkerServer", "main"]
