--- a/libs/cluster/dragonflybank/cluster/sessions.py
+++ b/libs/cluster/dragonflybank/cluster/sessions.py
@@ -33,8 +33,8 @@
 
 # A lookup without an answer may still run; its slot stays counted for this time
 # after its timeout. The time is at least the error of the worker's clock that
-# the owner knows, `renewals.MAX_CLOCK_READ_S`, so that no lookup is refused that
-# arrives before its timeout.
+# the owner knows, `renewals.MAX_CLOCK_READ_S`, so that no lookup that arrives
+# before its timeout is refused.
 LOST_LOOKUP_HOLD_S = 2.0
 # A pending handover ends unless it is requested again within this time.
 HANDOVER_HOLD_S = 5.0
