Give up an unreachable worker that another host may own

A repeatable task could run twice after its owner was cut off from the other hosts for some seconds, and from the worker for longer. Another host took over and renewed the leases. When that host died, the former owner was no longer told that the worker has another owner, and at once reported the tasks as lost by the last lease that it had sent itself, although the other one's leases ran for up to 15 s.

The former owner had asked the others before, once its own leases were over, and had learned of the other owner, but did nothing about it. It now drops the ownership then, so that the time counts from a takeover.

--- a/libs/cluster/dragonflybank/cluster/renewals.py
+++ b/libs/cluster/dragonflybank/cluster/renewals.py
@@ -180,8 +180,16 @@
         # only be counted from a takeover.
         worker.drop_ownership(DropReason.UNVERIFIED)
         return
-    if worker.tasks and await worker.have_leases_expired(now):
+    if not worker.tasks or not worker.liveness.have_leases_expired(
+        now, is_owned=True
+    ):
+        return
+    if await worker.have_leases_expired(now):
         worker.mark_tasks_lost("lease lapsed")
+    else:
+        # Another host may be the owner and renew the leases. Even if it dies
+        # later, the last lease that this host sent decides nothing any more.
+        worker.drop_ownership(DropReason.UNVERIFIED)
 
 
 def _confirm_same_vm(worker: ManagedWorker, state: WorkerState) -> bool:
--- a/libs/cluster/dragonflybank/cluster/tests/test_ownership.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_ownership.py
@@ -313,6 +313,36 @@
                 running_after_lapse |= set(c.workers["w1"].tasks)
         self.assertThat(running_after_lapse, Equals(set()))
 
+    @with_cluster()
+    async def test_former_owner_does_not_report_tasks_that_another_renewed(
+        self, c
+    ):
+        worker = c.workers["w1"]
+        # No poll that waits at the worker tells the former owner of the next.
+        worker.faults["events"] = "drop"
+        await _start_first_task(c)
+        former = c.owners()[0]
+        others = tuple(h for h in HOSTS if h != former)
+        # The former owner is cut off until another host has taken over, and
+        # never reaches the worker again.
+        c.gossip_blocked |= {
+            pair for h in others for pair in ((former, h), (h, former))
+        }
+        c.cut_from_peers.add(former)
+        c.cut_from_workers.add(former)
+        await c.clock.advance_until(lambda: worker.owner in others)
+        c.gossip_blocked.clear()
+        c.cut_from_peers.clear()
+        await c.clock.advance(30.0)
+        await c.kill(worker.owner)
+        running_after_report = set()
+        for _ in range(60):
+            await c.clock.advance(0.5)
+            worker.expire_leases()
+            reported = {task_id for _, task_id, _ in c.reported_ends}
+            running_after_report |= reported & set(worker.tasks)
+        self.assertThat(running_after_report, Equals(set()))
+
     @with_cluster()
     async def test_unlisted_worker_is_gone_after_the_longest_lease(self, c):
         host = c.hosts["a"]
