--- a/libs/cluster/dragonflybank/cluster/managed_worker.py
+++ b/libs/cluster/dragonflybank/cluster/managed_worker.py
@@ -13,10 +13,11 @@
 from dragonflybank.cluster.liveness import WorkerLiveness
 from dragonflybank.cluster.task_ends import TaskEnds
 from dragonflybank.model.codes import Code, failure
-from dragonflybank.model.leases import TaskEvent, TaskState
+from dragonflybank.model.leases import LEASE_S, TaskEvent, TaskState
 from dragonflybank.model.resources import Resources
 from dragonflybank.model.topology import VmInfo, VmState
 from dragonflybank.platform.worker import (
+    Fence,
     WorkerClient,
     WorkerState,
     WorkerTask,
@@ -116,6 +117,8 @@
         self._dropped_task_ids: tuple[str, ...] = ()
         self.handover_until = 0.0
         self.claimed_at = 0.0
+        # The worker's clock minus this host's, or less.
+        self._clock_offset_s = 0.0
 
     @property
     def name(self) -> str:
@@ -173,6 +176,30 @@
             return failure(Code.UNREACHABLE, f"{self.name} does not answer")
         return None
 
+    def on_clock_read(self, clock_s: float, now: float) -> None:
+        """Records the worker's clock.
+
+        Args:
+            clock_s: The clock in an answer of the owned incarnation.
+            now: Current time, at or after the arrival of the answer.
+        """
+        self._clock_offset_s = clock_s - now
+
+    def worker_time(self, now: float) -> float:
+        """Returns the time of the worker's clock at ``now``, or earlier."""
+        return now + self._clock_offset_s
+
+    def lease_until(self, now: float) -> float:
+        """Returns the end of a lease on the worker's clock.
+
+        It ends no later than ``LEASE_S`` after ``now``, up to the difference of
+        the clock rates, whenever the worker carries out the call.
+
+        Args:
+            now: Time from which the lease counts.
+        """
+        return self.worker_time(now) + LEASE_S
+
     def become_owner(self, state: WorkerState) -> None:
         """Makes this host the owner, given the state that a claim returned.
 
@@ -266,16 +293,16 @@
         self.not_owned.set()
 
     async def call_fenced(
-        self, call: Callable[[int], Awaitable[Result]]
+        self, call: Callable[[Fence], Awaitable[Result]]
     ) -> Result:
-        """Calls the worker with its epoch.
+        """Calls the worker with the incarnation and epoch that this host owns.
 
-        The ownership is dropped if the worker refuses the epoch as stale.
+        The ownership is dropped if the worker refuses them as stale.
         """
         epoch = self.epoch
         if not epoch:
             return failure(Code.NOT_OWNER, f"{self.name} is not owned here")
-        reply = await call(worker_epoch(epoch))
+        reply = await call(Fence(self.incarnation, worker_epoch(epoch)))
         is_stale = failed_with(reply, Code.STALE_EPOCH) and self.epoch == epoch
         # The epoch may be stale because this host's own claim in progress has
         # raised it.
--- a/libs/cluster/dragonflybank/cluster/sessions.py
+++ b/libs/cluster/dragonflybank/cluster/sessions.py
@@ -1,8 +1,9 @@
 """Placement, starts and lookups on one worker, at the host that owns it.
 
 A session keeps the owner's decisions in memory. Every call that starts work
-carries the worker's epoch, and the worker refuses it once another host is the
-owner, so a session that has lost its worker can do no harm.
+carries the worker's incarnation and epoch. The worker refuses it once another
+host is the owner or the VM was replaced, so a session that has lost its worker
+can do no harm.
 """
 
 __all__ = ["WorkerSession"]
@@ -21,7 +22,6 @@
 )
 from dragonflybank.model.codes import Code, Problem, failure
 from dragonflybank.model.leases import (
-    LEASE_S,
     Reservation,
     Resolution,
     StartReply,
@@ -32,7 +32,9 @@
 from dragonflybank.platform.worker import WorkerTask
 
 # A lookup without an answer may still run; its slot stays counted for this time
-# after its timeout.
+# after its timeout. The time is at least the error of the worker's clock that
+# the owner knows, `renewals.MAX_CLOCK_READ_S`, so that no lookup that arrives
+# before its timeout is refused.
 LOST_LOOKUP_HOLD_S = 2.0
 # A pending handover ends unless it is requested again within this time.
 HANDOVER_HOLD_S = 5.0
@@ -81,7 +83,7 @@
     async def start(
         self, start: StartRecord, *, work_class: str, payload: str, now: float
     ) -> Result[StartReply, Problem]:
-        """Sends a journalled start to the worker.
+        """Sends a journalled start to the worker, at most once in an epoch.
 
         Returns:
             The worker's answer. ``FULL``, ``DRAINING`` and ``UNREACHABLE``
@@ -96,21 +98,25 @@
                 )
             if start.task_id in self.tasks or start.task_id in self.task_ends:
                 return Success(StartReply.KNOWN)
-            was_sent = self.capacity.is_unanswered(start.task_id)
-            refused = self.refusal(now) or self._add_start(start, now)
+            refused = (
+                self._refuse_copy(start)
+                or self._refuse_after_pause(now)
+                or self.refusal(now)
+                or self._add_start(start, now)
+            )
             if refused is not None:
-                return _timed_out_if_sent(refused, was_sent)
+                return refused
             reply = await self.call_fenced(
-                lambda number: self.client.start(
+                lambda fence: self.client.start(
                     start.task_id,
-                    epoch=number,
+                    fence=fence,
                     work_class=work_class,
                     grant=start.grant,
-                    lease_s=LEASE_S,
+                    lease_until_s=self.lease_until(now),
                     payload=payload,
                 )
             )
-            return self._on_start_reply(start, work_class, reply, was_sent, now)
+            return self._on_start_reply(start, work_class, reply, now)
 
     async def execute(
         self,
@@ -145,7 +151,9 @@
             key, now + timeout_s + LOST_LOOKUP_HOLD_S
         )
         epoch = self.epoch
-        reply = await self._execute(request_id, work_class, payload, timeout_s)
+        reply = await self._execute(
+            request_id, work_class, payload, timeout_s, now
+        )
         if failed_with(reply, Code.STALE_EPOCH) and self.epoch not in (
             0,
             epoch,
@@ -153,7 +161,7 @@
             # This host has raised the epoch by another claim meanwhile. The
             # refused call has not run, so it is repeated.
             reply = await self._execute(
-                request_id, work_class, payload, timeout_s
+                request_id, work_class, payload, timeout_s, now
             )
         if not failed_with(reply, Code.TIMED_OUT):
             self.capacity.remove_lookup(key)
@@ -164,13 +172,13 @@
     async def stop(self, task_ids: Sequence[str]) -> Result[None, Problem]:
         """Stops tasks; their ends are reported as events."""
         return await self.call_fenced(
-            lambda number: self.client.stop(task_ids, epoch=number)
+            lambda fence: self.client.stop(task_ids, fence=fence)
         )
 
     async def throttle(self, task_ids: Sequence[str]) -> Result[None, Problem]:
         """Throttles tasks to half of their cores."""
         return await self.call_fenced(
-            lambda number: self.client.throttle(task_ids, epoch=number)
+            lambda fence: self.client.throttle(task_ids, fence=fence)
         )
 
     async def checkpoint(
@@ -178,7 +186,7 @@
     ) -> Result[None, Problem]:
         """Checkpoints tasks, which then stop."""
         return await self.call_fenced(
-            lambda number: self.client.checkpoint(task_ids, epoch=number)
+            lambda fence: self.client.checkpoint(task_ids, fence=fence)
         )
 
     async def resolve(
@@ -212,6 +220,24 @@
         self.handover_until = now + HANDOVER_HOLD_S
         return False
 
+    def _refuse_copy(self, start: StartRecord) -> Failure | None:
+        if self.capacity.is_unanswered(start.task_id):
+            # A second call could run, end and be forgotten by the worker before
+            # it carries out the first one.
+            return failure(
+                Code.TIMED_OUT, "the start was sent and has no answer yet"
+            )
+        if start.task_id in self.presumed_ended_ids:
+            # Its home may have started the task elsewhere.
+            return failure(Code.TIMED_OUT, "the task was reported as lost")
+        return None
+
+    def _refuse_after_pause(self, now: float) -> Failure | None:
+        if not self.liveness.was_paused(now):
+            return None
+        # Another host may have resolved a start that was waiting here.
+        return failure(Code.UNREACHABLE, "the owner was paused")
+
     def _add_start(self, start: StartRecord, now: float) -> Failure | None:
         self.capacity.expire(now)
         if self.capacity.add_start(start.task_id, start.grant, now):
@@ -223,7 +249,6 @@
         start: StartRecord,
         work_class: str,
         reply: Result[StartReply, Problem],
-        was_sent: bool,
         now: float,
     ) -> Result[StartReply, Problem]:
         if isinstance(reply, Success):
@@ -239,9 +264,8 @@
             return reply
         if failed_with(reply, Code.UNREACHABLE):
             self.liveness.on_no_answer()
-        if not was_sent:
-            self.capacity.remove_task(start.task_id)
-        return _timed_out_if_sent(reply, was_sent)
+        self.capacity.remove_task(start.task_id)
+        return reply
 
     def _add_running_task(
         self, start: StartRecord, work_class: str, now: float
@@ -256,22 +280,22 @@
         )
 
     async def _execute(
-        self, request_id: str, work_class: str, payload: str, timeout_s: float
+        self,
+        request_id: str,
+        work_class: str,
+        payload: str,
+        timeout_s: float,
+        now: float,
     ) -> Result[str, Problem]:
+        # It must not begin once its slot counts as free again.
+        begin_until_s = self.worker_time(now) + timeout_s + LOST_LOOKUP_HOLD_S
         return await self.call_fenced(
-            lambda number: self.client.execute(
+            lambda fence: self.client.execute(
                 request_id,
-                epoch=number,
+                fence=fence,
                 work_class=work_class,
                 payload=payload,
                 timeout_s=timeout_s,
+                begin_until_s=begin_until_s,
             )
         )
-
-
-def _timed_out_if_sent(refused: Failure, was_sent: bool) -> Failure:
-    if not was_sent:
-        return refused
-    return failure(
-        Code.TIMED_OUT, "an earlier attempt to start has no answer yet"
-    )
--- a/libs/cluster/dragonflybank/cluster/tests/test_reclaim.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_reclaim.py
@@ -9,7 +9,6 @@
 from dragonflybank.cluster.sessions import WorkerSession
 from dragonflybank.cluster.tests.fakes import FakeClock, FakeWorker, worker_vm
 from dragonflybank.model.codes import Code
-from dragonflybank.model.leases import LEASE_S
 
 
 class _SlowClaimWorker(FakeWorker):
@@ -20,8 +19,8 @@
         self.claimed = asyncio.Event()
         self.answer = asyncio.Event()
 
-    async def claim(self, host, *, epoch):
-        reply = await super().claim(host, epoch=epoch)
+    async def claim(self, host, *, fence):
+        reply = await super().claim(host, fence=fence)
         self.claimed.set()
         await self.answer.wait()
         return reply
@@ -56,7 +55,9 @@
     def test_call_with_the_former_epoch_does_not_drop_the_worker(self):
         async def renew(session, worker):
             reply = await session.call_fenced(
-                lambda number: worker.renew(epoch=number, lease_s=LEASE_S)
+                lambda fence: worker.renew(
+                    fence=fence, lease_until_s=session.lease_until(1000.0)
+                )
             )
             return reply.failure().code
 
