Hold new connections in the soak's proxy

The soak's proxy could only reset, delay or discard.

Change: hold_connections accepts connections and forwards their data after release_connections. Data that was held back for over 10 s is discarded.

--- a/libs/bench/dragonflybank/bench/soak/proxy.py
+++ b/libs/bench/dragonflybank/bench/soak/proxy.py
@@ -12,6 +12,9 @@
 CHUNK_BYTES = 65536
 # Closing a socket with this option resets its connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Data that was held back for longer is discarded, so that no call takes effect
+# later than the platform's protocol allows.
+MAX_HOLD_S = 10.0
 
 
 @attrs.define(eq=False)
@@ -37,6 +40,7 @@
         self._target = target
         self._conns: set[_Connection] = set()
         self._forwarding_events = (asyncio.Event(), asyncio.Event())
+        self._may_connect = asyncio.Event()
         self._server: asyncio.Server | None = None
         self.end_faults()
 
@@ -55,6 +59,7 @@
     def end_faults(self) -> None:
         """Ends delays and blocks, but `stop_forwarding` lasts."""
         self.delay_s = 0.0
+        self._may_connect.set()
         for may_forward in self._forwarding_events:
             may_forward.set()
 
@@ -66,6 +71,18 @@
         """
         self._forwarding_events[direction].clear()
 
+    def hold_connections(self) -> None:
+        """Accepts new connections, but forwards none of their data.
+
+        `release_connections` or `end_faults` forwards what came in meanwhile,
+        also on connections that the client has closed.
+        """
+        self._may_connect.clear()
+
+    def release_connections(self) -> None:
+        """Ends `hold_connections`."""
+        self._may_connect.set()
+
     def stop_forwarding(self) -> None:
         """Discards all further data on the connections that are open now."""
         for conn in self._conns:
@@ -80,6 +97,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        await self._may_connect.wait()
         ip, port = self._target().rsplit(":", 1)
         try:
             server_reader, server_writer = await asyncio.open_connection(
@@ -111,7 +129,9 @@
     ) -> None:
         try:
             while data := await reader.read(CHUNK_BYTES):
+                read_at = _now()
                 await may_forward.wait()
+                conn.drops_data |= _now() - read_at > MAX_HOLD_S
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 if conn.drops_data:
@@ -124,6 +144,10 @@
             _reset(writer)
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
     if sock is not None and sock.fileno() >= 0:
