Add restarts under old identifiers and long tasks to the soak

The soak restarted executors 0.5 to 6 s after a crash, its calls in progress were answered by the new incarnation, and no task outlived a lease.

--- a/libs/bench/dragonflybank/bench/soak/__main__.py
+++ b/libs/bench/dragonflybank/bench/soak/__main__.py
@@ -12,6 +12,7 @@
 import attrs
 import cappa
 
+from dragonflybank.bench.soak.faults import TROUBLES
 from dragonflybank.bench.soak.runner import SoakSettings, run_seed
 
 
@@ -26,6 +27,8 @@
         executors: Number of executors.
         series: Number of series of faults that run concurrently.
         jobs_per_s: Average rate of submissions in jobs per second.
+        long_share: Share of the jobs whose tasks run for 8 to 20 s.
+        trouble: Which faults to draw from, a key of `TROUBLES`.
         logs: Folder for the logs of seeds with violations.
     """
 
@@ -35,6 +38,10 @@
     executors: Annotated[int, cappa.Arg(long=True)] = 6
     series: Annotated[int, cappa.Arg(long=True)] = 2
     jobs_per_s: Annotated[float, cappa.Arg(long=True)] = 5.0
+    long_share: Annotated[float, cappa.Arg(long=True)] = 0.05
+    trouble: Annotated[str, cappa.Arg(long=True, choices=list(TROUBLES))] = (
+        "all"
+    )
     logs: Annotated[str, cappa.Arg(long=True)] = "build/soak"
 
 
@@ -48,6 +55,8 @@
         hosts=arguments.hosts,
         executors=arguments.executors,
         series=arguments.series,
+        long_share=arguments.long_share,
+        faults=TROUBLES[arguments.trouble],
     )
     failed = 0
     for seed in range(start, int(last or start) + 1):
--- a/libs/bench/dragonflybank/bench/soak/faults.py
+++ b/libs/bench/dragonflybank/bench/soak/faults.py
@@ -1,6 +1,6 @@
 """Faults of the soak; each coroutine sets its fault, waits and clears it."""
 
-__all__ = ["FAULTS", "end_faults"]
+__all__ = ["FAULTS", "TROUBLES", "end_faults"]
 
 import asyncio
 import random
@@ -8,6 +8,7 @@
 
 from dragonflybank.bench.soak.process_cell import ProcessCell
 from dragonflybank.bench.soak.processes import HostProcess
+from dragonflybank.bench.soak.restarts import RESTART_FAULTS
 
 Fault = Callable[[ProcessCell, random.Random], Awaitable[None]]
 # Up to more than the leases of the leader's key (2 s) and of executors (6 s).
@@ -30,6 +31,7 @@
         host.store_proxy.end_faults()
     for proxy in cell.executor_proxies.values():
         proxy.end_faults()
+    cell.silent_executors.clear()
     for executor in cell.executors.values():
         switches = executor.faults
         switches.is_cut = switches.fails_all = switches.hangs = False
@@ -262,4 +264,10 @@
         executor_sick,
         config_changed,
     )
+} | RESTART_FAULTS
+# Names of the faults that a run draws from.
+TROUBLES: dict[str, tuple[str, ...]] = {
+    "all": tuple(FAULTS),
+    "restarts": tuple(RESTART_FAULTS),
+    "acknowledgements": ("killed_after_acknowledgement",),
 }
