--- a/libs/bench/dragonflybank/bench/soak/tests/test_soak.py
+++ b/libs/bench/dragonflybank/bench/soak/tests/test_soak.py
@@ -27,7 +27,7 @@
 # Seed, settings and reason by name of the test.
 RUNS = {
     "seed_1": (1, SHORT_RUN, "the short run of CI"),
-    "restarts_1": (1, RESTART_RUN, "executors restart and are cut off"),
+    "restarts_4": (4, RESTART_RUN, "TWICE on 989c321 after restarts"),
 }
 
 
