Store the end of each placed attempt

An end that was neither done nor failed was acknowledged without a stored effect, so that the placement stayed in the store. A new leader then waited until no start of it could arrive: 3 s with a ticket, 13 s without.

--- a/libs/bench/dragonflybank/bench/soak/tests/test_soak.py
+++ b/libs/bench/dragonflybank/bench/soak/tests/test_soak.py
@@ -12,7 +12,7 @@
 from dragonflybank.cell.ports import TxnReply
 from dragonflybank.standins.cell.store import MemoryStore
 
-SHORT_RUN = SoakSettings(seconds=8.0)
+SHORT_RUN = SoakSettings(seconds=8.0, long_share=0.0, finish_timeout_s=60.0)
 # Without signals, changes of the configuration and cancels, only the end of the
 # jobs has a time bound. It is long, so that the verdict doesn't depend on the
 # machine's speed. Leases expire in the event loop that also receives starts, so
@@ -42,7 +42,13 @@
             return TxnReply(1) if is_job else commit(store, txn)
 
         self.patch(MemoryStore, "commit", forget_jobs)
-        settings = SoakSettings(seconds=6.0, series=1, faults=("all_killed",))
+        settings = SoakSettings(
+            seconds=6.0,
+            long_share=0.0,
+            finish_timeout_s=60.0,
+            series=1,
+            faults=("all_killed",),
+        )
         with tempfile.TemporaryDirectory() as folder:
             violations, _ = asyncio.run(
                 run_seed(1, pathlib.Path(folder), settings)
--- a/libs/cell/dragonflybank/cell/attempts.py
+++ b/libs/cell/dragonflybank/cell/attempts.py
@@ -240,7 +240,9 @@
             return
         state = task.step.job_state
         task.last_attempt = max(task.last_attempt, end.attempt)
-        changed = self._leader.workload.save_checkpoint(task, end.checkpoint)
+        # Without a record of its end, a new leader waits for its start.
+        changed = attempt is not None
+        changed |= self._leader.workload.save_checkpoint(task, end.checkpoint)
         if end.kind is EndKind.DONE:
             self._leader.health.record_success(executor, attempt, now)
             changed |= self._leader.workload.finish_task(task, end.attempt, now)
