--- a/libs/cell/dragonflybank/cell/calls_under_way.py
+++ b/libs/cell/dragonflybank/cell/calls_under_way.py
@@ -53,7 +53,7 @@
 
 
 def note_restart(executor: Executor) -> None:
-    """Takes calls without an answer as meant for a former incarnation."""
+    """Counts all calls without an answer as meant for a former incarnation."""
     executor.former_renewals_arrive_until = executor.renewals_arrive_until
     executor.closed_until = max(
         executor.closed_until,
--- a/libs/cell/dragonflybank/cell/lease_bounds.py
+++ b/libs/cell/dragonflybank/cell/lease_bounds.py
@@ -3,10 +3,10 @@
 An executor may restart under its identifier. Calls that were meant for its
 former incarnation are then carried out by the new one, at once or up to
 `CellLimits.max_call_delay_s` after they were sent if they had no answer. The
-expiry of a lease is a time on the former clock, which the new clock reaches
-only much later, so that the new incarnation grants the longest lease that it
-grants at all. What a leader asked for therefore bounds only the incarnation
-whose clock it knows.
+expiry of a lease is a time on the former clock, and the new clock starts at any
+value, so that the new incarnation may grant the longest lease that it grants at
+all. What a leader asked for therefore bounds only the incarnation whose clock
+it knows.
 
 An attempt that was seen in an incarnation ends with it. An attempt that was
 not may begin in a newer one as long as a start of it may arrive. All decisions
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -47,7 +47,7 @@
 POLL_WAIT_S = 1.5
 # A renewal or an acknowledgement is sent this long after a reply at most, so
 # that it reaches the incarnation that replied.
-MAX_REPLY_AGE_S = 0.5
+FRESH_REPLY_S = 0.5
 # Less than a wait, so that each poll that waited is followed by a renewal.
 RENEWAL_INTERVAL_S = 1.0
 # An executor without attempts is only polled to see whether it still runs.
@@ -161,7 +161,7 @@
             has_acks = executor.acked_end > executor.confirmed_ack
             is_fresh = (
                 executor.silent_since is None
-                and now - executor.last_reply_at <= MAX_REPLY_AGE_S
+                and now - executor.last_reply_at <= FRESH_REPLY_S
             )
             acked_end = executor.acked_end if has_acks and is_fresh else 0
             is_due = now - self._renewed_at >= RENEWAL_INTERVAL_S
