--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -192,12 +192,7 @@
             self._end_poll(call, got, now)
             match got:
                 case Success(PollReply(status=CommandReply.OK) as reply):
-                    if leader.fleet.process_poll(executor, reply, sent_at=now):
-                        self._pending_ack = (
-                            leader.committer.changes_marked,
-                            executor.seen_end,
-                        )
-                    self._replied.set()
+                    self._process_reply(reply, now)
                     if executor.is_ack_blocked:
                         await leader.clock.sleep(UNSTORED_ENDS_WAIT_S)
                     elif executor.acked_end < executor.seen_end:
@@ -284,12 +279,7 @@
             self._is_looking = False
         match got:
             case Success(PollReply(status=CommandReply.OK) as reply):
-                if leader.fleet.process_poll(executor, reply, sent_at=sent_at):
-                    self._pending_ack = (
-                        leader.committer.changes_marked,
-                        executor.seen_end,
-                    )
-                self._replied.set()
+                self._process_reply(reply, sent_at)
             case Success(PollReply(status=CommandReply.FENCED)):
                 leader.on_fenced(executor)
             case Failure(failed) if executor.last_reply_at <= sent_at:
@@ -297,6 +287,16 @@
                 if self._poll is not None:
                     self._poll.cancel()
 
+    def _process_reply(self, reply: PollReply, sent_at: float) -> None:
+        """Processes a reply; its new ends are acknowledged once stored."""
+        leader, executor = self._leader, self._executor
+        if leader.fleet.process_poll(executor, reply, sent_at=sent_at):
+            self._pending_ack = (
+                leader.committer.changes_marked,
+                executor.seen_end,
+            )
+        self._replied.set()
+
     def _poll_wait_s(self) -> float:
         attempts = self._executor.attempts
         specs = [a.task.step.spec for a in attempts.values()]
