--- a/review/rig_2/cell.py
+++ b/review/rig_2/cell.py
@@ -8,6 +8,7 @@
 import logging
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 from collections.abc import Awaitable, Callable
@@ -276,11 +277,19 @@
 
     async def run(folder: pathlib.Path) -> int:
         cell = Cell(folder, **sizes)
+        # The hosts are ended too if the case is.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(LIMIT_S):
                 await cell.start()
                 status = await play(cell, has_trouble)
-        except (RuntimeError, TimeoutError, OSError) as exc:
+        except (
+            RuntimeError,
+            TimeoutError,
+            OSError,
+            asyncio.CancelledError,
+        ) as exc:
             cell.note(f"the case could not run: {type(exc).__name__} {exc}")
             status = NOT_RUN
         finally:
--- a/review/rig_2/executors.py
+++ b/review/rig_2/executors.py
@@ -83,7 +83,9 @@
         is_dark: Whether it is lost: it answers nothing and runs nothing.
         disturbance: See the module.
         late_starts: Delays of the next starts, which get no answer and are
-            carried out late.
+            carried out late, by the incarnation that there is then.
+        late_acks: The same of the next polls that acknowledge ends.
+        is_cut: Whether no host reaches it; it runs on.
 
     Args:
         executor_id: Its identifier.
@@ -110,6 +112,8 @@
         self.is_dark = False
         self.disturbance = 0.0
         self.late_starts: list[float] = []
+        self.late_acks: list[float] = []
+        self.is_cut = False
         self._store = store
         self._cpu = cpu
         self._note = note
@@ -155,10 +159,16 @@
         self._note(f"executor {self.id} goes dark")
         self._end_all("lost")
 
-    def restart(self) -> None:
-        """Starts it again at once under its identifier and address."""
+    def restart(self, *, first_clock_s: float | None = None) -> None:
+        """Starts it again at once under its identifier and address.
+
+        Args:
+            first_clock_s: Where its clock begins; drawn if None.
+        """
         self._end_all("lost")
         self._begin_incarnation()
+        if first_clock_s is not None:
+            self._clock_origin = self._loop.time() - first_clock_s
         self._note(f"executor {self.id} restarted, born {self._born}")
         self._register()
 
@@ -238,18 +248,18 @@
 
     async def _answer(self, req: web.BaseRequest) -> web.Response:
         text = await req.read()
-        if self.is_dark:
-            await asyncio.sleep(UNANSWERED_S)
+        await self._hang_if_unreachable()
         if req.headers.get("Expect-Instance") != self.id:
             return self._respond(421)
         body = json.loads(text)
-        if body.get("fencing_token", 0) < self._token:
+        if req.path == "/-/run-start" and self.late_starts:
+            await self._carry_out_late(body, self.late_starts, self._start_run)
+        if body.get("last_seen") and self.late_acks:
+            await self._carry_out_late(body, self.late_acks, self._take_note)
+        if not self._accepts_token(body):
             return self._respond(409, reason="fence")
-        self._token = body.get("fencing_token", 0)
         match req.path:
             case "/-/run-start":
-                if self.late_starts:
-                    await self._start_late(body, self.late_starts.pop(0))
                 return self._start_run(body)
             case "/-/run-stop":
                 return self._stop_run(body)
@@ -290,13 +300,30 @@
             self._spawn(self._work(run))
         return self._respond(200)
 
-    async def _start_late(self, body: dict, delay_s: float) -> None:
-        name = f"{body['task']}/{body['run_id']}"
-        self._note(f"{self.id}: start {name} left unanswered")
+    def _accepts_token(self, body: dict) -> bool:
+        token = body.get("fencing_token", 0)
+        if token < self._token:
+            return False
+        self._token = token
+        return True
+
+    async def _hang_if_unreachable(self) -> None:
+        if self.is_dark or self.is_cut:
+            await asyncio.sleep(UNANSWERED_S)
+
+    async def _carry_out_late(
+        self, body: dict, delays: list[float], call: Callable[[dict], object]
+    ) -> None:
+        """Leaves a call unanswered and carries it out late."""
+        delay_s = delays.pop(0)
+        run = f"{body.get('task', 'poll')}/{body.get('run_id', '-')}"
+        what = f"{run}, last_seen {body.get('last_seen', '-')}"
+        self._note(f"{self.id}: left unanswered: {what}")
 
         def carry_out() -> None:
-            answer = self._start_run(body)
-            self._note(f"{self.id}: start {name} late, {answer.status}")
+            self._note(f"{self.id}: carried out late: {what}")
+            if self._accepts_token(body):
+                call(body)
 
         self._loop.call_later(delay_s, carry_out)
         await asyncio.sleep(UNANSWERED_S)
@@ -342,20 +369,26 @@
             self._loop.call_later(STOP_S, self._end, run, "stopped")
         return self._respond(200)
 
-    async def _hold(self, body: dict) -> web.Response:
+    def _take_note(self, body: dict) -> None:
         self._extend(body)
         seen = body.get("last_seen", 0)
         for number, run in self._ends:
             if number <= seen:
                 run.taken_note_at = self._loop.time()
+                self._note(
+                    f"{self.id}: end of {run.task}/{run.number}, {run.how}, "
+                    "is taken note of"
+                )
         self._ends = [(n, run) for n, run in self._ends if n > seen]
+
+    async def _hold(self, body: dict) -> web.Response:
+        self._take_note(body)
         if not self._ends and body.get("wait_ms"):
             self._has_end.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(body["wait_ms"] / 1000):
                     await self._has_end.wait()
-            if self.is_dark:
-                await asyncio.sleep(UNANSWERED_S)
+        await self._hang_if_unreachable()
         return self._respond(
             200,
             born=self._born,
