--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,5 +8,5 @@
     exit 1
 }
 PYTHONPYCACHEPREFIX=target/review python3 -m compileall -q review/rig_2 \
-    review/6 review/7 review/9 review/10
+    review/6 review/9 review/10
 PYTHONPATH=target/deps:review python3 -c "import rig_2.cell"
