--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,6 +7,6 @@
     echo "run the build of the deploy file first" >&2
     exit 1
 }
-PYTHONPYCACHEPREFIX=target/review python3 -m compileall -q review/rig_2 \
+PYTHONPYCACHEPREFIX=target/review python3 -m compileall -q \
     review/6 review/9 review/10
-PYTHONPATH=target/deps:review python3 -c "import rig_2.cell"
+PYTHONPATH=target/deps:review/6 python3 -c "import rig_2.cell"
