--- a/review/rig_2/cell.py
+++ b/review/rig_2/cell.py
@@ -20,7 +20,7 @@
 from rig_2.store import MemoryStore
 
 HOSTNAME = "front.example"
-PREFIX = "/work/"
+PREFIX = "/jobs/"
 DEADLINE_MS = 3000
 START_LIMIT_S = 30.0
 LIMIT_S = 115.0
