Follow attempts whose number a successor reuses elsewhere

Cause: a leader that is killed before it has stored a placement leaves the attempt number to its successor, which may choose another executor. The tracker overwrote the executor of an open attempt, and did not find it there later.

Change: the attempt is moved to the list of the other executor.

--- a/libs/cli/dragonflybank/cli/attempt_history.py
+++ b/libs/cli/dragonflybank/cli/attempt_history.py
@@ -204,7 +204,7 @@
         if not isinstance(task, str) or not isinstance(number, int):
             return []
         attempt = self._find(task, number)
-        attempt.executor = fields.get("executor", attempt.executor)
+        self._move(attempt, fields.get("executor", attempt.executor))
         self._process_line(attempt, event)
         return [attempt]
 
@@ -334,6 +334,20 @@
             self._by_task[task].append(attempt)
         return attempt
 
+    def _move(self, attempt: AttemptHistory, executor: str | None) -> None:
+        """Records where an attempt is.
+
+        A leader that is killed before a placement is stored leaves the attempt
+        number to its successor, which may choose another executor.
+        """
+        if attempt.executor == executor:
+            return
+        is_open = attempt.is_open
+        self._close(attempt)
+        attempt.executor = executor
+        if is_open:
+            self._reopen(attempt)
+
     def _reopen(self, attempt: AttemptHistory) -> None:
         if not attempt.is_open:
             attempt.is_open = True
--- a/libs/cli/dragonflybank/cli/tests/test_attempt_history.py
+++ b/libs/cli/dragonflybank/cli/tests/test_attempt_history.py
@@ -151,6 +151,27 @@
         ):
             self.assertThat(self.open_after(placed, line), Equals([]))
 
+    def test_successor_reuses_a_number_on_another_executor(self):
+        """The former leader was killed before it stored the placement."""
+
+        def moved(at, name, **fields):
+            return event(
+                at, name, task=TASK, attempt=1, executor="i-2", **fields
+            )
+
+        tracker, found = attempt_histories(
+            (
+                about(1.0, "place"),
+                moved(2.0, "place"),
+                moved(3.0, "end", kind="done"),
+            ),
+            TASK,
+        )
+        self.assertThat(found, HasLength(1))
+        self.assertThat(found[0].executor, Equals("i-2"))
+        self.assertThat(tracker.open_on("i-1"), Equals([]))
+        self.assertThat(tracker.open_on("i-2"), Equals([]))
+
     def test_end_of_another_job_with_a_like_name_changes_nothing(self):
         ended = event(2.0, "job ended", job=TASK[:4])
         self.assertThat(
