Send no start beside a renewal, and bind starts to their ticket's incarnation

Callers saw jobs with nothing running for up to 23 s beside an idle service (LOST), after four losses of executors close together and no change of the leader.

Cause: at the loss a renewing poll and a start were both without an answer. The bound counted that a newer incarnation carries out the start, and the renewal 12 s later, and granted the longest lease then.

Change: a start and a renewal are never under way together; a start that waits for a renewal without an answer is withdrawn and placed elsewhere. A start whose ticket is older than the last sign of life of the incarnation that it was meant for ends with that one. An attempt whose start was not sent is released when it is stopped. The log names the term that held each attempt (held_by).

Why it works: the term LATE_RENEWAL is left only where a renewal had no answer, the executor answered again, and a later start had none either.

--- a/libs/cell/dragonflybank/cell/attempts.py
+++ b/libs/cell/dragonflybank/cell/attempts.py
@@ -15,8 +15,8 @@
 from dragonflybank.cell.election import CONFIRMATION_MAX_AGE_S
 from dragonflybank.cell.jobs import JobPhase, TaskId
 from dragonflybank.cell.lease_bounds import (
+    find_hold,
     latest_start_arrival,
-    may_run_until,
 )
 from dragonflybank.cell.ports import (
     AttemptEnd,
@@ -200,6 +200,14 @@
         if attempt.phase is AttemptPhase.RESERVED:
             self._release_and_requeue(attempt)
             return
+        if attempt.phase is AttemptPhase.STARTING and not attempt.is_start_sent:
+            # It will not be sent any more, so nothing has to be waited for.
+            _log.info(
+                "start withdrawn",
+                extra={**attempt.log_fields, "reason": reason},
+            )
+            self._release_and_requeue(attempt)
+            return
         if attempt.is_ending:
             return
         _log.info(
@@ -334,6 +342,14 @@
         """
         now = self._leader.clock.now()
         lost = [a for a in executor.attempts.values() if is_lost(a)]
+        holds = [
+            find_hold(
+                attempt,
+                self._leader.limits,
+                self._leader.leadership.began_at,
+            )
+            for attempt in lost
+        ]
         if lost:
             self._leader.metrics.executors_lost.labels(reason).inc()
             _log.warning(
@@ -347,18 +363,8 @@
                     "tasks": [
                         f"{a.task.id}/{a.number} in {a.seen_in}" for a in lost
                     ],
-                    "held_until_s": [
-                        round(
-                            may_run_until(
-                                a,
-                                self._leader.limits,
-                                self._leader.leadership.began_at,
-                            )
-                            - now,
-                            3,
-                        )
-                        for a in lost
-                    ],
+                    "held_until_s": [round(h.until - now, 3) for h in holds],
+                    "held_by": [h.reason.value for h in holds],
                     "silent_s": round(now - executor.last_reply_at, 3),
                     "lease_s": round(
                         executor.lease_until_s - executor.clock_s, 3
@@ -387,6 +393,9 @@
                 self._release_and_requeue(attempt)
                 self.stop_gang(attempt)
             else:
+                if ticket is not None:
+                    advice = step.advice_by_executor[attempt.executor.info.id]
+                    attempt.ticket_received_at = advice.received_at
                 self._leader.fleet.link(attempt.executor).start(
                     attempt, ticket or ""
                 )
--- a/libs/cell/dragonflybank/cell/fleet.py
+++ b/libs/cell/dragonflybank/cell/fleet.py
@@ -19,6 +19,7 @@
 
 from dragonflybank.cell.calls_under_way import note_restart
 from dragonflybank.cell.draining import attempts_to_evacuate, has_left
+from dragonflybank.cell.incarnations import CLOCK_MARGIN_S
 from dragonflybank.cell.isolation import IsolatedExecutorClient
 from dragonflybank.cell.lease_bounds import (
     has_lease_expired,
@@ -283,7 +284,16 @@
             executor.lease_until_s = (
                 reply.clock_s + self._leader.limits.max_lease_s
             )
+            executor.alive_at = float("-inf")
         executor.answered_incarnation = reply.incarnation
+        # Its clock may run slow, so at least as much time has passed.
+        executor.alive_at = max(
+            sent_at,
+            executor.alive_at
+            + reply.clock_s
+            - executor.clock_s
+            - CLOCK_MARGIN_S,
+        )
         if executor.silent_since is not None:
             executor.silent_since = None
             _log.info(
--- a/libs/cell/dragonflybank/cell/incarnations.py
+++ b/libs/cell/dragonflybank/cell/incarnations.py
@@ -6,7 +6,12 @@
 one, at any value.
 """
 
-__all__ = ["MIN_CLOCK_RATE", "Answerer", "identify_answerer"]
+__all__ = [
+    "CLOCK_MARGIN_S",
+    "MIN_CLOCK_RATE",
+    "Answerer",
+    "identify_answerer",
+]
 
 import enum
 
--- a/libs/cell/dragonflybank/cell/lease_bounds.py
+++ b/libs/cell/dragonflybank/cell/lease_bounds.py
@@ -8,14 +8,21 @@
 all. What a leader asked for therefore bounds only the incarnation whose clock
 it knows.
 
-An attempt that was seen in an incarnation ends with it. An attempt that was
-not may begin in a newer one as long as a start of it may arrive. All decisions
-that an attempt is over without the executor's word are made by `may_run_until`.
+An attempt that was seen in an incarnation ends with it, and so does one whose
+ticket was issued to an incarnation that has answered since: the executor
+refuses that ticket in all later ones. Another attempt may begin in a newer
+incarnation as long as a start of it may arrive. All decisions that an attempt
+is over without the executor's word are made by `find_hold`, which also names
+the term that decides.
 """
 
 __all__ = [
+    "Hold",
+    "HoldReason",
+    "find_hold",
     "has_lease_expired",
     "is_out_of_touch",
+    "known_lease_end",
     "latest_start_arrival",
     "longest_lease_s",
     "may_run_until",
@@ -23,8 +30,11 @@
     "running_orphans",
 ]
 
+import enum
 from collections.abc import Iterable, Iterator
 
+import attrs
+
 from dragonflybank.cell.incarnations import MIN_CLOCK_RATE
 from dragonflybank.cell.jobs import Queue, TaskId
 from dragonflybank.cell.limits import CellLimits
@@ -38,6 +48,41 @@
 MAX_UNCONFIRMED_RENEWAL_S = 6.0
 
 
+class HoldReason(enum.StrEnum):
+    """The term of the bound that holds an attempt longest.
+
+    Attributes:
+        LEASE: The lease of the incarnation that answered last.
+        LATE_FORMER_RENEWAL: A renewal meant for a former incarnation may
+            extend the lease of the present one.
+        LATE_START: A start without an answer may begin it in a newer
+            incarnation, which grants the longest lease.
+        LATE_RENEWAL: A renewal without an answer may extend the lease of that
+            newer incarnation.
+        FORMER_LEADER: Former leaders may renew the lease for some time after
+            the election.
+    """
+
+    LEASE = "lease"
+    LATE_FORMER_RENEWAL = "late renewal for a former incarnation"
+    LATE_START = "late start"
+    LATE_RENEWAL = "late renewal"
+    FORMER_LEADER = "renewals of former leaders"
+
+
+@attrs.frozen
+class Hold:
+    """Until when an attempt may run if its executor isn't heard again.
+
+    Attributes:
+        until: The time, on the leader's clock, in seconds.
+        reason: The term of the bound that is last.
+    """
+
+    until: float
+    reason: HoldReason
+
+
 def longest_lease_s(limits: CellLimits) -> float:
     """Returns the longest time that a call lets attempts run, in seconds."""
     return limits.max_lease_s / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
@@ -64,32 +109,53 @@
     return executor.silent_since is not None or not executor.claimed
 
 
-def may_run_until(
+def find_hold(
     attempt: Attempt, limits: CellLimits, leader_since: float
-) -> float:
-    """Returns until when an attempt may run if its executor isn't heard again.
+) -> Hold:
+    """Returns how long an attempt may run if its executor isn't heard again.
 
     Args:
         attempt: An attempt whose start may have been sent.
         limits: Limits of the platform.
         leader_since: Time at which this leader was elected, in seconds.
-
-    Returns:
-        A time of the leader's clock in seconds.
     """
+    return max(
+        _possible_holds(attempt, limits, leader_since),
+        key=lambda hold: hold.until,
+    )
+
+
+def may_run_until(
+    attempt: Attempt, limits: CellLimits, leader_since: float
+) -> float:
+    """Returns the time of `find_hold`, on the leader's clock in seconds."""
+    return find_hold(attempt, limits, leader_since).until
+
+
+def _possible_holds(
+    attempt: Attempt, limits: CellLimits, leader_since: float
+) -> Iterator[Hold]:
+    """Yields the terms of the bound that apply to an attempt."""
     executor, lease_s = attempt.executor, longest_lease_s(limits)
+    late_start = Hold(
+        attempt.start_arrives_until + lease_s, HoldReason.LATE_START
+    )
     if not executor.answered_incarnation:
-        return max(
-            _former_leases_end(limits, leader_since),
-            attempt.start_arrives_until + lease_s,
+        yield Hold(
+            _former_leases_end(limits, leader_since), HoldReason.FORMER_LEADER
+        )
+        yield late_start
+        return
+    yield Hold(known_lease_end(executor), HoldReason.LEASE)
+    yield Hold(
+        executor.former_renewals_arrive_until + lease_s,
+        HoldReason.LATE_FORMER_RENEWAL,
+    )
+    if not attempt.is_bound_to_known_incarnation:
+        yield late_start
+        yield Hold(
+            executor.renewals_arrive_until + lease_s, HoldReason.LATE_RENEWAL
         )
-    known = _known_lease_end(executor)
-    if executor.former_renewals_arrive_until > float("-inf"):
-        known = max(known, executor.former_renewals_arrive_until + lease_s)
-    if attempt.seen_in:
-        return known
-    newer = max(attempt.start_arrives_until, executor.renewals_arrive_until)
-    return max(known, newer + lease_s)
 
 
 def needs_lease(executor: Executor, confirmed_at: float, now: float) -> bool:
@@ -112,9 +178,17 @@
     )
 
 
+def known_lease_end(executor: Executor) -> float:
+    """Returns when the lease of the known incarnation ends at the latest."""
+    left_s = executor.lease_until_s - executor.clock_s
+    return (
+        executor.last_reply_at + left_s / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
+    )
+
+
 def has_lease_expired(executor: Executor, now: float) -> bool:
     """Returns whether the lease of the known incarnation has expired."""
-    return now >= _known_lease_end(executor)
+    return now >= known_lease_end(executor)
 
 
 def running_orphans(
@@ -142,10 +216,3 @@
         + limits.lease_s / MIN_CLOCK_RATE
         + 2 * LEASE_EXPIRY_MARGIN_S
     )
-
-
-def _known_lease_end(executor: Executor) -> float:
-    left_s = executor.lease_until_s - executor.clock_s
-    return (
-        executor.last_reply_at + left_s / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
-    )
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -14,6 +14,11 @@
 counts its ends anew: a poll meant for a former one would extend its lease and
 remove its ends unread. A poll that waits is often under way at a crash, so it
 renews and acknowledges nothing.
+
+A renewal and a start are never under way together. If neither had an answer, a
+newer incarnation might carry out the start with a ticket of its own, and the
+renewal up to `CellLimits.max_call_delay_s` later, so that the attempt would be
+held for that time and the longest lease.
 """
 
 __all__ = ["ExecutorLink"]
@@ -87,6 +92,10 @@
         self._poll: asyncio.Task | None = None
         self._is_looking = False
         self._replied = asyncio.Event()
+        self._starts_under_way = 0
+        # Set while no renewing poll is under way.
+        self._renewal_settled = asyncio.Event()
+        self._renewal_settled.set()
         self._background = BackgroundTasks(leader.background.on_failure)
 
     def start_polling(self) -> None:
@@ -168,6 +177,7 @@
             renews = (
                 is_fresh
                 and (is_due or acked_end)
+                and not self._starts_under_way
                 and needs_lease(executor, leader.leadership.confirmed_at, now)
             )
             wait = (
@@ -222,6 +232,8 @@
         self._poll = asyncio.ensure_future(
             self._client.poll(epoch=self._leader.leadership.epoch, **kwargs)
         )
+        if kwargs["lease_until_s"]:
+            self._renewal_settled.clear()
         try:
             await asyncio.wait({self._poll})
             if self._poll.cancelled():
@@ -229,6 +241,7 @@
             return self._poll.result()
         finally:
             self._poll.cancel()
+            self._renewal_settled.set()
 
     def _end_poll(
         self, call: Call, got: Result[PollReply, Problem], sent_at: float
@@ -326,6 +339,7 @@
         queue = attempt.task.step.job_state.queue
         unanswered_until = attempt.start_arrives_until
         for sent in range(MAX_START_TRIES if ticket else 1):
+            await self._renewal_settled.wait()
             if attempt.phase is not AttemptPhase.STARTING:
                 return
             now = leader.clock.now()
@@ -343,11 +357,15 @@
                 attempt.task.checkpoint,
                 ticket,
             )
+            is_same = attempt.meant_for == executor.answered_incarnation
+            attempt.meant_for = (
+                executor.answered_incarnation if is_same or not sent else 0
+            )
             attempt.is_start_sent = True
             arrives_until = latest_start_arrival(queue, leader.limits, now)
             attempt.start_arrives_until = max(unanswered_until, arrives_until)
             call = begin_call(executor, arrives_until, renews=True)
-            got = await self._client.start(command)
+            got = await self._call_start(command)
             if isinstance(got, Success):
                 answer = got.unwrap()
                 attempt.start_arrives_until = unanswered_until
@@ -377,6 +395,15 @@
         if attempt.phase is AttemptPhase.STARTING:
             leader.attempts.on_start_outcome_unknown(attempt)
 
+    async def _call_start(
+        self, command: StartCommand
+    ) -> Result[CommandAnswer, Problem]:
+        self._starts_under_way += 1
+        try:
+            return await self._client.start(command)
+        finally:
+            self._starts_under_way -= 1
+
     def _end_start(
         self,
         call: Call,
--- a/libs/cell/dragonflybank/cell/scheduling.py
+++ b/libs/cell/dragonflybank/cell/scheduling.py
@@ -468,6 +468,7 @@
                     ids,
                     tickets,
                     valid_until=now + queue.advised.valid_s - TICKET_MARGIN_S,
+                    received_at=now,
                 )
                 _log.info(
                     "advice received",
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -69,6 +69,10 @@
         is_start_sent: Whether a command to start it was sent.
         seen_in: Incarnation of its executor that was seen to run it, by its
             list or by its answer; 0 if none was.
+        meant_for: Incarnation that its start was sent to; 0 if it was not sent
+            by this leader, or to more than one.
+        ticket_received_at: Time at which the ticket of its start was received;
+            infinity without one.
         start_arrives_until: Latest time at which a command to start it that
             has no answer may still be carried out.
         service: Service of its executor when it was placed.
@@ -86,6 +90,8 @@
     absence_conclusive_after: float | None = None
     is_start_sent: bool = False
     seen_in: int = 0
+    meant_for: int = 0
+    ticket_received_at: float = float("inf")
     start_arrives_until: float = float("-inf")
     service: str = ""
 
@@ -96,7 +102,20 @@
         A start is sent again only with a ticket, which holds for a single
         incarnation, so that an attempt runs in one incarnation at most.
         """
-        return self.is_start_sent and not self.seen_in
+        return self.is_start_sent and not self.is_bound_to_known_incarnation
+
+    @property
+    def is_bound_to_known_incarnation(self) -> bool:
+        """Whether no incarnation after the one that answered last can run it.
+
+        It was seen in an incarnation, or its ticket was issued to the one that
+        its start was meant for: that one answered after it was issued.
+        """
+        executor = self.executor
+        return bool(self.seen_in) or (
+            0 < self.meant_for == executor.answered_incarnation
+            and self.ticket_received_at <= executor.alive_at
+        )
 
     @property
     def is_ending(self) -> bool:
@@ -168,10 +187,12 @@
     Attributes:
         ticket: Ticket, or an empty string if the executor may not run it.
         valid_until: Time at which the ticket expires.
+        received_at: Time at which it was received.
     """
 
     ticket: str
     valid_until: float
+    received_at: float = float("inf")
 
 
 @attrs.define(eq=False)
@@ -343,7 +364,8 @@
         answered_incarnation: Incarnation in its last poll reply to this leader;
             0 before the first one.
         last_reply_at: Time of its last poll reply.
-        clock_s: Its clock at that time.
+        alive_at: Latest time at which that incarnation certainly ran.
+        clock_s: Its clock in that reply.
         lease_until_s: Latest expiry of its lease ever requested, on its
             clock.
         silent_since: Time since which calls fail; None if they succeed.
@@ -380,6 +402,7 @@
     is_listed: bool = True
     answered_incarnation: int = 0
     last_reply_at: float = 0.0
+    alive_at: float = float("-inf")
     clock_s: float = 0.0
     lease_until_s: float = 0.0
     silent_since: float | None = None
--- a/libs/cell/dragonflybank/cell/tests/test_lease_bounds.py
+++ b/libs/cell/dragonflybank/cell/tests/test_lease_bounds.py
@@ -62,6 +62,38 @@
             Equals(REPLIED_AT + 12.0 + longest_lease_s(LIMITS)),
         )
 
+    def test_a_ticket_binds_a_start_to_the_incarnation_that_answered_since(
+        self,
+    ):
+        """A later incarnation refuses it, so that the lease is the bound."""
+        fields = {
+            "start_arrives_until": REPLIED_AT + 2.0,
+            "ticket_received_at": REPLIED_AT - 0.5,
+            "meant_for": 1,
+        }
+        attempt = self._attempt(**fields)
+        attempt.executor.renewals_arrive_until = REPLIED_AT + 11.0
+        attempt.executor.alive_at = REPLIED_AT - 0.1
+        self.assertThat(self._bound(attempt), LessThan(REPLIED_AT + 6.5))
+
+    def test_a_ticket_of_unknown_incarnation_binds_nothing(self):
+        longest = REPLIED_AT + 2.0 + longest_lease_s(LIMITS)
+        for alive_at, meant_for in (
+            # It was issued after the last sign of life.
+            (REPLIED_AT - 0.6, 1),
+            # The executor had restarted before the start was sent.
+            (REPLIED_AT - 0.1, 2),
+            # The start was sent to two incarnations, or by a former leader.
+            (REPLIED_AT - 0.1, 0),
+        ):
+            attempt = self._attempt(
+                start_arrives_until=REPLIED_AT + 2.0,
+                ticket_received_at=REPLIED_AT - 0.5,
+                meant_for=meant_for,
+            )
+            attempt.executor.alive_at = alive_at
+            self.assertThat(self._bound(attempt), Equals(longest))
+
     def test_a_late_renewal_extends_what_a_start_got(self):
         attempt = self._attempt(start_arrives_until=REPLIED_AT + 1.0)
         attempt.executor.renewals_arrive_until = REPLIED_AT + 11.0
--- a/libs/cell/dragonflybank/cell/tickets.py
+++ b/libs/cell/dragonflybank/cell/tickets.py
@@ -124,11 +124,21 @@
     tickets: Mapping[str, str],
     *,
     valid_until: float,
+    received_at: float = float("inf"),
 ) -> None:
-    """Records the reply to a call for advice about a step."""
+    """Records the reply to a call for advice about a step.
+
+    Args:
+        step: The step.
+        asked: Identifiers of the executors that the call named.
+        tickets: Tickets by identifier of the executor.
+        valid_until: Time until which the tickets are used.
+        received_at: Time of the reply, before which the tickets were issued;
+            infinity if it is not known.
+    """
     for executor in asked:
         step.advice_by_executor[executor] = ExecutorAdvice(
-            tickets.get(executor, ""), valid_until
+            tickets.get(executor, ""), valid_until, received_at
         )
 
 
