Suspend leases of silent executors, so that the next leader counts from there

With leaders that change in series the work of lost executors was never started again.

Cause: an executor that a new leader doesn't hear was held for 12.7 to 13.5 s from that leader's own election, since nothing that is stored said when a former leader had last renewed its lease or started something there.

Change: a leader stores, under the condition that it leads, that it has suspended the lease of an executor that is silent for 0.5 s, and for how long its attempts may run from then on. Until a stored record lacks the executor, no leader renews its lease or starts an attempt there. Hosts learn the age of a suspension with sync replies and note its begin on their own monotonic clocks; a new leader counts from there. A host of an earlier version that led in between makes older suspensions void. The log names for each held attempt the term of the bound and its end (attempts held), and explain shows it.

Why it works: while the record names an executor, no lease there can have been renewed since the suspension began, whoever led; and the time is counted by one host's own clock, from a moment that is never too early. One write for each loss and one for each return, none for renewals.

--- a/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
+++ b/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
@@ -16,6 +16,7 @@
 from dragonflybank.cell import jobs as cell_jobs
 from dragonflybank.cell import messages as cell_messages
 from dragonflybank.cell import ports as cell_ports
+from dragonflybank.cell import suspension_records as cell_suspensions
 from dragonflybank.cell.metrics import CellMetrics
 from dragonflybank.cluster import messages as cluster_messages
 from dragonflybank.cluster import owner_messages as cluster_owner_messages
@@ -68,12 +69,19 @@
     cluster_work_messages.WorkRows: "columns rows",
     cell_messages.SyncRequest: (
         "address epoch number version needs_config accepts_packed shortfall "
-        "pending_number"
+        "pending_number suspensions_revision"
     ),
     cell_messages.SyncReply: (
         "epoch number is_whole states pending config over_term start_delays "
-        "peers packed executors pending_number team_delays"
+        "peers packed executors pending_number team_delays suspensions "
+        "suspensions_revision"
     ),
+    cell_suspensions.LateStart: "task attempt held_s",
+    cell_suspensions.Suspension: (
+        "executor incarnation term number held_s late age_s"
+    ),
+    cell_suspensions.SuspensionRecord: "suspensions",
+    cell_suspensions.SuspensionAge: "term number age_s",
     cell_messages.StartDelay: "service priority seconds",
     cell_messages.TeamDelay: "service priority seconds team",
     cell_messages.AdviceRequest: "step executors timeout_s",
@@ -350,6 +358,7 @@
     "dragonflybank_ends_total",
     "dragonflybank_jobs_ended_total",
     "dragonflybank_executors_lost_total",
+    "dragonflybank_lease_suspensions_total",
     "dragonflybank_malformed_inputs_total",
     "dragonflybank_isolated_faults_total",
     "dragonflybank_client_limits_total",
--- a/libs/cell/dragonflybank/cell/attempts.py
+++ b/libs/cell/dragonflybank/cell/attempts.py
@@ -103,7 +103,11 @@
                 info = ExecutorInfo(
                     executor_id, task.step.job_state.queue.service, "", ""
                 )
-                executor = Executor(info, is_listed=False)
+                executor = Executor(
+                    info,
+                    is_listed=False,
+                    suspension=self._leader.suspensions.find(executor_id),
+                )
                 self._leader.fleet.executors[executor_id] = executor
             attempt = reserve(
                 executor, task, number, phase=AttemptPhase.RUNNING, now=now
--- a/libs/cell/dragonflybank/cell/calls_under_way.py
+++ b/libs/cell/dragonflybank/cell/calls_under_way.py
@@ -5,7 +5,13 @@
 one, or may still be, until `CellLimits.max_call_delay_s` after it was sent.
 """
 
-__all__ = ["begin_call", "end_call", "is_closed", "note_restart"]
+__all__ = [
+    "begin_call",
+    "end_call",
+    "is_closed",
+    "latest_renewal_arrival",
+    "note_restart",
+]
 
 from dragonflybank.cell.state import Call, Executor
 
@@ -62,6 +68,17 @@
     )
 
 
+def latest_renewal_arrival(executor: Executor) -> float:
+    """Returns the latest time at which a call may extend the lease.
+
+    Calls that are under way count like those that had no answer.
+    """
+    under_way = (
+        call.arrives_until for call in executor.calls_under_way if call.renews
+    )
+    return max(executor.renewals_arrive_until, *under_way, float("-inf"))
+
+
 def is_closed(executor: Executor, now: float) -> bool:
     """Returns whether polls for a former incarnation may still arrive."""
     return executor.closed_until > now or any(
--- a/libs/cell/dragonflybank/cell/capacity.py
+++ b/libs/cell/dragonflybank/cell/capacity.py
@@ -153,6 +153,7 @@
         and executor.is_listed
         and not executor.info.draining
         and executor.silent_since is None
+        and executor.suspension is None
         and executor.entry_incarnation >= executor.answered_incarnation
         and not is_closed(executor, now)
         and not executor.orphan_attempts
--- a/libs/cell/dragonflybank/cell/election.py
+++ b/libs/cell/dragonflybank/cell/election.py
@@ -28,9 +28,14 @@
 import msgspec
 from returns.result import Failure, Success
 
+from dragonflybank.cell.keys import SUSPENSION_TERMS_KEY
 from dragonflybank.cell.lag import LoopLag
 from dragonflybank.cell.leader_fitness import LeaderFitness
 from dragonflybank.cell.ports import Item, Store, Txn, TxnReply
+from dragonflybank.cell.suspension_records import (
+    decode_first_term,
+    encode_terms,
+)
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.model.decoding import DecodeError
 
@@ -97,6 +102,8 @@
             still existed.
         lost: Set once the leadership has ended: the key is known to be gone,
             or the host gives the leadership up.
+        suspensions_since: First term since which all leaders have kept to
+            suspended leases; see `lease_suspensions`.
     """
 
     epoch: int
@@ -104,6 +111,7 @@
     began_at: float
     confirmed_at: float
     lost: asyncio.Event = attrs.field(factory=asyncio.Event)
+    suspensions_since: int = 0
 
     def may_start_attempts(self, now: float) -> bool:
         """Returns whether the leader may start new attempts."""
@@ -332,10 +340,15 @@
         delay_s += self._fitness.candidacy_delay_s
         await self._clock.sleep(delay_s + self._rng.uniform(0.0, 0.02))
         revision = former.revision if former else 0
-        leader_item, term_item = await asyncio.gather(
-            self._store.get(LEADER_KEY), self._store.get(TERM_KEY)
+        leader_item, term_item, kept_item = await asyncio.gather(
+            self._store.get(LEADER_KEY),
+            self._store.get(TERM_KEY),
+            self._store.get(SUSPENSION_TERMS_KEY),
         )
-        if isinstance(leader_item, Failure) or isinstance(term_item, Failure):
+        if any(
+            isinstance(found, Failure)
+            for found in (leader_item, term_item, kept_item)
+        ):
             await self._clock.sleep(RETRY_DELAY_S)
             return None
         current = leader_item.unwrap()
@@ -348,6 +361,8 @@
             return None
         previous_term = term_item.unwrap()
         term = 1 + (int(previous_term.value) if previous_term else 0)
+        kept = kept_item.unwrap()
+        first_kept_term = decode_first_term(kept.value if kept else None, term)
         record = LeaderRecord(self._name, self._address, term)
         raw = msgspec.json.encode(record)
         txn = Txn(
@@ -358,6 +373,7 @@
             puts={
                 LEADER_KEY: raw,
                 TERM_KEY: str(term).encode(),
+                SUSPENSION_TERMS_KEY: encode_terms(first_kept_term, term),
             },
             lease=lease.unwrap(),
             leased_keys=frozenset({LEADER_KEY}),
@@ -370,7 +386,13 @@
         self._lease = lease.unwrap()
         self._set_record(record)
         _log.info("elected", extra={"epoch": epoch, "term": term})
-        return Leadership(epoch, term, self._clock.now(), called_at)
+        return Leadership(
+            epoch,
+            term,
+            self._clock.now(),
+            called_at,
+            suspensions_since=first_kept_term,
+        )
 
     async def _commit_leader_key(self, txn: Txn, raw: bytes) -> int | None:
         """Commits the leader's key.
--- a/libs/cell/dragonflybank/cell/fleet.py
+++ b/libs/cell/dragonflybank/cell/fleet.py
@@ -78,7 +78,11 @@
         """
         executor = self.executors.get(info.id)
         if executor is None:
-            executor = Executor(info, entry_incarnation=info.incarnation)
+            executor = Executor(
+                info,
+                entry_incarnation=info.incarnation,
+                suspension=self._leader.suspensions.find(info.id),
+            )
             self.executors[info.id] = executor
             self._connect(executor)
             if info.draining:
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -58,6 +58,7 @@
     read_for_peer,
     write_for_peer,
 )
+from dragonflybank.cell.suspension_records import SuspensionTimes
 from dragonflybank.cell.takeover import add_stored_jobs
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.model.codes import Code, failure
@@ -139,6 +140,7 @@
         )
         self._peers = peers
         self._known_peers = KnownPeers(peers)
+        self._suspension_times = SuspensionTimes()
         self._last_ended_term = 0
         self._lag = LoopLag()
         self._fitness = LeaderFitness(settings.capacity)
@@ -163,6 +165,7 @@
             self._candidate,
             self._fitness,
             self._known_peers,
+            self._suspension_times,
             clock=clock,
             make_request=self._make_sync_request,
             adopt_config=self._adopt_packed_config,
@@ -289,6 +292,7 @@
             advice_dispatcher=self._advice_dispatcher,
             record_phase=self._phase_cache.record_phase,
             metrics=self.metrics,
+            suspension_times=self._suspension_times,
         )
         if self.config is not None:
             self.leader.adopt_config(self.config)
@@ -367,6 +371,7 @@
                 else self._fitness.announced_shortfall
             ),
             pending_number=self._phase_cache.pending_number,
+            suspensions_revision=self._suspension_times.revision,
         )
 
     async def _handle_sync(self, sender: str, req: SyncRequest) -> Result:
@@ -391,7 +396,7 @@
         )
         if not self._is_leading(self._host_clock.now()):
             return Success(SyncReply(0, over_term=self._last_ended_term))
-        reply = attrs.evolve(reply, peers=self._known_peers.recent)
+        reply = self._add_leader_state(reply, req)
         if self.config is not None and should_send_config(
             req,
             self.config.version,
@@ -400,6 +405,21 @@
             reply = attrs.evolve(reply, config=pack_config(self._config_raw))
         return Success(reply)
 
+    def _add_leader_state(
+        self, reply: SyncReply, req: SyncRequest
+    ) -> SyncReply:
+        """Adds what else the asking host has to know of this leader."""
+        suspensions = self.leader.suspensions
+        is_known = req.suspensions_revision == suspensions.revision
+        return attrs.evolve(
+            reply,
+            peers=self._known_peers.recent,
+            suspensions=(
+                () if is_known else suspensions.ages(self._host_clock.now())
+            ),
+            suspensions_revision=suspensions.revision,
+        )
+
     def _relay_address(self) -> str:
         """Returns the leader's address if another host leads, else ''."""
         record = self._candidate.record
--- a/libs/cell/dragonflybank/cell/keys.py
+++ b/libs/cell/dragonflybank/cell/keys.py
@@ -5,6 +5,8 @@
     "INPUT_FAULTS_KEY",
     "JOBS_PREFIX",
     "PROGRESS_PREFIX",
+    "SUSPENSIONS_KEY",
+    "SUSPENSION_TERMS_KEY",
     "cancel_key",
     "ended_key",
     "job_key",
@@ -18,6 +20,10 @@
 ENDED_PREFIX = "ended/"
 # Jobs whose handling raised exceptions; see `input_faults`.
 INPUT_FAULTS_KEY = "input-faults"
+# Suspended leases, and the terms in which all leaders kept to them; see
+# `lease_suspensions`.
+SUSPENSIONS_KEY = "lease-suspensions"
+SUSPENSION_TERMS_KEY = "lease-suspension-terms"
 _CANCEL_SUFFIX = "/cancel"
 
 
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -26,6 +26,7 @@
     InputFaults,
 )
 from dragonflybank.cell.jobs import CellConfig, JobPhase
+from dragonflybank.cell.lease_suspensions import LeaseSuspensions
 from dragonflybank.cell.limits import CellLimits
 from dragonflybank.cell.load_admission import (
     MIN_REPORTED_DELAY_S,
@@ -38,6 +39,7 @@
 from dragonflybank.cell.ports import Platform
 from dragonflybank.cell.scheduling import Scheduler
 from dragonflybank.cell.state import Executor, JobState
+from dragonflybank.cell.suspension_records import SuspensionTimes
 from dragonflybank.cell.team_delays import estimate_team_delays
 from dragonflybank.cell.team_report import (
     summarise_teams,
@@ -75,6 +77,7 @@
         record_phase: Called with the identifier of a job and its phase, which
             hosts report to callers from then on.
         background: Tasks beside the rounds; a failure ends the leadership.
+        suspensions: Suspended leases of silent executors.
         input_faults: Jobs whose handling ended earlier leaderships.
         has_failed: Whether a background task failed.
         is_loaded: Whether all jobs of earlier leaders are loaded.
@@ -87,6 +90,8 @@
         advice_dispatcher: Makes calls for advice; None without an advice
             service.
         metrics: Metrics of the host.
+        suspension_times: When suspensions began, as this host knows it from
+            former leaders; nothing by default.
     """
 
     def __init__(
@@ -100,6 +105,7 @@
         advice_dispatcher: AdviceDispatcher | None,
         record_phase: Callable[[str, JobPhase], None],
         metrics: CellMetrics,
+        suspension_times: SuspensionTimes | None = None,
     ):
         self.metrics = metrics
         self.platform = platform
@@ -118,6 +124,15 @@
             clock=clock,
             on_ended=self._on_ended,
         )
+        self.suspensions = LeaseSuspensions(
+            platform.store,
+            leadership,
+            limits=limits,
+            clock=clock,
+            executors=self.fleet.executors,
+            times=suspension_times or SuspensionTimes(),
+            metrics=metrics,
+        )
         self.scheduler = Scheduler(self, advice_dispatcher)
         self.input_faults = InputFaults(
             platform.store, leadership, clock=clock, metrics=metrics
@@ -354,6 +369,7 @@
         )
         self.fleet.forget_unreachable(now)
         self.fleet.evacuate(now)
+        self.suspensions.update(now)
         self.fleet.release_expired(now)
         for attempt, reason in self.health.find_stuck(
             self.workload.attempts(), now
--- a/libs/cell/dragonflybank/cell/leader_session.py
+++ b/libs/cell/dragonflybank/cell/leader_session.py
@@ -87,6 +87,7 @@
     jobs_revision, executors_revision = loaded.unwrap()
     async with asyncio.TaskGroup() as group:
         group.create_task(leader.run_rounds())
+        group.create_task(leader.suspensions.run())
         group.create_task(_watch_jobs(leader, jobs_revision))
         group.create_task(_watch_executors(leader, executors_revision))
         group.create_task(_remove_expired_states(leader))
--- a/libs/cell/dragonflybank/cell/lease_bounds.py
+++ b/libs/cell/dragonflybank/cell/lease_bounds.py
@@ -14,6 +14,9 @@
 incarnation as long as a start of it may arrive. All decisions that an attempt
 is over without the executor's word are made by `find_hold`, which also names
 the term that decides.
+
+A new leader that has not heard an executor counts from its own election, unless
+a former leader has suspended the executor's lease; see `lease_suspensions`.
 """
 
 __all__ = [
@@ -61,6 +64,7 @@
             newer incarnation.
         FORMER_LEADER: Former leaders may renew the lease for some time after
             the election.
+        SUSPENDED: What the leader that suspended the lease counted.
     """
 
     LEASE = "lease"
@@ -68,6 +72,7 @@
     LATE_START = "late start"
     LATE_RENEWAL = "late renewal"
     FORMER_LEADER = "renewals of former leaders"
+    SUSPENDED = "suspended lease"
 
 
 @attrs.frozen
@@ -119,10 +124,16 @@
         limits: Limits of the platform.
         leader_since: Time at which this leader was elected, in seconds.
     """
-    return max(
+    hold = max(
         _possible_holds(attempt, limits, leader_since),
         key=lambda hold: hold.until,
     )
+    suspension = attempt.executor.suspension
+    if suspension is None:
+        return hold
+    held_s = suspension.record.held_s_of(str(attempt.task.id), attempt.number)
+    suspended = Hold(suspension.began_at + held_s, HoldReason.SUSPENDED)
+    return min(hold, suspended, key=lambda hold: hold.until)
 
 
 def may_run_until(
@@ -162,7 +173,8 @@
     """Returns whether an executor's lease has to be renewed.
 
     The lease of a silent executor is not renewed, so that it expires if the
-    executor is gone. An executor that runs nothing needs no lease; without
+    executor is gone. Nor is a suspended one, on which the next leader relies.
+    An executor that runs nothing needs no lease; without
     one, it is known to run nothing soon after it is gone.
 
     Args:
@@ -173,6 +185,7 @@
     return (
         executor.claimed
         and executor.silent_since is None
+        and executor.suspension is None
         and bool(executor.attempts or executor.orphan_attempts)
         and now - confirmed_at <= MAX_UNCONFIRMED_RENEWAL_S
     )
--- a/libs/cell/dragonflybank/cell/links.py
+++ b/libs/cell/dragonflybank/cell/links.py
@@ -345,9 +345,14 @@
             now = leader.clock.now()
             if not leader.leadership.may_start_attempts(now):
                 break
-            if executor.silent_since is not None and not sent:
+            is_reachable = (
+                executor.silent_since is None and executor.suspension is None
+            )
+            if not is_reachable and not sent:
                 leader.attempts.withdraw_start(attempt)
                 return
+            if executor.suspension is not None:
+                break
             command = StartCommand(
                 attempt.task.id,
                 attempt.number,
--- a/libs/cell/dragonflybank/cell/messages.py
+++ b/libs/cell/dragonflybank/cell/messages.py
@@ -22,6 +22,8 @@
 
 import attrs
 
+from dragonflybank.cell.suspension_records import SuspensionAge
+
 # Kinds of requests, as they are sent to peers.
 SYNC_KIND = "cell_sync"
 ADVICE_KIND = "cell_advise"
@@ -47,6 +49,8 @@
             `leader_fitness.shortfall`.
         pending_number: Number of the last numbers of pending jobs that the
             asking host has; -1 if it needs them in each answer.
+        suspensions_revision: Revision of the stored suspensions whose ages the
+            asking host has; see `lease_suspensions`.
     """
 
     address: str
@@ -57,6 +61,7 @@
     accepts_packed: bool = False
     shortfall: float = 1.0
     pending_number: int = -1
+    suspensions_revision: int = 0
 
 
 @attrs.frozen
@@ -109,6 +114,9 @@
         executors: Number of executors of the cell; 0 if it is not known.
         pending_number: Number of ``pending`` and ``start_delays``, -1 if they
             have none. Both are left out if the asking host has them.
+        suspensions: Ages of the suspensions, left out if the asking host has
+            them.
+        suspensions_revision: Revision of the stored suspensions.
     """
 
     epoch: int
@@ -124,6 +132,8 @@
     executors: int = 0
     pending_number: int = -1
     team_delays: tuple[TeamDelay, ...] = ()
+    suspensions: tuple[SuspensionAge, ...] = ()
+    suspensions_revision: int = 0
 
 
 @attrs.frozen
--- a/libs/cell/dragonflybank/cell/metrics.py
+++ b/libs/cell/dragonflybank/cell/metrics.py
@@ -33,6 +33,11 @@
         self.executors_lost = self._counter(
             "executors_lost", "Executors whose attempts were lost", "reason"
         )
+        self.lease_suspensions = self._counter(
+            "lease_suspensions",
+            "Suspensions of the leases of silent executors",
+            "event",
+        )
         self.malformed_inputs = self._counter(
             "malformed_inputs", "Documents that could not be decoded", "source"
         )
--- a/libs/cell/dragonflybank/cell/phase_sync.py
+++ b/libs/cell/dragonflybank/cell/phase_sync.py
@@ -13,6 +13,7 @@
 from dragonflybank.cell.messages import SYNC_KIND, SyncReply, SyncRequest
 from dragonflybank.cell.peering import Peers
 from dragonflybank.cell.phase_cache import JobPhaseCache
+from dragonflybank.cell.suspension_records import SuspensionTimes
 from dragonflybank.cluster.clock import Clock
 
 SYNC_TIMEOUT_S = 1.4
@@ -28,6 +29,7 @@
         candidate: Knows the current leader.
         fitness: Gets the number of executors that the leader reports.
         known_peers: Gets the addresses of hosts that the leader names.
+        suspension_times: Gets the ages of suspended leases.
         clock: Clock of the host.
         make_request: Returns the next request.
         adopt_config: Called with a configuration that the leader sent.
@@ -40,6 +42,7 @@
         candidate: Candidate,
         fitness: LeaderFitness,
         known_peers: KnownPeers,
+        suspension_times: SuspensionTimes,
         *,
         clock: Clock,
         make_request: Callable[[], SyncRequest],
@@ -50,6 +53,7 @@
         self._candidate = candidate
         self._fitness = fitness
         self._known_peers = known_peers
+        self._suspension_times = suspension_times
         self._clock = clock
         self._make_request = make_request
         self._adopt_config = adopt_config
@@ -94,7 +98,12 @@
                     await self._clock.sleep(SYNC_RETRY_DELAY_S)
 
     def _apply(self, reply: SyncReply) -> None:
-        self._phase_cache.apply_changes(reply, self._clock.now())
+        now = self._clock.now()
+        self._phase_cache.apply_changes(reply, now)
+        if reply.suspensions_revision != self._suspension_times.revision:
+            self._suspension_times.learn(
+                reply.suspensions, reply.suspensions_revision, now
+            )
         self._known_peers.learn(reply.peers)
         if reply.executors:
             self._fitness.executors = reply.executors
--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -8,6 +8,7 @@
     "ExecutorAdvice",
     "JobState",
     "StepState",
+    "SuspendedLease",
     "Task",
 ]
 
@@ -26,6 +27,7 @@
     remaining_paths_s,
 )
 from dragonflybank.cell.ports import ExecutorInfo
+from dragonflybank.cell.suspension_records import Suspension
 from dragonflybank.cell.team_usage import TeamUsage
 
 
@@ -315,6 +317,20 @@
         return list(self.open_attempts)
 
 
+@attrs.frozen
+class SuspendedLease:
+    """A suspension of an executor's lease, see `lease_suspensions`.
+
+    Attributes:
+        began_at: Time at which it had begun at the latest, on the clock of
+            this host.
+        record: Its record.
+    """
+
+    began_at: float
+    record: Suspension
+
+
 @attrs.frozen(eq=False)
 class Call:
     """A call to an executor that has no answer yet.
@@ -360,6 +376,9 @@
         closed_until: Time before which a new incarnation gets no work, since
             polls meant for a former one may still extend its lease or remove
             its ends.
+        suspension: The suspension of its lease; None if it has none.
+        holds_logged_at: Time at which it was last logged what holds its
+            attempts.
         is_listed: Whether it has an entry in the platform's list.
         answered_incarnation: Incarnation in its last poll reply to this leader;
             0 before the first one.
@@ -399,6 +418,8 @@
     former_renewals_arrive_until: float = float("-inf")
     acks_arrive_until: float = float("-inf")
     closed_until: float = float("-inf")
+    suspension: SuspendedLease | None = None
+    holds_logged_at: float = float("-inf")
     is_listed: bool = True
     answered_incarnation: int = 0
     last_reply_at: float = 0.0
--- a/libs/cell/dragonflybank/cell/takeover.py
+++ b/libs/cell/dragonflybank/cell/takeover.py
@@ -6,7 +6,8 @@
 attempt before they sent the start command, under the condition that they still
 led. An attempt placed on an executor that cannot be claimed counts as running
 until the executor is claimed, has a new incarnation, or the last possible lease
-has expired.
+has expired. If a former leader suspended that lease, its time counts from then,
+so that the number of leaders in between doesn't matter.
 """
 
 __all__ = [
@@ -65,13 +66,14 @@
         The revisions from which to watch jobs and executors.
     """
     store = leader.platform.store
-    jobs, progress, listed, faults = await asyncio.gather(
+    jobs, progress, listed, faults, suspensions = await asyncio.gather(
         store.scan(JOBS_PREFIX),
         store.scan(PROGRESS_PREFIX),
         store.scan(leader.platform.executors_prefix),
         leader.input_faults.load(),
+        leader.suspensions.load(),
     )
-    for got in (jobs, progress, listed, faults):
+    for got in (jobs, progress, listed, faults, suspensions):
         if isinstance(got, Failure):
             return got
     items = jobs.unwrap().items
@@ -99,6 +101,10 @@
             "ended": len(leader.workload.ended),
             "executors": len(leader.fleet.executors),
             "placed": placed,
+            "suspended": sum(
+                e.suspension is not None
+                for e in leader.fleet.executors.values()
+            ),
         },
     )
     return Success((jobs.unwrap().revision, listed.unwrap().revision))
--- a/libs/cell/dragonflybank/cell/tests/scheduler_fakes.py
+++ b/libs/cell/dragonflybank/cell/tests/scheduler_fakes.py
@@ -51,6 +51,7 @@
         self.background = BackgroundTasks()
         self.metrics = CellMetrics()
         self.attempts = _Attempts(self.clock)
+        self.suspensions = _NoSuspensions()
 
     def wake(self):
         """Does nothing, since the test runs the rounds."""
@@ -61,6 +62,11 @@
     executors: dict
 
 
+class _NoSuspensions:
+    def find(self, executor_id):
+        return None
+
+
 class _Attempts:
     def __init__(self, clock):
         self.started = []
--- a/libs/cli/dragonflybank/cli/attempt_history.py
+++ b/libs/cli/dragonflybank/cli/attempt_history.py
@@ -14,6 +14,7 @@
     "Call",
     "Ending",
     "EndingKind",
+    "Hold",
     "attempt_histories",
     "next_start",
 ]
@@ -111,6 +112,22 @@
     is_named: bool = True
 
 
+@attrs.frozen
+class Hold:
+    """A log line that tells until when an attempt may run on its executor.
+
+    Attributes:
+        at: Time of the line, in seconds since 1970.
+        until: Time from which the attempt certainly doesn't run if the executor
+            isn't heard again, in seconds since 1970.
+        reason: The term of the bound that holds it until then.
+    """
+
+    at: float
+    until: float
+    reason: str
+
+
 @attrs.define(eq=False)
 class AttemptHistory:
     """One attempt of a task.
@@ -126,6 +143,8 @@
         calls: Start and stop commands.
         stops: Pairs of the time at which the leader stopped it, in seconds
             since 1970, and the reason.
+        holds: Until when it may run while its executor is silent, as each
+            leader logged it.
         endings: What took it to be over, in order. There is more than one if
             an executor lists what was lost before.
         possible_losses: Losses of attempts of its executor, of which the lines
@@ -140,6 +159,7 @@
     adopted: list[float] = attrs.field(factory=list)
     calls: list[Call] = attrs.field(factory=list)
     stops: list[tuple[float, str]] = attrs.field(factory=list)
+    holds: list[Hold] = attrs.field(factory=list)
     endings: list[Ending] = attrs.field(factory=list)
     possible_losses: list[Ending] = attrs.field(factory=list)
     is_open: bool = False
@@ -187,6 +207,8 @@
         match event.name:
             case "attempts lost":
                 return self._process_loss(event)
+            case "attempts held":
+                return self._process_holds(event)
             case "executor claimed":
                 self._record_claim(event)
                 return []
@@ -300,6 +322,20 @@
             lost.append(attempt)
         return lost
 
+    def _process_holds(self, event: Event) -> list[AttemptHistory]:
+        fields, held = event.fields, []
+        for (task, number, _), reason, held_s in zip(
+            _named_attempts(fields.get("tasks")),
+            fields.get("held_by", ()),
+            fields.get("held_until_s", ()),
+            strict=False,
+        ):
+            attempt = self._find(task, number)
+            attempt.executor = attempt.executor or fields.get("executor")
+            attempt.holds.append(Hold(event.at, event.at + held_s, reason))
+            held.append(attempt)
+        return held
+
     def _record_claim(self, event: Event) -> None:
         fields = event.fields
         incarnation = fields.get("incarnation")
--- a/libs/cli/dragonflybank/cli/attempt_report.py
+++ b/libs/cli/dragonflybank/cli/attempt_report.py
@@ -59,6 +59,10 @@
                 f"stopped {_format_time(at, origin)} ({reason})"
                 for at, reason in attempt.stops
             ),
+            *(
+                f"held until {hold.until - origin:.3f} s by {hold.reason}"
+                for hold in attempt.holds
+            ),
             *_format_endings(attempt, origin),
             *_format_next_start(attempt, followed, origin),
         ]
--- a/libs/cli/dragonflybank/cli/tests/test_attempt_report.py
+++ b/libs/cli/dragonflybank/cli/tests/test_attempt_report.py
@@ -141,6 +141,34 @@
         self.assertThat(second, Contains("next start at 8.653 s"))
 
 
+class TestHolds(testtools.TestCase):
+    """Guards against logs that don't tell what an attempt waits for."""
+
+    def test_each_leader_tells_the_term_that_holds_an_attempt(self):
+        def held(at, reason, held_s):
+            return event(
+                at,
+                "attempts held",
+                executor="i-1",
+                tasks=["another.0.0.0/3", f"{TASK}/1"],
+                held_by=["lease", reason],
+                held_until_s=[1.0, held_s],
+            )
+
+        _, second = report(
+            about(6.0, "place", 1, "i-1"),
+            held(8.0, "late start", 12.5),
+            held(13.0, "suspended lease", 7.5),
+        )
+        self.assertThat(
+            second,
+            Contains(
+                "held until 14.500 s by late start; held until 14.500 s by"
+                " suspended lease; end not logged"
+            ),
+        )
+
+
 class TestCalls(testtools.TestCase):
     """Guards against a command without an answer that looks answered."""
 
--- a/libs/cluster/dragonflybank/cluster/tests/test_ownership.py
+++ b/libs/cluster/dragonflybank/cluster/tests/test_ownership.py
@@ -273,6 +273,22 @@
             kinds.append(resolved.unwrap().kind)
         self.assertThat(kinds, Equals(["undecided", "lease_lapsed"]))
 
+    @with_cluster()
+    async def test_lease_time_of_a_dead_successor_counts_for_the_next(self, c):
+        """Guards against a wait that begins anew with each owner (review/8)."""
+        start = await _start_first_task(c)
+        c.cut_from_workers |= set(HOSTS)
+        killed_at, left = c.clock.time, list(HOSTS)
+        for _ in range(2):
+            successor = first_host("w1", tuple(left))
+            await c.kill(successor)
+            left.remove(successor)
+            await c.clock.advance(15.0)
+        await c.clock.advance(killed_at + 32.0 - c.clock.time)
+        session = c.hosts[left[0]].sessions["w1"]
+        resolved = await session.resolve(start, now=c.clock.time)
+        self.assertThat(resolved.unwrap().kind, Equals("lease_lapsed"))
+
     @with_cluster()
     async def test_live_owner_that_reaches_the_worker_keeps_it(self, c):
         first = first_host("w1", HOSTS)
--- a/libs/standins/dragonflybank/standins/cell/tests/test_schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_schedules.py
@@ -28,7 +28,7 @@
     ),
     max_size=MAX_FAULTS,
 )
-RESTART_SERIES_SEEDS = (1, 2, 3, 4, 172)
+RESTART_SERIES_SEEDS = (1, 2, 3, 4, 172, 185)
 # Schedules that once violated a rule, with the seed of their cell, by the
 # cause of the violation.
 REGRESSIONS = {
