Count starts of former leaders from the election that replaced them

Callers' work waited for 30 s and more after the loss of an executor, in cells whose leaders are lost in series within seconds of it (drawn losses).

Cause, what was left of the waits that begin anew: a start of a former leader counted from the present leader's election; a new leader stored one time for all attempts of an executor that it had never heard, the longest; and hosts that were elected before a sync reply reached them read the age that the record had when it was first written.

Change: a start counts from the first election after its placement was last stored, which the revision of the job's record tells and each host notes; each attempt has its own time; suspensions are told to the other hosts at once, and a new leader stores the ages that it knows.

Why it works: a leader that has been replaced starts nothing 1 s later, so that the first epoch above the record's revision bounds its starts.

--- a/libs/cell/dragonflybank/cell/attempts.py
+++ b/libs/cell/dragonflybank/cell/attempts.py
@@ -114,12 +114,16 @@
             )
             attempt.absence_conclusive_after = now
             attempt.is_start_sent = True
+            state = task.step.job_state
+            replaced_at = self._leader.election_times.next_after(
+                state.progress_revision, self._leader.leadership.began_at
+            )
             attempt.start_arrives_until = latest_start_arrival(
-                task.step.job_state.queue,
+                state.queue,
                 self._leader.limits,
                 # A former leader starts attempts until its last confirmation
                 # is too old.
-                self._leader.leadership.began_at + CONFIRMATION_MAX_AGE_S,
+                replaced_at + CONFIRMATION_MAX_AGE_S,
             )
         return len(placed)
 
--- a/libs/cell/dragonflybank/cell/election.py
+++ b/libs/cell/dragonflybank/cell/election.py
@@ -17,7 +17,7 @@
 would.
 """
 
-__all__ = ["Candidate", "LeaderRecord", "Leadership"]
+__all__ = ["Candidate", "ElectionTimes", "LeaderRecord", "Leadership"]
 
 import asyncio
 import logging
@@ -74,6 +74,52 @@
 LAG_DELAY_MAX_S = 1.0
 
 
+# Elections that are remembered; earlier ones don't shorten any wait.
+ELECTIONS_KEPT = 16
+
+
+class ElectionTimes:
+    """When a host saw each leader's key first, on its own monotonic clock.
+
+    A leader stores nothing after the election of the next one. A record of a
+    revision below the next leader's epoch is therefore older than that
+    election, which was over when this host saw its key.
+    """
+
+    def __init__(self):
+        self._seen_at: dict[int, float] = {}
+
+    def note(self, epoch: int, now: float) -> None:
+        """Notes that the key of an epoch exists.
+
+        Args:
+            epoch: Epoch of the leader.
+            now: Current time.
+        """
+        self._seen_at.setdefault(epoch, now)
+        while len(self._seen_at) > ELECTIONS_KEPT:
+            del self._seen_at[min(self._seen_at)]
+
+    def next_after(self, revision: int, default: float) -> float:
+        """Returns a time at which the leader of a revision was replaced.
+
+        Args:
+            revision: Revision of a record that a leader stored.
+            default: The time if no later election was seen.
+
+        Example:
+            >>> times = ElectionTimes()
+            >>> times.note(20, 5.0), times.note(60, 9.0)
+            (None, None)
+            >>> [times.next_after(n, 11.0) for n in (12, 31, 75)]
+            [5.0, 9.0, 11.0]
+        """
+        return min(
+            (at for epoch, at in self._seen_at.items() if epoch > revision),
+            default=default,
+        )
+
+
 @attrs.frozen
 class LeaderRecord:
     """The value of the leader's key.
@@ -133,6 +179,7 @@
     Attributes:
         record: The current leader as last read, or None.
         changed: Set, and replaced by a new event, whenever the record changes.
+        election_times: When this host saw each leader's key.
 
     Args:
         store: The platform's store.
@@ -168,6 +215,7 @@
     ):
         self.record: LeaderRecord | None = None
         self.changed = asyncio.Event()
+        self.election_times = ElectionTimes()
         self._store = store
         self._name = name
         self._address = address
@@ -307,6 +355,7 @@
                 "leader record cannot be decoded", extra={"error": str(exc)}
             )
             return
+        self.election_times.note(item.revision, self._clock.now())
         if record != self.record:
             self._set_record(record)
             _log.info(
@@ -385,6 +434,7 @@
             return None
         self._lease = lease.unwrap()
         self._set_record(record)
+        self.election_times.note(epoch, self._clock.now())
         _log.info("elected", extra={"epoch": epoch, "term": term})
         return Leadership(
             epoch,
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -293,6 +293,8 @@
             record_phase=self._phase_cache.record_phase,
             metrics=self.metrics,
             suspension_times=self._suspension_times,
+            wake_followers=self._phase_cache.wake_waiters,
+            election_times=self._candidate.election_times,
         )
         if self.config is not None:
             self.leader.adopt_config(self.config)
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -18,7 +18,7 @@
 from dragonflybank.cell.advice_dispatch import AdviceDispatcher
 from dragonflybank.cell.attempts import AttemptManager
 from dragonflybank.cell.background import BackgroundTasks
-from dragonflybank.cell.election import Leadership
+from dragonflybank.cell.election import ElectionTimes, Leadership
 from dragonflybank.cell.fleet import Fleet
 from dragonflybank.cell.group_commit import Committer
 from dragonflybank.cell.health import HealthTracker
@@ -78,6 +78,7 @@
             hosts report to callers from then on.
         background: Tasks beside the rounds; a failure ends the leadership.
         suspensions: Suspended leases of silent executors.
+        election_times: When this host saw the keys of former leaders.
         input_faults: Jobs whose handling ended earlier leaderships.
         has_failed: Whether a background task failed.
         is_loaded: Whether all jobs of earlier leaders are loaded.
@@ -92,6 +93,9 @@
         metrics: Metrics of the host.
         suspension_times: When suspensions began, as this host knows it from
             former leaders; nothing by default.
+        wake_followers: Lets the other hosts ask for changes at once.
+        election_times: When this host saw the keys of former leaders; nothing
+            by default.
     """
 
     def __init__(
@@ -106,6 +110,8 @@
         record_phase: Callable[[str, JobPhase], None],
         metrics: CellMetrics,
         suspension_times: SuspensionTimes | None = None,
+        wake_followers: Callable[[], None] = lambda: None,
+        election_times: ElectionTimes | None = None,
     ):
         self.metrics = metrics
         self.platform = platform
@@ -132,11 +138,13 @@
             executors=self.fleet.executors,
             times=suspension_times or SuspensionTimes(),
             metrics=metrics,
+            on_stored=wake_followers,
         )
         self.scheduler = Scheduler(self, advice_dispatcher)
         self.input_faults = InputFaults(
             platform.store, leadership, clock=clock, metrics=metrics
         )
+        self.election_times = election_times or ElectionTimes()
         self.record_phase = record_phase
         self.has_failed = False
         self.is_loaded = False
--- a/libs/cell/dragonflybank/cell/lease_suspensions.py
+++ b/libs/cell/dragonflybank/cell/lease_suspensions.py
@@ -26,7 +26,13 @@
 
 import asyncio
 import logging
-from collections.abc import Collection, Iterable, Iterator, Mapping
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+)
 
 import attrs
 import msgspec
@@ -81,6 +87,8 @@
         executors: All executors by identifier, as the leader knows them.
         times: When suspensions began, as this host knows it.
         metrics: Metrics of the host.
+        on_stored: Called when the record has been stored, so that the other
+            hosts learn the ages of its suspensions.
     """
 
     def __init__(
@@ -93,6 +101,7 @@
         executors: Mapping[str, Executor],
         times: SuspensionTimes,
         metrics: CellMetrics,
+        on_stored: Callable[[], None] = lambda: None,
     ):
         self.revision = 0
         self._store = store
@@ -102,6 +111,7 @@
         self._executors = executors
         self._times = times
         self._metrics = metrics
+        self._on_stored = on_stored
         self._count = 0
         # By identifier of the executor, until a stored record lacks them.
         self._suspended: dict[str, SuspendedLease] = {}
@@ -188,6 +198,8 @@
                 continue
             began_at = self._times.note(record.key, read_at - record.age_s)
             self._suspended[record.executor] = SuspendedLease(began_at, record)
+            # A host that is told nothing finds the present age in the store.
+            self._changed.set()
 
     def _begin(self, executor: Executor, now: float) -> None:
         attempts = [a for a in executor.attempts.values() if a.is_start_sent]
@@ -197,7 +209,7 @@
         held_s = (
             max(0.0, known_lease_end(executor) - now)
             if executor.answered_incarnation
-            else max(holds_s.values())
+            else min(holds_s.values())
         )
         self._count += 1
         record = Suspension(
@@ -299,6 +311,7 @@
                     self._leadership.confirm(now)
                     self.revision = revision
                     self._on_ended(left_out)
+                    self._on_stored()
                     return
                 case Success(reply):
                     # Only leaders write the record. A newer revision is from
--- a/libs/cell/dragonflybank/cell/tests/scheduler_fakes.py
+++ b/libs/cell/dragonflybank/cell/tests/scheduler_fakes.py
@@ -10,7 +10,7 @@
 from dragonflybank.cell.advice_dispatch import AdviceSlot
 from dragonflybank.cell.background import BackgroundTasks
 from dragonflybank.cell.capacity import release, reserve
-from dragonflybank.cell.election import Leadership
+from dragonflybank.cell.election import ElectionTimes, Leadership
 from dragonflybank.cell.limits import CellLimits
 from dragonflybank.cell.metrics import CellMetrics
 from dragonflybank.cell.state import AttemptPhase
@@ -52,6 +52,7 @@
         self.metrics = CellMetrics()
         self.attempts = _Attempts(self.clock)
         self.suspensions = _NoSuspensions()
+        self.election_times = ElectionTimes()
 
     def wake(self):
         """Does nothing, since the test runs the rounds."""
--- a/libs/cell/dragonflybank/cell/tests/test_lease_suspensions.py
+++ b/libs/cell/dragonflybank/cell/tests/test_lease_suspensions.py
@@ -5,7 +5,14 @@
 
 import testtools
 from returns.result import Success
-from testtools.matchers import Equals, GreaterThan, Is, Not
+from testtools.matchers import (
+    Equals,
+    GreaterThan,
+    Is,
+    LessThan,
+    MatchesAll,
+    Not,
+)
 
 from dragonflybank.cell.capacity import is_available, reserve
 from dragonflybank.cell.election import LEADER_KEY, Leadership
@@ -182,6 +189,43 @@
             Equals(SILENT_AT + 2.0 + longest_lease_s(LIMITS)),
         )
 
+    def test_attempts_of_a_former_leader_are_held_each_by_its_own_term(self):
+        """The executor has never answered this leader."""
+        executor = self.executor
+        executor.answered_incarnation = 0
+        self.attempt.seen_in = 0
+        self.attempt.start_arrives_until = SILENT_AT + 3.0
+        late_task = get_step(add_job(Workload(), 2, Step(1))).tasks[0]
+        late = reserve(
+            executor, late_task, 1, phase=AttemptPhase.RUNNING, now=SILENT_AT
+        )
+        late.is_start_sent = True
+        late.start_arrives_until = SILENT_AT + 13.0
+        leader = self._leader()
+        self._suspend(leader)
+        self._store_once(leader)
+        self._successor(after_s=4.0)
+        lease_s = longest_lease_s(LIMITS)
+        for attempt, arrives_s in ((self.attempt, 3.0), (late, 13.0)):
+            hold = find_hold(attempt, LIMITS, self.clock.time_s)
+            self.assertThat(
+                hold.until,
+                MatchesAll(
+                    GreaterThan(SILENT_AT + arrives_s + lease_s - 0.001),
+                    LessThan(SILENT_AT + arrives_s + lease_s + 0.001),
+                ),
+            )
+
+    def test_a_successor_stores_the_age_that_it_knows(self):
+        leader = self._leader()
+        self._suspend(leader)
+        self._store_once(leader)
+        held_until = self._hold(SILENT_AT).until
+        second = self._successor(after_s=4.0)
+        self._store_once(second)
+        self._successor(after_s=0.0, times=SuspensionTimes())
+        self.assertThat(self._hold(self.clock.time_s).until, Equals(held_until))
+
     def test_a_late_start_counts_with_a_renewal_that_is_under_way(self):
         self.attempt.seen_in = 0
         self.attempt.start_arrives_until = SILENT_AT + 2.0
--- a/libs/standins/dragonflybank/standins/cell/tests/test_waiting_check.py
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_waiting_check.py
@@ -9,6 +9,8 @@
 from dragonflybank.cell.scheduling import Scheduler
 from dragonflybank.standins.cell.waiting_schedules import (
     SLOW_ADVICE_S,
+    DrawnCell,
+    add_losses,
     draw_cell,
     fill_cell,
     play_cell,
@@ -17,6 +19,9 @@
 # Two cells with faults and two without, one of each with teams; then cells that
 # once violated LOST, by a wide gang (112) and a quarantine (205).
 SEEDS = (1, 2, 5, 7, 112, 205)
+# Cells in which each new leader held the work of lost executors anew, with
+# tickets (1, 6) and without (3, 13).
+LOSS_SEEDS = (1, 3, 6, 13)
 
 
 class TestWaitingCheck(testtools.TestCase):
@@ -54,13 +59,27 @@
         self.assertThat("\n".join(found), Equals(""))
 
 
-def _make_test(seed: int):
+class TestLosses(testtools.TestCase):
+    """Guards against work that new leaders hold anew (review/8)."""
+
+
+def _make_test(drawn: DrawnCell):
     def test(self):
-        found = play_cell(draw_cell(seed))
+        found = play_cell(drawn)
         self.assertThat("\n".join(found), Equals(""))
 
     return test
 
 
 for cell_seed in SEEDS:
-    setattr(TestDrawnCells, f"test_cell__{cell_seed}", _make_test(cell_seed))
+    setattr(
+        TestDrawnCells,
+        f"test_cell__{cell_seed}",
+        _make_test(draw_cell(cell_seed)),
+    )
+for cell_seed in LOSS_SEEDS:
+    setattr(
+        TestLosses,
+        f"test_cell__{cell_seed}",
+        _make_test(add_losses(draw_cell(cell_seed))),
+    )
--- a/libs/standins/dragonflybank/standins/cell/waiting_check.py
+++ b/libs/standins/dragonflybank/standins/cell/waiting_check.py
@@ -6,6 +6,8 @@
   usable executors had free capacity for it twice over, its team had less than
   half of its cap in use, and less than half of its service's capacity was in
   use.
+- HELD: for longer than `MAX_HOLD_S` after an executor was lost, the leader
+  still counts an attempt there, whatever else has happened meanwhile.
 - MISSING: a long-running task didn't run for longer than `MAX_RESTART_S` after
   its last run, whatever else was running.
 
@@ -51,6 +53,10 @@
 
 MAX_WAIT_S = 3.0
 MAX_RESTART_S = 6.0
+# A loss that is noticed after 3 s by a leader that is lost then, an election of
+# 1.5 s, a start without a ticket that arrives 13 s after it, the longest lease
+# of 10.5 s, and slack.
+MAX_HOLD_S = 30.0
 CALM_AFTER_S = 4.0
 SAMPLE_INTERVAL_S = 0.1
 
@@ -105,6 +111,7 @@
         self._executor_disturbed_at: dict[str, float] = {}
         self._incarnations: dict[str, int] = {}
         self._waits_since: dict[tuple, float] = {}
+        self._lost_since: dict[str, float] = {}
         self._reported: set[tuple] = set()
 
     async def run(self) -> None:
@@ -121,6 +128,9 @@
         """
         self._track_disturbances(now)
         host = self._cell.hosts.get(self._cell.leader())
+        if host is not None:
+            for attempt, detail in self._held_attempts(host.leader, now):
+                self._report("HELD", attempt, now, detail)
         if host is None or now - self._cell_disturbed_at < CALM_AFTER_S:
             self._waits_since.clear()
             return
@@ -173,6 +183,23 @@
             ):
                 self._executor_disturbed_at[key] = now
             self._incarnations[key] = info.incarnation
+            if executor.faults.is_crashed:
+                self._lost_since.setdefault(key, now)
+            else:
+                self._lost_since.pop(key, None)
+
+    def _held_attempts(
+        self, leader: Leader, now: float
+    ) -> Iterator[tuple[tuple, str]]:
+        """Yields the attempts for which all conditions of HELD hold."""
+        for key, since in self._lost_since.items():
+            known = leader.fleet.executors.get(key)
+            if known is not None and now - since > MAX_HOLD_S:
+                for attempt in known.attempts.values():
+                    yield (
+                        (attempt.task.id, attempt.number),
+                        f"on {key}, lost at {since:.2f}",
+                    )
 
     def _is_calm(self, executor: str, now: float, for_s: float) -> bool:
         return now - self._executor_disturbed_at[executor] >= for_s
--- a/libs/standins/dragonflybank/standins/cell/waiting_schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/waiting_schedules.py
@@ -3,10 +3,12 @@
 ``python -m dragonflybank.standins.cell.waiting_schedules FIRST LAST`` plays the
 cells of a range of seeds and prints those that violated a rule of `checks` or
 of `waiting_check`. With the option ``--full``, the services of these cells are
-full most of the time. With ``--slow-advice``, calls for advice take 0.3 s.
+full most of the time. With ``--slow-advice``, calls for advice take 0.3 s. With
+``--losses``, executors are lost for good near the end of the submissions, and
+leaders change in series after it.
 """
 
-__all__ = ["DrawnCell", "draw_cell", "fill_cell", "play_cell"]
+__all__ = ["DrawnCell", "add_losses", "draw_cell", "fill_cell", "play_cell"]
 
 import asyncio
 import random
@@ -43,6 +45,20 @@
 # Tickets are valid for 2 s, as those of the users' platform.
 TICKETS_VALID_S = 2.0
 SLOW_ADVICE_S = 0.3
+# Losses for good, and leaders that are lost after each of them.
+MAX_LOSSES = 3
+LOSS_RANGE_S = (10.0, LAST_SUBMISSION_S + 2.0)
+NEVER_S = 1000.0
+MAX_LEADERS_LOST = 4
+LEADER_LOST_AFTER_S = (1.0, 5.0)
+LEADER_FAULTS = (
+    "host_cut_from_store",
+    "host_dark",
+    "host_frozen",
+    "host_killed",
+)
+LEADER_FAULT_S = (1.0, 2.5, 5.0)
+LOSS_OBSERVATION_S = 45.0
 
 
 @attrs.frozen
@@ -62,6 +78,8 @@
         failures_at_s: Times at which a long-running task fails, in seconds.
         faults: Faults with their times.
         advice_s: Duration of a call for advice in seconds.
+        observation_s: Time after the last submission for which waits and
+            restarts are observed, in seconds.
     """
 
     seed: int
@@ -75,6 +93,7 @@
     failures_at_s: tuple[float, ...]
     faults: tuple[ScheduledFault, ...]
     advice_s: float = 0.02
+    observation_s: float = OBSERVATION_S
 
 
 def draw_cell(seed: int) -> DrawnCell:
@@ -114,6 +133,31 @@
     )
 
 
+def add_losses(drawn: DrawnCell) -> DrawnCell:
+    """Returns a cell that loses executors, and leaders in series after it."""
+    rng = random.Random(f"losses {drawn.seed}")
+    faults = list(drawn.faults)
+    for _ in range(rng.randint(1, MAX_LOSSES)):
+        at = rng.uniform(*LOSS_RANGE_S)
+        # Even numbers select executors one after the other.
+        target = 2 * rng.randrange(drawn.executors)
+        faults.append(ScheduledFault(at, "executor_crashed", target, NEVER_S))
+        for _ in range(rng.randint(0, MAX_LEADERS_LOST)):
+            at += rng.uniform(*LEADER_LOST_AFTER_S)
+            faults.append(
+                ScheduledFault(
+                    at,
+                    rng.choice(LEADER_FAULTS),
+                    # An odd number selects the leader.
+                    2 * rng.randrange(50) + 1,
+                    rng.choice(LEADER_FAULT_S),
+                )
+            )
+    return attrs.evolve(
+        drawn, faults=tuple(faults), observation_s=LOSS_OBSERVATION_S
+    )
+
+
 def play_cell(drawn: DrawnCell) -> list[str]:
     """Plays a drawn cell and returns a line for each violation of a rule."""
     return run_in_virtual_time(_run(drawn))
@@ -182,7 +226,7 @@
             ),
         )
     ]
-    await asyncio.sleep(LAST_SUBMISSION_S + OBSERVATION_S)
+    await asyncio.sleep(LAST_SUBMISSION_S + drawn.observation_s)
     for task in tasks:
         task.cancel()
     ended = await asyncio.gather(*tasks, return_exceptions=True)
@@ -359,6 +403,7 @@
     *,
     is_full: bool = False,
     has_slow_advice: bool = False,
+    has_losses: bool = False,
 ) -> int:
     """Plays the cells of a range of seeds.
 
@@ -367,6 +412,7 @@
         last: Last seed.
         is_full: Whether their services are full most of the time.
         has_slow_advice: Whether calls for advice take `SLOW_ADVICE_S`.
+        has_losses: Whether executors are lost, and leaders in series.
 
     Returns:
         The number of cells that violated a rule.
@@ -378,6 +424,8 @@
             drawn = fill_cell(drawn)
         if has_slow_advice:
             drawn = attrs.evolve(drawn, advice_s=SLOW_ADVICE_S)
+        if has_losses:
+            drawn = add_losses(drawn)
         found = play_cell(drawn)
         violating += bool(found)
         if found:
@@ -392,5 +440,6 @@
         int(sys.argv[2]),
         is_full="--full" in sys.argv[3:],
         has_slow_advice="--slow-advice" in sys.argv[3:],
+        has_losses="--losses" in sys.argv[3:],
     )
     sys.exit(1 if found_any else 0)
