--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -327,6 +327,10 @@
     The spec of a task is a JSON object with ``run_s``, the time that it runs;
     without it, the task runs until it is stopped.
 
+    Attributes:
+        running: What it runs, by task and run.
+        started: All tasks that it has ever started.
+
     Args:
         name: Its identifier.
         store: The store, to which it reports.
@@ -339,6 +343,7 @@
     ):
         self.name = name
         self.running: dict[tuple[str, int], dict] = {}
+        self.started: set[str] = set()
         self._store, self._record, self._labels = store, record, labels
         self._ends: list[list] = []
         self._number = 0
@@ -440,6 +445,7 @@
             "run_s": run_s,
             "timer": run_s and loop.call_later(run_s, self._end, key, "done"),
         }
+        self.started.add(key[0])
         self._record.write(f"{self.name}: started {key[0]} run {key[1]}")
         return 200, {}
 
