--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -200,9 +200,9 @@
                 "Content-Length": str(len(raw)),
             },
         )
-        await resp.prepare(req)
         # A client may close the connection before the end.
         with contextlib.suppress(ConnectionError):
+            await resp.prepare(req)
             for first in range(0, len(raw), LINK_CHUNK_BYTES):
                 part = raw[first : first + LINK_CHUNK_BYTES]
                 await link.carry(len(part))
@@ -330,6 +330,7 @@
     Attributes:
         running: What it runs, by task and run.
         started: All tasks that it has ever started.
+        start_log: The task of each start.
 
     Args:
         name: Its identifier.
@@ -344,6 +345,7 @@
         self.name = name
         self.running: dict[tuple[str, int], dict] = {}
         self.started: set[str] = set()
+        self.start_log: list[str] = []
         self._store, self._record, self._labels = store, record, labels
         self._ends: list[list] = []
         self._number = 0
@@ -446,6 +448,7 @@
             "timer": run_s and loop.call_later(run_s, self._end, key, "done"),
         }
         self.started.add(key[0])
+        self.start_log.append(key[0])
         self._record.write(f"{self.name}: started {key[0]} run {key[1]}")
         return 200, {}
 
@@ -627,6 +630,8 @@
         self.store = Store(self.record)
         self.hosts: list[CellProcess] = []
         self.executors: list[Executor] = []
+        # Executors that a case has ended.
+        self.ended: list[Executor] = []
         self._counts = hosts, executors
         self._link_mbps = link_mbps
         self._temp = tempfile.TemporaryDirectory()
