--- a/libs/bench/dragonflybank/bench/soak/faults.py
+++ b/libs/bench/dragonflybank/bench/soak/faults.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Awaitable, Callable
 
+from dragonflybank.bench.soak.outages import OUTAGE_FAULTS
 from dragonflybank.bench.soak.process_cell import ProcessCell
 from dragonflybank.bench.soak.processes import HostProcess
 from dragonflybank.bench.soak.restarts import RESTART_FAULTS
@@ -23,7 +24,7 @@
     faults.is_down = faults.is_refusing = False
     faults.cut_hosts.clear()
     faults.refused_hosts.clear()
-    faults.lost_share = faults.late_share = 0.0
+    faults.lost_share = faults.late_share = faults.watch_delay_s = 0.0
     faults.round_trip_s = 0.004
     for host in cell.processes.values():
         host.resume()
@@ -266,9 +267,13 @@
         config_changed,
     )
 } | RESTART_FAULTS
+# Drawn on their own, so that the draws of other runs stay.
+_ALL_FAULTS = tuple(FAULTS)
+FAULTS |= OUTAGE_FAULTS
 # Names of the faults that a run draws from.
 TROUBLES: dict[str, tuple[str, ...]] = {
-    "all": tuple(FAULTS),
+    "all": _ALL_FAULTS,
     "restarts": tuple(RESTART_FAULTS),
     "acknowledgements": ("killed_after_acknowledgement",),
+    "outages": (*OUTAGE_FAULTS, "history_lost", "leader_key_lost"),
 }
--- a/libs/bench/dragonflybank/bench/soak/process_cell.py
+++ b/libs/bench/dragonflybank/bench/soak/process_cell.py
@@ -56,6 +56,9 @@
 READINESS_INTERVAL_S = 1.0
 CONFIG_CHECK_INTERVAL_S = 0.4
 PHASE_POLL_INTERVAL_S = 0.5
+# Pauses before an ended job is asked for again. By the last answer, no host may
+# repeat what it learned before the end.
+ASK_AGAIN_INTERVALS_S = (0.5, 4.0)
 # Share of the calls that a caller sends to the same host for a given job.
 STICKY_CALL_SHARE = 0.6
 # A configuration must be in force this long after it was written, at hosts
@@ -246,7 +249,7 @@
         self.history.record_submission(job, self.now())
         is_refused = True
         for _ in range(MAX_SUBMIT_ATTEMPTS):
-            status = await self._send_for_status("POST", job, job_body(job))
+            status, _, _ = await self._send_request("POST", job, job_body(job))
             if status is not None and 200 <= status < 300:
                 self.history.accepted[job.id] = self.now()
                 return True
@@ -270,7 +273,7 @@
         observed_phases = self.history.observed_phases.setdefault(job.id, [])
         while self.now() < deadline:
             await asyncio.sleep(PHASE_POLL_INTERVAL_S)
-            status, body = await self._send_request("GET", job, None)
+            status, body, process = await self._send_request("GET", job, None)
             if status == 410:
                 self.violations.append(f"LOST {job.id} is said not to exist")
                 return None
@@ -278,31 +281,60 @@
                 continue
             phase = JobPhase(msgspec.json.decode(body)["state"])
             observed_phases.append((self.now(), phase))
+            self.answer_check.check_phase(process, job.id, phase, self.now())
             if phase.is_final:
+                await self._ask_again(job)
                 return phase
         return None
 
+    async def _ask_again(self, job: Job) -> None:
+        """Asks all hosts for the phase of an ended job, for some seconds."""
+        for interval_s in ASK_AGAIN_INTERVALS_S:
+            await asyncio.sleep(interval_s)
+            for name in list(self.processes):
+                status, body, process = await self._send_request(
+                    "GET", job, None, host_name=name
+                )
+                if status == 200:
+                    phase = JobPhase(msgspec.json.decode(body)["state"])
+                    self.answer_check.check_phase(
+                        process, job.id, phase, self.now()
+                    )
+
     async def cancel(self, job: Job) -> None:
         """Cancels a job as a caller does."""
         for _ in range(MAX_SUBMIT_ATTEMPTS):
-            status = await self._send_for_status("DELETE", job, None)
+            status, _, process = await self._send_request("DELETE", job, None)
             if status == 410:
                 self.violations.append(f"LOST {job.id} is said not to exist")
             if status is not None and 200 <= status < 300:
                 self.history.cancelled[job.id] = self.now()
+                self.answer_check.check_cancel(process, job.id, self.now())
                 return
             await asyncio.sleep(1.0)
 
-    async def _send_for_status(
-        self, method: str, job: Job, body: bytes | None
-    ) -> int | None:
-        status, _ = await self._send_request(method, job, body)
-        return status
-
     async def _send_request(
-        self, method: str, job: Job, body: bytes | None
-    ) -> tuple[int | None, bytes]:
-        host = self._choose_host(job)
+        self,
+        method: str,
+        job: Job,
+        body: bytes | None,
+        *,
+        host_name: str = "",
+    ) -> tuple[int | None, bytes, str]:
+        """Sends a request about a job.
+
+        Args:
+            method: Its method.
+            job: The job.
+            body: Its body, None without one.
+            host_name: Host that it is sent to; drawn if empty.
+
+        Returns:
+            Status, None without an answer; body; and process of the host.
+        """
+        host = (
+            self.processes[host_name] if host_name else self._choose_host(job)
+        )
         session = self._caller_session(host.name)
         sent_at, process_number = self.now(), host.process_number
         key = self._draw_key() if method == "POST" else LASTING_KEY
@@ -318,14 +350,15 @@
                 },
             ) as resp:
                 self._record_key_decision(host, key, sent_at, resp.status)
-                return resp.status, await resp.read()
+                process = f"{host.name}#{process_number}"
+                return resp.status, await resp.read(), process
         except aiohttp.ClientConnectorError:
-            return None, b""
+            return None, b"", ""
         except TimeoutError:
-            return None, b""
+            return None, b"", ""
         except (aiohttp.ClientError, OSError):
             self._check_lost_request(host, process_number, sent_at)
-            return None, b""
+            return None, b"", ""
 
     def _draw_key(self) -> str:
         """Returns a key in force, a withdrawn one or one that never was."""
--- a/libs/bench/dragonflybank/bench/soak/runner.py
+++ b/libs/bench/dragonflybank/bench/soak/runner.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from dragonflybank.bench.soak.faults import FAULTS, end_faults
+from dragonflybank.bench.soak.faults import FAULTS, TROUBLES, end_faults
 from dragonflybank.bench.soak.process_cell import (
     LONG_RUN_RANGE_S,
     ProcessCell,
@@ -30,7 +30,13 @@
 # of steps, with slack for retries of callers.
 FINISH_TIMEOUT_S = 60.0 + 2 * LONG_RUN_RANGE_S[1]
 # Faults of the store, which affect all hosts.
-_STORE_FAULTS = ("store_down", "store_slow", "writes_lost", "history_lost")
+_STORE_FAULTS = (
+    "store_down",
+    "store_slow",
+    "writes_lost",
+    "history_lost",
+    "store_lapses",
+)
 
 
 @attrs.frozen
@@ -56,7 +62,7 @@
     executors: int = 6
     series: int = 2
     long_share: float = 0.05
-    faults: tuple[str, ...] = tuple(FAULTS)
+    faults: tuple[str, ...] = TROUBLES["all"]
     cancel_share: float = SubmissionLoad().cancel_share
     finish_timeout_s: float = FINISH_TIMEOUT_S
 
--- a/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
+++ b/libs/bench/dragonflybank/bench/tests/test_encoded_names.py
@@ -68,13 +68,13 @@
     cluster_work_messages.ListWork: "table limit",
     cluster_work_messages.WorkRows: "columns rows",
     cell_messages.SyncRequest: (
-        "address epoch number version needs_config accepts_packed shortfall "
-        "pending_number suspensions_revision"
+        "address epoch number version needs_config accepts_packed accepts_ends "
+        "shortfall pending_number suspensions_revision"
     ),
     cell_messages.SyncReply: (
         "epoch number is_whole states pending config over_term start_delays "
-        "peers packed executors pending_number team_delays suspensions "
-        "suspensions_revision"
+        "peers packed packed_ends executors pending_number team_delays "
+        "suspensions suspensions_revision"
     ),
     cell_suspensions.LateStart: "task attempt held_s",
     cell_suspensions.Suspension: (
--- a/libs/cell/dragonflybank/cell/frontend.py
+++ b/libs/cell/dragonflybank/cell/frontend.py
@@ -1,7 +1,8 @@
 """The caller-facing API of a host: submit, query, cancel and count jobs.
 
-A job is stored before its acceptance is reported. A store call without an
-answer may still take effect, so it is never answered with a refusal.
+A job is stored before its acceptance is reported, and so are its cancel and its
+end. A store call without an answer may still take effect, so it is never
+answered with a refusal.
 """
 
 __all__ = ["CellFrontend"]
@@ -15,12 +16,7 @@
 
 from dragonflybank.cell.background import BackgroundTasks
 from dragonflybank.cell.election import LEADER_KEY
-from dragonflybank.cell.jobs import (
-    Job,
-    JobPhase,
-    decode_progress,
-    encode_record,
-)
+from dragonflybank.cell.jobs import Job, JobPhase, encode_record
 from dragonflybank.cell.keys import cancel_key, ended_key, job_key
 from dragonflybank.cell.load_admission import (
     excess_delay_s,
@@ -29,10 +25,10 @@
 from dragonflybank.cell.phase_cache import JobPhaseCache
 from dragonflybank.cell.ports import Item, Txn, TxnReply
 from dragonflybank.cell.relay import RelayedStore
+from dragonflybank.cell.stored_ends import StoredEnd, read_end
 from dragonflybank.cell.submission_wait import max_store_wait_s, retry_after_s
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.model.codes import Code, Problem, failure
-from dragonflybank.model.decoding import DecodeError
 
 _log = logging.getLogger(__name__)
 
@@ -54,6 +50,8 @@
 SUSPECT_MAX_S = 0.7
 # How often a waiting submission checks whether the store answers again.
 POLL_INTERVAL_S = 0.05
+# Beyond this number an end may be logged as answered a second time.
+LOGGED_JOBS_KEPT = 4_000
 # Value of the key that marks a job as cancelled.
 CANCEL_MARKER = b"1"
 # Oldest count of pending jobs that is reported to callers.
@@ -89,6 +87,7 @@
         self._response_time_s = 0.0
         self._probing: asyncio.Task | None = None
         self._background = BackgroundTasks()
+        self._answered = _RecentJobs()
         self._store = store
         self._phase_cache = phase_cache
         self._clock = clock
@@ -132,7 +131,7 @@
         excess_s = excess_delay_s(job, delays)
         if not excess_s:
             return 0.0
-        phase = await self.job_phase(job.id)
+        phase = await self._read_phase(job.id)
         is_new = (
             isinstance(phase, Failure)
             and phase.failure().code is Code.UNKNOWN_JOB
@@ -153,7 +152,7 @@
             epoch = self._phase_cache.epoch
             match await self._commit(txn):
                 case Success(reply):
-                    self._phase_cache.record_phase(job.id, JobPhase.QUEUED)
+                    self._phase_cache.record_live(job.id, JobPhase.QUEUED)
                     if reply.revision is not None:
                         self._notify_leader(
                             epoch, Item(key, raw, reply.revision)
@@ -241,9 +240,28 @@
                 return
             await self._clock.sleep(PROBE_INTERVAL_S)
 
+    def known_phase(self, job_id: str) -> JobPhase | None:
+        """Returns the phase that is reported without reading the store."""
+        return self._phase_cache.job_phase(job_id, self._clock.now())
+
     async def job_phase(self, job_id: str) -> Result[JobPhase, Problem]:
         """Returns the phase of a job, or ``UNKNOWN_JOB``."""
-        known = self._phase_cache.job_phase(job_id, self._clock.now())
+        phase = await self._read_phase(job_id)
+        end = self._phase_cache.ends.get(job_id)
+        if end is not None and self._answered.add(job_id):
+            _log.info(
+                "end answered",
+                extra={
+                    "job": job_id,
+                    "phase": end.phase.value,
+                    "revision": end.revision,
+                },
+            )
+        return phase
+
+    async def _read_phase(self, job_id: str) -> Result[JobPhase, Problem]:
+        """Returns the phase of a job from the cache or the store."""
+        known = self.known_phase(job_id)
         if known is not None:
             return Success(known)
         # A job has either a job key or an ended key. If it ends between the
@@ -256,9 +274,14 @@
             if item is not None and key is job_key:
                 return Success(JobPhase.QUEUED)
             if item is not None:
-                return _decode_phase(item)
+                return read_end(item).map(self._learn_end)
         return failure(Code.UNKNOWN_JOB, "no such job")
 
+    def _learn_end(self, end: StoredEnd) -> JobPhase:
+        """Keeps an end that the store has returned; returns its phase."""
+        self._phase_cache.learn_end(end)
+        return end.phase
+
     async def cancel(
         self, job_id: str, *, timeout_s: float
     ) -> Result[None, Problem]:
@@ -290,21 +313,53 @@
 
     async def _cancel_once(self, job_id: str) -> Result[None, Problem]:
         epoch = self._phase_cache.epoch
-        phase = await self.job_phase(job_id)
+        phase = await self._read_phase(job_id)
         if isinstance(phase, Failure):
             return phase
-        if phase.unwrap().is_final:
+        end = self._phase_cache.ends.get(job_id)
+        if end is not None:
+            self._log_cancel(job_id, end.revision, end.phase.value)
             return Success(None)
         key = cancel_key(job_id)
         # The cancel key of a job that has ended would never be removed.
         txn = Txn(expected={ended_key(job_id): 0}, puts={key: CANCEL_MARKER})
         stored = await self._store.commit(txn)
-        if isinstance(stored, Success) and stored.unwrap().revision:
-            _log.info("cancel accepted", extra={"job": job_id})
-            self._notify_leader(
-                epoch, Item(key, CANCEL_MARKER, stored.unwrap().revision or 0)
-            )
-        return stored.map(lambda _: None)
+        if isinstance(stored, Failure):
+            return stored
+        revision = stored.unwrap().revision
+        if revision is None:
+            return await self._confirm_ended(job_id)
+        self._log_cancel(job_id, revision, "")
+        self._notify_leader(epoch, Item(key, CANCEL_MARKER, revision))
+        return Success(None)
+
+    async def _confirm_ended(self, job_id: str) -> Result[None, Problem]:
+        """Answers a cancel that the store refused since the job has ended."""
+        found = await self._store.get(ended_key(job_id))
+        if isinstance(found, Failure):
+            return found
+        item = found.unwrap()
+        if item is None:
+            return failure(Code.ASK_AGAIN, "the end of the job was removed")
+        end = read_end(item)
+        if isinstance(end, Failure):
+            return end
+        self._learn_end(end.unwrap())
+        self._log_cancel(job_id, item.revision, end.unwrap().phase.value)
+        return Success(None)
+
+    def _log_cancel(self, job_id: str, revision: int, ended: str) -> None:
+        """Logs an accepted cancel and the revision of the store that proves it.
+
+        Args:
+            job_id: Identifier of the job.
+            revision: Revision of the stored cancel, or of the stored end.
+            ended: Final phase of a job that had ended before, or "".
+        """
+        _log.info(
+            "cancel accepted",
+            extra={"job": job_id, "revision": revision, "ended": ended},
+        )
 
     async def _retry_until(self, deadline: float, call: Callable) -> Result:
         while True:
@@ -361,12 +416,17 @@
         )
 
 
-def _decode_phase(item: Item) -> Result[JobPhase, Problem]:
-    try:
-        return Success(decode_progress(item.value or b"").phase)
-    except DecodeError as exc:
-        return failure(
-            Code.ASK_AGAIN,
-            f"record of the job is unreadable: {exc}",
-            retry_after_s=RETRY_AFTER_S,
-        )
+class _RecentJobs:
+    """The jobs about which something was logged, to log it once for each."""
+
+    def __init__(self):
+        self._ids: dict[str, None] = {}
+
+    def add(self, job_id: str) -> bool:
+        """Adds a job; returns whether it is new."""
+        if job_id in self._ids:
+            return False
+        self._ids[job_id] = None
+        while len(self._ids) > LOGGED_JOBS_KEPT:
+            del self._ids[next(iter(self._ids))]
+        return True
--- a/libs/cell/dragonflybank/cell/group_commit.py
+++ b/libs/cell/dragonflybank/cell/group_commit.py
@@ -25,6 +25,7 @@
 )
 from dragonflybank.cell.ports import Store, Txn, TxnReply
 from dragonflybank.cell.state import JobState
+from dragonflybank.cell.stored_ends import StoredEnd, committed_ends
 from dragonflybank.cluster.clock import Clock
 from dragonflybank.model.codes import Problem
 
@@ -72,7 +73,7 @@
         store: The platform's store.
         leadership: Leadership of the writing leader.
         clock: Clock of the host.
-        on_ended: Called with each job whose final state is stored.
+        on_ended: Called with each job whose end is stored, and its end.
     """
 
     def __init__(
@@ -81,7 +82,7 @@
         leadership: Leadership,
         *,
         clock: Clock,
-        on_ended: Callable[[JobState], None],
+        on_ended: Callable[[JobState, StoredEnd], None],
     ):
         self._store = store
         self._leadership = leadership
@@ -159,12 +160,13 @@
             called_at = self._clock.now()
             txn = self._build_txn(writes)
             match await self._commit(txn, writes):
-                case Success(TxnReply(revision=int(revision))):
+                case Success(TxnReply(revision=int(revision)) as reply):
                     self._leadership.confirm(called_at)
-                    for write in writes:
-                        write.job.progress_revision = revision
-                        if write.is_final:
-                            self._on_ended(write.job)
+                    jobs = {write.job.job.id: write.job for write in writes}
+                    for job in jobs.values():
+                        job.progress_revision = revision
+                    for end in committed_ends(txn, reply):
+                        self._on_ended(jobs[end.job_id], end)
                     return
                 case Success(reply):
                     self._update_revisions(reply, writes, called_at)
--- a/libs/cell/dragonflybank/cell/host.py
+++ b/libs/cell/dragonflybank/cell/host.py
@@ -290,7 +290,8 @@
             clock=clock,
             unix_time=self._unix_time,
             advice_dispatcher=self._advice_dispatcher,
-            record_phase=self._phase_cache.record_phase,
+            record_live=self._phase_cache.record_live,
+            record_end=self._phase_cache.record_end,
             metrics=self.metrics,
             suspension_times=self._suspension_times,
             wake_followers=self._phase_cache.wake_waiters,
@@ -366,6 +367,7 @@
             self.config.version if self.config else 0,
             needs_config=self._is_stored_config_unsound or not has_store,
             accepts_packed=True,
+            accepts_ends=True,
             # Neither kind of host would be elected after a handover.
             shortfall=(
                 UNFIT
@@ -394,6 +396,7 @@
             req.number,
             wait_s=SYNC_WAIT_S,
             packs=req.accepts_packed,
+            takes_ends=req.accepts_ends,
             pending_number=req.pending_number,
         )
         if not self._is_leading(self._host_clock.now()):
--- a/libs/cell/dragonflybank/cell/leader.py
+++ b/libs/cell/dragonflybank/cell/leader.py
@@ -39,6 +39,7 @@
 from dragonflybank.cell.ports import Platform
 from dragonflybank.cell.scheduling import Scheduler
 from dragonflybank.cell.state import Executor, JobState
+from dragonflybank.cell.stored_ends import StoredEnd
 from dragonflybank.cell.suspension_records import SuspensionTimes
 from dragonflybank.cell.team_delays import estimate_team_delays
 from dragonflybank.cell.team_report import (
@@ -74,8 +75,9 @@
         scheduler: Places waiting steps.
         health: Evidence about unhealthy executors.
         throttle: Controls the speed of filling tasks.
-        record_phase: Called with the identifier of a job and its phase, which
-            hosts report to callers from then on.
+        record_live: Called with the identifier of a job and its live phase,
+            which hosts report to callers from then on.
+        record_end: The same for the end of a job once it is stored.
         background: Tasks beside the rounds; a failure ends the leadership.
         suspensions: Suspended leases of silent executors.
         election_times: When this host saw the keys of former leaders.
@@ -107,7 +109,8 @@
         clock: Clock,
         unix_time: Callable[[], float],
         advice_dispatcher: AdviceDispatcher | None,
-        record_phase: Callable[[str, JobPhase], None],
+        record_live: Callable[[str, JobPhase], None],
+        record_end: Callable[[StoredEnd], None],
         metrics: CellMetrics,
         suspension_times: SuspensionTimes | None = None,
         wake_followers: Callable[[], None] = lambda: None,
@@ -145,7 +148,8 @@
             platform.store, leadership, clock=clock, metrics=metrics
         )
         self.election_times = election_times or ElectionTimes()
-        self.record_phase = record_phase
+        self.record_live = record_live
+        self.record_end = record_end
         self.has_failed = False
         self.is_loaded = False
         self.reported_entries: dict[str, int] = {}
@@ -240,16 +244,18 @@
         """Records a job as running when its first task has started."""
         if state.phase is JobPhase.QUEUED:
             state.phase = JobPhase.RUNNING
-            self.record_phase(state.job.id, JobPhase.RUNNING)
+            self.record_live(state.job.id, JobPhase.RUNNING)
 
     def end_job(self, state: JobState, phase: JobPhase, reason: str) -> None:
-        """Sets the final state of a job and stops its attempts."""
+        """Sets the final state of a job and stops its attempts.
+
+        Callers learn of it once it is stored; until then the next leader may
+        have to run the job again.
+        """
         if state.phase.is_final:
             return
         self.workload.end_job(state, phase, self.unix_time())
         age_s = self.unix_time() - state.job.accepted_at
-        self.metrics.jobs_ended.labels(phase.value).inc()
-        self.metrics.job_seconds.labels(state.queue.priority).observe(age_s)
         _log.info(
             "job ended",
             extra={
@@ -366,8 +372,23 @@
             load[field] = load.get(field, 0) + amount
         return loads
 
-    def _on_ended(self, state: JobState) -> None:
-        self.record_phase(state.job.id, state.phase)
+    def _on_ended(self, state: JobState, end: StoredEnd) -> None:
+        self.record_end(end)
+        unix_time = self.unix_time()
+        self.metrics.jobs_ended.labels(end.phase.value).inc()
+        self.metrics.job_seconds.labels(state.queue.priority).observe(
+            unix_time - state.job.accepted_at
+        )
+        _log.info(
+            "end stored",
+            extra={
+                "job": end.job_id,
+                "phase": end.phase.value,
+                "revision": end.revision,
+                "epoch": self.leadership.epoch,
+                "waited_s": round(unix_time - state.progress.ended_at, 3),
+            },
+        )
 
     def _run_timed_checks(self, now: float) -> None:
         self.workload.open_due_occurrences(
--- a/libs/cell/dragonflybank/cell/messages.py
+++ b/libs/cell/dragonflybank/cell/messages.py
@@ -45,6 +45,7 @@
             the leader, since the store does not answer it or has one that
             cannot be decoded.
         accepts_packed: Whether the asking host reads `SyncReply.packed`.
+        accepts_ends: Whether the asking host reads `SyncReply.packed_ends`.
         shortfall: Share of what a leader needs that the asking host lacks; see
             `leader_fitness.shortfall`.
         pending_number: Number of the last numbers of pending jobs that the
@@ -59,6 +60,7 @@
     version: int
     needs_config: bool = True
     accepts_packed: bool = False
+    accepts_ends: bool = False
     shortfall: float = 1.0
     pending_number: int = -1
     suspensions_revision: int = 0
@@ -111,6 +113,9 @@
         over_term: Last term in which the answering host led, if that term has
             ended; otherwise 0.
         packed: Further ``states`` in the form of `pack_phases`.
+        packed_ends: Stored ends of jobs in the form of `pack_ends`. A final
+            phase in ``states`` has no revision: the asking host reads the store
+            before it reports it.
         executors: Number of executors of the cell; 0 if it is not known.
         pending_number: Number of ``pending`` and ``start_delays``, -1 if they
             have none. Both are left out if the asking host has them.
@@ -129,6 +134,7 @@
     start_delays: tuple[StartDelay, ...] = ()
     peers: tuple[str, ...] = ()
     packed: bytes = b""
+    packed_ends: bytes = b""
     executors: int = 0
     pending_number: int = -1
     team_delays: tuple[TeamDelay, ...] = ()
--- a/libs/cell/dragonflybank/cell/phase_cache.py
+++ b/libs/cell/dragonflybank/cell/phase_cache.py
@@ -9,10 +9,13 @@
 import asyncio
 import collections
 import itertools
+import types
+from collections.abc import Mapping
 
 from dragonflybank.cell.jobs import JobPhase
 from dragonflybank.cell.messages import StartDelay, SyncReply, TeamDelay
 from dragonflybank.cell.phase_packing import pack_phases, unpack_phases
+from dragonflybank.cell.stored_ends import StoredEnd, pack_ends, unpack_ends
 
 # Collects phase changes into one reply; small against a queue's objective.
 SYNC_BATCH_DELAY_S = 0.04
@@ -26,16 +29,19 @@
 CHANGES_KEPT = 4000
 # Phases older than this are read from the store instead.
 MAX_AGE_S = 2.0
-# Beyond this number the oldest jobs are evicted here; the store has them.
+# Beyond this number the oldest are evicted here; the store has them.
 JOBS_KEPT = 20_000
 
 
 class JobPhaseCache:
     """Phases of jobs, and numbers of pending jobs.
 
+    Final phases come as `StoredEnd` only and are kept for good. Live ones hold
+    while their leader leads, and for `MAX_AGE_S` after its last answer.
+
     Attributes:
         epoch: Epoch of the leader that the phases come from.
-        change_number: Number of the last change.
+        change_number: Number of the leader's last change.
         pending: Number of jobs without a started task, by queue.
         start_delays: Delays of new jobs under overload.
         pending_number: Number of the last update of ``pending`` and
@@ -53,7 +59,8 @@
         self._pending_updated_at = float("-inf")
         self.executors = 0
         self.synced_at = float("-inf")
-        self._states: dict[str, JobPhase] = {}
+        self._ends: dict[str, StoredEnd] = {}
+        self._live: dict[str, JobPhase] = {}
         self._changes: collections.deque[tuple[int, str]] = collections.deque(
             maxlen=CHANGES_KEPT
         )
@@ -67,26 +74,59 @@
         """Returns the delays of new jobs; none if they are not current."""
         return self.start_delays if self.is_fresh(now) else ()
 
+    @property
+    def ends(self) -> Mapping[str, StoredEnd]:
+        """The ends that are known, by job."""
+        return types.MappingProxyType(self._ends)
+
     def job_phase(self, job_id: str, now: float) -> JobPhase | None:
         """Returns a current phase, or None if the store must be read."""
-        phase = self._states.get(job_id)
-        if phase is not None and (phase.is_final or self.is_fresh(now)):
-            return phase
-        return None
-
-    def record_phase(self, job_id: str, phase: JobPhase) -> None:
-        """Records a phase; final phases never change, others only advance."""
-        known = self._states.get(job_id)
-        if known is not None and (
-            known.is_final or phase is known or phase is JobPhase.QUEUED
-        ):
+        end = self._ends.get(job_id)
+        if end is not None:
+            return end.phase
+        return self._live.get(job_id) if self.is_fresh(now) else None
+
+    def record_live(self, job_id: str, phase: JobPhase) -> None:
+        """Records a live phase.
+
+        Phases only advance: nothing changes after the end of the job, or back
+        to ``QUEUED``.
+
+        Raises:
+            ValueError: The phase is final; see `record_end`.
+        """
+        if self._set_live(job_id, phase):
+            self._number_change(job_id)
+
+    def record_end(self, end: StoredEnd) -> None:
+        """Records an end that this host has stored as the leader."""
+        self.learn_end(end)
+        # This host may have read it from the store before.
+        self._number_change(end.job_id)
+
+    def learn_end(self, end: StoredEnd) -> None:
+        """Records an end that another host has stored."""
+        if end.job_id in self._ends:
             return
-        self._states[job_id] = phase
+        self._live.pop(end.job_id, None)
+        _put_bounded(self._ends, end.job_id, end)
+
+    def _set_live(self, job_id: str, phase: JobPhase) -> bool:
+        """Sets a live phase; returns whether anything has changed."""
+        if phase.is_final:
+            raise ValueError(f"{phase} is final, and not known to be stored")
+        known = self._live.get(job_id)
+        if job_id in self._ends or phase is known:
+            return False
+        if known is not None and phase is JobPhase.QUEUED:
+            return False
+        _put_bounded(self._live, job_id, phase)
+        return True
+
+    def _number_change(self, job_id: str) -> None:
         self.change_number += 1
         self._changes.append((self.change_number, job_id))
         self._changed.set()
-        while len(self._states) > JOBS_KEPT:
-            self._states.pop(next(iter(self._states)))
 
     def wake_waiters(self) -> None:
         """Ends all calls of `wait_for_changes` that are waiting."""
@@ -96,14 +136,10 @@
         """Starts the epoch of another leader.
 
         A job may have ended under the former leader without this host learning
-        of it, so only final phases are kept.
+        of it, so only ends are kept.
         """
         self.epoch = epoch
-        self._states = {
-            job_id: phase
-            for job_id, phase in self._states.items()
-            if phase.is_final
-        }
+        self._live = {}
 
     async def wait_for_changes(
         self,
@@ -112,6 +148,7 @@
         *,
         wait_s: float,
         packs: bool = False,
+        takes_ends: bool = False,
         pending_number: int = -1,
     ) -> SyncReply:
         """Returns the changes after a number, waiting for some if none.
@@ -121,6 +158,7 @@
             number: Number of the last change that the asking host has.
             wait_s: Longest time to wait for a change, in seconds.
             packs: Whether the asking host reads the short form of phases.
+            takes_ends: Whether it reads `SyncReply.packed_ends`.
             pending_number: Number of the last update of pending jobs that the
                 asking host has, -1 for none.
         """
@@ -137,26 +175,30 @@
         is_other_epoch = epoch != self.epoch
         is_whole = is_other_epoch or number + 1 < oldest
         if is_other_epoch:
-            # Final phases never change, and a host that lacks one reads it from
-            # the store. All hosts ask at once after an election.
-            job_ids = [
-                job_id
-                for job_id, phase in self._states.items()
-                if not phase.is_final
-            ]
+            # A host that lacks an end reads it from the store. All hosts ask at
+            # once after an election.
+            job_ids = self._live.keys()
         elif is_whole:
-            job_ids = self._states.keys()
+            job_ids = itertools.chain(self._live, self._ends)
         else:
             newer = itertools.takewhile(
                 lambda change: change[0] > number, reversed(self._changes)
             )
             job_ids = {job_id: None for _, job_id in newer}
-        states = tuple(
-            (job_id, self._states[job_id].value)
+        job_ids = list(job_ids)
+        ends = [self._ends[i] for i in job_ids if i in self._ends]
+        states = [
+            (job_id, self._live[job_id].value)
             for job_id in job_ids
-            if job_id in self._states
-        )
-        packed, rest = pack_phases(states) if packs else (b"", states)
+            if job_id in self._live
+        ]
+        packed_ends = b""
+        if takes_ends:
+            packed_ends, other_ends = pack_ends(ends)
+            states += other_ends
+        else:
+            states += ((end.job_id, end.phase.value) for end in ends)
+        packed, rest = pack_phases(states) if packs else (b"", tuple(states))
         # A leader that followed one of an earlier version has no number yet.
         keeps_pending = (
             not is_other_epoch and 0 <= pending_number == self.pending_number
@@ -173,6 +215,7 @@
             team_delays=team_delays,
             pending_number=self.pending_number,
             packed=packed,
+            packed_ends=packed_ends,
             executors=self.executors,
         )
 
@@ -208,10 +251,17 @@
         ) == (self.epoch, self.pending_number)
         if reply.epoch != self.epoch:
             self.start_epoch(reply.epoch)
-        for job_id, phase in itertools.chain(
+        for end in unpack_ends(reply.packed_ends):
+            self.learn_end(end)
+        for job_id, name in itertools.chain(
             unpack_phases(reply.packed), reply.states
         ):
-            self.record_phase(job_id, JobPhase(phase))
+            phase = JobPhase(name)
+            if phase.is_final:
+                # Without a revision it may not be stored, so the store is read.
+                self._live.pop(job_id, None)
+            else:
+                self._set_live(job_id, phase)
         self.epoch = reply.epoch
         self.change_number = reply.number
         self._changes.clear()
@@ -222,6 +272,13 @@
         self.synced_at = now
 
 
+def _put_bounded(kept: dict, job_id: str, value) -> None:
+    """Adds an entry; the oldest are evicted beyond `JOBS_KEPT`."""
+    kept[job_id] = value
+    while len(kept) > JOBS_KEPT:
+        del kept[next(iter(kept))]
+
+
 def sync_batch_delay_s(hosts: int) -> float:
     """Returns for how long changes are collected into one sync reply.
 
--- a/libs/cell/dragonflybank/cell/takeover.py
+++ b/libs/cell/dragonflybank/cell/takeover.py
@@ -183,12 +183,9 @@
         max_early_start_s=leader.limits.max_early_start_s,
         now=now,
     )
-    if state is None:
-        ended = leader.workload.ended.get(job.id)
-        if ended is not None:
-            leader.record_phase(job.id, ended[0])
-    else:
-        leader.record_phase(job.id, state.phase)
+    # A job that has ended in memory may not be stored as ended yet.
+    if state is not None:
+        leader.record_live(job.id, state.phase)
         leader.update_queue(state)
         _log.info(
             "job added",
--- a/libs/cell/dragonflybank/cell/tests/test_group_commit.py
+++ b/libs/cell/dragonflybank/cell/tests/test_group_commit.py
@@ -38,7 +38,7 @@
             self.store.client("host"),
             self.leadership,
             clock=VirtualClock(),
-            on_ended=lambda job: self.ended.append(job.job.id),
+            on_ended=lambda job, end: self.ended.append(end.job_id),
         )
 
 
--- a/libs/cell/dragonflybank/cell/tests/test_phase_packing.py
+++ b/libs/cell/dragonflybank/cell/tests/test_phase_packing.py
@@ -18,7 +18,7 @@
     cache = JobPhaseCache()
     cache.start_epoch(7)
     for job_id in job_ids:
-        cache.record_phase(job_id, JobPhase.RUNNING)
+        cache.record_live(job_id, JobPhase.RUNNING)
     return cache
 
 
--- a/libs/cell/dragonflybank/cell/tests/test_rules.py
+++ b/libs/cell/dragonflybank/cell/tests/test_rules.py
@@ -12,6 +12,7 @@
 from dragonflybank.cell.jobs import JobPhase, Step
 from dragonflybank.cell.phase_cache import JobPhaseCache
 from dragonflybank.cell.state import AttemptPhase
+from dragonflybank.cell.stored_ends import StoredEnd
 from dragonflybank.cell.tests.builders import (
     QUEUES,
     add_job,
@@ -30,6 +31,7 @@
 from dragonflybank.cell.workload import Workload
 
 NOW = 100.0
+ONE = "5c0e7a21d94b36f8"
 
 
 class TestJobPhaseCache(testtools.TestCase):
@@ -38,15 +40,16 @@
     def test_a_final_state_never_changes(self):
         cache = JobPhaseCache()
         cache.synced_at = NOW
-        for phase in (JobPhase.COMPLETED, JobPhase.RUNNING, JobPhase.FAILED):
-            cache.record_phase("job", phase)
+        cache.record_end(StoredEnd("job", JobPhase.COMPLETED, 8))
+        cache.record_live("job", JobPhase.RUNNING)
+        cache.record_end(StoredEnd("job", JobPhase.FAILED, 9))
         self.assertThat(cache.job_phase("job", NOW), Equals(JobPhase.COMPLETED))
 
     def test_live_states_are_dropped_in_a_new_epoch(self):
         cache = JobPhaseCache()
         cache.synced_at = NOW
-        cache.record_phase("live", JobPhase.RUNNING)
-        cache.record_phase("ended", JobPhase.COMPLETED)
+        cache.record_live("live", JobPhase.RUNNING)
+        cache.record_end(StoredEnd("ended", JobPhase.COMPLETED, 8))
         cache.start_epoch(2)
         self.assertThat(cache.job_phase("live", NOW), Equals(None))
         self.assertThat(
@@ -56,26 +59,29 @@
     def test_outdated_live_states_are_not_reported(self):
         cache = JobPhaseCache()
         cache.synced_at = NOW
-        cache.record_phase("job", JobPhase.RUNNING)
+        cache.record_live("job", JobPhase.RUNNING)
         self.assertThat(cache.job_phase("job", NOW + 9), Equals(None))
 
     def test_a_host_that_is_behind_gets_only_the_changes(self):
         async def main():
             cache, follower = JobPhaseCache(), JobPhaseCache()
             cache.start_epoch(7)
-            cache.record_phase("one", JobPhase.QUEUED)
+            cache.record_live(ONE, JobPhase.QUEUED)
             follower.apply_changes(
                 await cache.wait_for_changes(0, 0, wait_s=0.01), NOW
             )
-            cache.record_phase("one", JobPhase.COMPLETED)
-            cache.record_phase("two", JobPhase.QUEUED)
+            cache.record_end(StoredEnd(ONE, JobPhase.COMPLETED, 8))
+            cache.record_live("two", JobPhase.QUEUED)
             reply = await cache.wait_for_changes(
-                follower.epoch, follower.change_number, wait_s=0.01
+                follower.epoch,
+                follower.change_number,
+                wait_s=0.01,
+                takes_ends=True,
             )
             follower.apply_changes(reply, NOW)
             return (
                 reply.is_whole,
-                follower.job_phase("one", NOW),
+                follower.job_phase(ONE, NOW),
                 follower.change_number,
             )
 
@@ -91,7 +97,7 @@
         super().setUp()
         self.workload = Workload()
         self.tracker = HealthTracker()
-        self.executor = make_executor("one")
+        self.executor = make_executor(ONE)
 
     def _make_task(self, number: int):
         return get_step(add_job(self.workload, number, Step(1))).tasks[0]
@@ -170,7 +176,7 @@
     def test_filling_tasks_stop_near_the_latency_target_and_resume(
         self,
     ):
-        workload, one = Workload(), make_executor("one")
+        workload, one = Workload(), make_executor(ONE)
         serving = get_step(
             add_job(workload, 1, Step(1, tail_target_s=0.1, lasting=True))
         ).tasks[0]
--- a/libs/cell/dragonflybank/cell/tests/test_takeover.py
+++ b/libs/cell/dragonflybank/cell/tests/test_takeover.py
@@ -53,7 +53,8 @@
                 clock=clock,
                 unix_time=clock.now,
                 advice_dispatcher=None,
-                record_phase=phases.__setitem__,
+                record_live=phases.__setitem__,
+                record_end=lambda end: None,
                 metrics=CellMetrics(),
             )
             leader.adopt_config(make_config(caps={"a": 20}))
--- a/libs/standins/dragonflybank/standins/cell/schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/schedules.py
@@ -2,12 +2,15 @@
 
 ``python -m dragonflybank.standins.cell.schedules FIRST LAST`` runs the
 schedules of a range of seeds and prints those that violated a rule. With the
-option ``--restart-series``, executors restart in series and are cut off.
+option ``--restart-series``, executors restart in series and are cut off; with
+``--outages``, the store is down so long that leases expire, and executors crash
+meanwhile.
 """
 
 __all__ = [
     "FAULTS",
     "ScheduledFault",
+    "draw_outages",
     "draw_restart_series",
     "draw_schedule",
     "play_schedule",
@@ -45,6 +48,10 @@
 BACK_RANGE_S = (0.3, 3.0)
 CUT_RANGE_S = (2.0, 12.0)
 MAX_CALL_DELAY_S = 0.5
+# Longer than the lease of the leader's key.
+OUTAGE_RANGE_S = (2.0, 5.0)
+MAX_OUTAGES = 3
+MAX_WATCH_DELAY_S = 0.6
 
 
 @attrs.frozen
@@ -130,6 +137,48 @@
     return series
 
 
+def draw_outages(seed: int) -> list[ScheduledFault]:
+    """Draws outages in which the leader's lease expires.
+
+    Executors that hold the only record of an end crash during them. The watches
+    are late or read all keys again, answers to writes are lost, and the leader
+    goes on for a while without its key.
+    """
+    rng = random.Random(f"outages {seed}")
+    found: list[ScheduledFault] = []
+    for _ in range(rng.randint(1, MAX_OUTAGES)):
+        start_s = rng.uniform(1.0, LAST_START_S)
+        outage_s = rng.uniform(*OUTAGE_RANGE_S)
+        found.append(ScheduledFault(start_s, "store_silent", 0, outage_s))
+        found += [
+            ScheduledFault(
+                start_s + rng.uniform(0.2, outage_s),
+                "executor_crashed",
+                rng.randrange(100),
+                rng.choice(DURATIONS_S),
+            )
+            for _ in range(rng.randint(1, 2))
+        ]
+        found += [
+            ScheduledFault(
+                max(0.0, start_s - rng.uniform(0.0, 1.0)),
+                fault,
+                # An odd number selects the leader.
+                2 * rng.randrange(50) + 1,
+                outage_s + rng.uniform(0.0, 2.0),
+            )
+            for fault, share in (
+                ("history_lost", 0.5),
+                ("watches_late", 0.4),
+                ("answers_lost", 0.3),
+                ("writes_late", 0.2),
+                ("key_revoked", 0.2),
+            )
+            if rng.random() < share
+        ]
+    return found
+
+
 async def _run(seed: int, schedule: Sequence[ScheduledFault]) -> list[str]:
     cell = SimulatedCell(seed)
     await cell.start()
@@ -143,7 +192,8 @@
 
 async def _inject(cell: SimulatedCell, scheduled: ScheduledFault) -> None:
     await asyncio.sleep(scheduled.start_s)
-    await FAULTS[scheduled.fault](cell, scheduled)
+    inject = FAULTS.get(scheduled.fault) or OUTAGE_FAULTS[scheduled.fault]
+    await inject(cell, scheduled)
 
 
 def _select_host(cell: SimulatedCell, scheduled: ScheduledFault) -> str:
@@ -276,6 +326,11 @@
     cell.store.faults.is_history_lost = True
 
 
+async def watches_late(cell: SimulatedCell, scheduled: ScheduledFault) -> None:
+    """The store's answers to watches are late."""
+    await _store_fault(cell, scheduled, "watch_delay_s", MAX_WATCH_DELAY_S)
+
+
 async def executor_cut(cell: SimulatedCell, scheduled: ScheduledFault) -> None:
     """An executor is cut off but runs on."""
     await _executor_fault(cell, scheduled, "is_cut", True)
@@ -466,6 +521,13 @@
     )
 }
 
+# Drawn by `draw_outages` only, so that the schedules of other seeds stay.
+OUTAGE_FAULTS: dict[str, Fault] = {watches_late.__name__: watches_late}
+DRAWS = {
+    "--restart-series": draw_restart_series,
+    "--outages": draw_outages,
+}
+
 
 def main(
     first: int,
@@ -489,10 +551,10 @@
 
 
 if __name__ == "__main__":
-    is_series = "--restart-series" in sys.argv[3:]
+    option = next(iter(sys.argv[3:]), "")
     violating = main(
         int(sys.argv[1]),
         int(sys.argv[2]),
-        draw_restart_series if is_series else draw_schedule,
+        DRAWS.get(option, draw_schedule),
     )
     sys.exit(1 if violating else 0)
--- a/libs/standins/dragonflybank/standins/cell/simulated_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/simulated_cell.py
@@ -23,6 +23,7 @@
 from dragonflybank.cell.ports import ExecutorInfo
 from dragonflybank.cell.teams import Team
 from dragonflybank.model.codes import Code
+from dragonflybank.standins.cell.answer_check import AnswerCheck
 from dragonflybank.standins.cell.caller_keys import CallerKeys
 from dragonflybank.standins.cell.checks import CallerHistory, find_violations
 from dragonflybank.standins.cell.executors import MemoryExecutor
@@ -46,6 +47,7 @@
 PHASE_POLL_INTERVAL_S = 0.5
 LEADER_POLL_INTERVAL_S = 0.005
 CALL_TIMEOUT_S = 3.0
+ANSWER_CHECK_INTERVAL_S = 0.1
 
 
 class SimulatedCell:
@@ -56,6 +58,8 @@
         executors: Executors by identifier.
         hosts: Live hosts by name.
         history: Requests of callers and the answers that they got.
+        answer_check: Compares what hosts say of ends and cancels with the
+            store.
         cut_peers: Hosts that neither reach other hosts nor are reached by them.
         powered_off: Hosts whose machines have lost power.
         handlers_of_host: Handlers of calls from peers, by live host.
@@ -86,6 +90,7 @@
         self.rng = random.Random(seed)
         self.store = MemoryStore(random.Random(seed + 1))
         self.history = CallerHistory()
+        self.answer_check = AnswerCheck(self.store)
         self.hosts: dict[str, CellHost] = {}
         self.cut_peers: set[str] = set()
         self.powered_off: set[str] = set()
@@ -322,13 +327,20 @@
             hosts = list(self.hosts.values())
             if not hosts:
                 continue
-            got = await self.rng.choice(hosts).frontend.job_phase(job.id)
+            host = self.rng.choice(hosts)
+            got = await host.frontend.job_phase(job.id)
             if isinstance(got, Failure):
                 if got.failure().code is Code.UNKNOWN_JOB:
                     observed_phases.append((self._clock.now(), JobPhase.FAILED))
                     return None
                 continue
             observed_phases.append((self._clock.now(), got.unwrap()))
+            self.answer_check.check_phase(
+                self._process_of_host[host.settings.name],
+                job.id,
+                got.unwrap(),
+                self._clock.now(),
+            )
             if got.unwrap().is_final:
                 return got.unwrap()
         return None
@@ -343,9 +355,26 @@
                 )
                 if isinstance(got, Success):
                     self.history.cancelled[job.id] = self._clock.now()
+                    self.answer_check.check_cancel(
+                        host.settings.name, job.id, self._clock.now()
+                    )
                     return
             await asyncio.sleep(1.0)
 
+    async def _check_answers(self) -> None:
+        """Checks what the hosts would answer without a look at the store."""
+        while True:
+            await asyncio.sleep(ANSWER_CHECK_INTERVAL_S)
+            now = self._clock.now()
+            for name, host in self.hosts.items():
+                process = self._process_of_host[name]
+                for job_id in self.history.accepted:
+                    phase = host.frontend.known_phase(job_id)
+                    if phase is not None:
+                        self.answer_check.check_phase(
+                            process, job_id, phase, now
+                        )
+
     async def run_load(
         self, load: SubmissionLoad, *, finish_timeout_s: float = 60.0
     ) -> list[str]:
@@ -357,14 +386,17 @@
                 after its submission, in seconds.
         """
         number = int(load.jobs_per_s * load.duration_s)
+        checking = asyncio.create_task(self._check_answers())
         async with asyncio.TaskGroup() as group:
             callers = [
                 group.create_task(self._run_caller(load, finish_timeout_s))
                 for _ in range(number)
             ]
+        checking.cancel()
         unfinished = [c.result() for c in callers if c.result()]
         return [
             *find_violations(self.history, self.executors.values()),
+            *self.answer_check.violations,
             *unfinished,
         ]
 
--- a/libs/standins/dragonflybank/standins/cell/store.py
+++ b/libs/standins/dragonflybank/standins/cell/store.py
@@ -41,6 +41,8 @@
         is_history_lost: Whether the next watch reports that the store no longer
             has the events since its revision. The watch resets it.
         pauses_leases: Whether leases don't expire while the store is down.
+        watch_delay_s: Longest additional delay of the answer to a watch, in
+            seconds.
     """
 
     is_down: bool = False
@@ -52,6 +54,7 @@
     round_trip_s: float = ROUND_TRIP_S
     is_history_lost: bool = False
     pauses_leases: bool = False
+    watch_delay_s: float = 0.0
 
 
 class MemoryStore:
@@ -67,6 +70,7 @@
         self.calls: dict[str, int] = {}
         self._rng = rng
         self._items: dict[str, tuple[bytes, int, int]] = {}
+        self._last_values: dict[str, bytes] = {}
         self._events: list[Item] = []
         self._revision = 1
         self._leases: dict[int, tuple[float, float]] = {}
@@ -90,6 +94,10 @@
         found = self._items.get(key)
         return found[0] if found else None
 
+    def last_value(self, key: str) -> bytes | None:
+        """Returns the last value of a key, also if it has been removed."""
+        return self._last_values.get(key)
+
     def keys(self, prefix: str) -> list[str]:
         """Returns the keys with a prefix, unaffected by faults."""
         self._expire()
@@ -139,6 +147,7 @@
             self._items.pop(key, None)
         else:
             self._items[key] = (value, self._revision, lease)
+            self._last_values[key] = value
         self._events.append(Item(key, value, self._revision))
         self._changed.set()
 
@@ -217,6 +226,10 @@
             )
             first = len(self._events)
             if items or self._now() >= until:
+                if self.faults.watch_delay_s:
+                    await asyncio.sleep(
+                        self._rng.uniform(0.0, self.faults.watch_delay_s)
+                    )
                 return Success(WatchResult(items, revision))
             self._changed.clear()
             try:
--- a/libs/standins/dragonflybank/standins/cell/tests/test_schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_schedules.py
@@ -11,6 +11,7 @@
     LAST_START_S,
     MAX_FAULTS,
     ScheduledFault,
+    draw_outages,
     draw_restart_series,
     play_schedule,
 )
@@ -32,6 +33,8 @@
 # acknowledgement without answers reached an incarnation that wasn't known. In
 # 586 the acknowledgement was sent first, in the others the start.
 RESTART_SERIES_SEEDS = (1, 2, 3, 4, 172, 185, 370, 425, 586)
+# On 561a797 a host called a job ended in each of these before that was stored.
+OUTAGE_SEEDS = (2, 4, 6, 10, 13, 17)
 # Schedules that once violated a rule, with the seed of their cell, by the
 # cause of the violation.
 REGRESSIONS = {
@@ -99,6 +102,10 @@
     """Guards against tasks that run twice beside restarts (issue 36)."""
 
 
+class TestOutages(testtools.TestCase):
+    """Guards against ends that are answered before they are stored."""
+
+
 def _make_test(seed: int, schedule: list[ScheduledFault]):
     def test(self):
         found = play_schedule(seed, schedule)
@@ -116,3 +123,10 @@
         f"test_seed__{seed}",
         _make_test(seed, draw_restart_series(seed)),
     )
+
+for seed in OUTAGE_SEEDS:
+    setattr(
+        TestOutages,
+        f"test_seed__{seed}",
+        _make_test(seed, draw_outages(seed)),
+    )
