Load the occurrences that a former leader with a faster clock has begun

What callers would see: an occurrence of a recurring job runs again after its end was acknowledged.

Cause: which occurrences are open follows from the leader's clock and isn't stored. A successor whose clock is behind took ends of an occurrence that it did not know for those of an ended job, and acknowledged them unrecorded.

Change: occurrences that the stored progress names are loaded at once; their further tasks wait until they are due.

Evidence: both new tests fail without the change.

--- a/libs/cell/dragonflybank/cell/state.py
+++ b/libs/cell/dragonflybank/cell/state.py
@@ -264,7 +264,9 @@
         job: The job.
         phase: State; a final one is reported to callers only once it is
             stored.
-        occurrences: Steps of each occurrence that is due.
+        occurrences: Steps of each occurrence that is due, or of which an
+            earlier leader, whose clock was ahead, has started tasks.
+        due_count: Number of occurrences that are due.
         unfinished_steps: Number of steps of these that are not done.
         open_attempts: Attempts that may be running, in the order in which they
             were reserved; `capacity` keeps them.
@@ -280,6 +282,7 @@
     job: Job
     phase: JobPhase = JobPhase.QUEUED
     occurrences: dict[int, list[StepState]] = attrs.field(factory=dict)
+    due_count: int = 0
     unfinished_steps: int = 0
     open_attempts: dict[Attempt, None] = attrs.field(factory=dict)
     cancelled: bool = False
--- a/libs/cell/dragonflybank/cell/tests/test_takeover.py
+++ b/libs/cell/dragonflybank/cell/tests/test_takeover.py
@@ -18,9 +18,13 @@
 from dragonflybank.cell.leader import Leader
 from dragonflybank.cell.limits import CellLimits
 from dragonflybank.cell.metrics import CellMetrics
-from dragonflybank.cell.ports import RunningAttempt
+from dragonflybank.cell.ports import AttemptEnd, EndKind, RunningAttempt
 from dragonflybank.cell.takeover import take_over
-from dragonflybank.cell.tests.builders import QUEUES, make_config
+from dragonflybank.cell.tests.builders import (
+    QUEUES,
+    make_config,
+    make_executor,
+)
 from dragonflybank.standins.cell.memory_platform import MemoryPlatform
 from dragonflybank.standins.cell.simulated_cell import SimulatedCell
 from dragonflybank.standins.cell.virtual_time import (
@@ -30,6 +34,23 @@
 
 JOB_ID = "5c0e7a21d94b36f8"
 
+RECURRING_ID = "7d00000000000001"
+
+
+def make_leader(cell, clock, phases) -> Leader:
+    """Returns a leader of a cell that has been elected just now."""
+    return Leader(
+        MemoryPlatform(cell, "host-0"),
+        Leadership(1, 1, clock.now(), clock.now()),
+        limits=CellLimits(),
+        clock=clock,
+        unix_time=clock.now,
+        advice_dispatcher=None,
+        record_live=phases.__setitem__,
+        record_end=lambda end: None,
+        metrics=CellMetrics(),
+    )
+
 
 class TestTakeOver(testtools.TestCase):
     """Guards against attempts of earlier leaders that are not counted."""
@@ -46,17 +67,7 @@
             cell.store.put(progress_key(JOB_ID), encode_record(progress))
             cell.store.put(cancel_key(JOB_ID), b"1")
             clock = VirtualClock()
-            leader = Leader(
-                MemoryPlatform(cell, "host-0"),
-                Leadership(1, 1, clock.now(), clock.now()),
-                limits=CellLimits(),
-                clock=clock,
-                unix_time=clock.now,
-                advice_dispatcher=None,
-                record_live=phases.__setitem__,
-                record_end=lambda end: None,
-                metrics=CellMetrics(),
-            )
+            leader = make_leader(cell, clock, phases)
             leader.adopt_config(make_config(caps={"a": 20}))
             await take_over(leader)
             used = leader.workload.team_usage.used("a").millicores
@@ -77,3 +88,39 @@
             await leader.close()
 
         run_in_virtual_time(run())
+
+    def test_an_end_of_an_occurrence_that_is_not_due_is_recorded(self):
+        """Guards against an acknowledged end that no record holds.
+
+        The former leader's clock was ahead, so that it had started the task.
+        """
+        progress = Progress(placed={"0.0.0": (1, "executor-0")})
+
+        async def run():
+            cell = SimulatedCell(1)
+            clock = VirtualClock()
+            job = Job(
+                RECURRING_ID,
+                QUEUES["lookup"],
+                "text",
+                (Step(1),),
+                clock.now(),
+                start_at=clock.now() + 3.0,
+                interval_s=9.0,
+                repeat=2,
+            )
+            cell.store.put(job_key(job.id), encode_record(job))
+            cell.store.put(progress_key(job.id), encode_record(progress))
+            leader = make_leader(cell, clock, {})
+            await take_over(leader)
+            info = cell.executors["executor-0"].info
+            executor = make_executor(info.id)
+            task = TaskId(job.id, 0, 0, 0)
+            end = AttemptEnd(1, task, 1, EndKind.DONE)
+            leader.attempts.process_end(executor, end, clock.now())
+            state = leader.workload.jobs[job.id]
+            self.assertThat(state.progress.done, Equals({"0.0": [0]}))
+            self.assertThat(leader.committer.changes_marked, Equals(1))
+            await leader.close()
+
+        run_in_virtual_time(run())
--- a/libs/cell/dragonflybank/cell/tests/test_workload.py
+++ b/libs/cell/dragonflybank/cell/tests/test_workload.py
@@ -96,6 +96,29 @@
             opened.append(len(state.occurrences))
         self.assertThat(opened, Equals([0, 1, 2, 3]))
 
+    def test_an_occurrence_started_by_a_faster_clock_is_known_but_waits(self):
+        """Guards against ends that a slower clock's leader drops unread."""
+        state = add_job(
+            self.workload,
+            1,
+            Step(1),
+            Step(1, after=(0,)),
+            progress=Progress(placed={"1.0.0": (3, "one")}),
+            start_at=10.0,
+            interval_s=5.0,
+            repeat=3,
+        )
+        first, second = state.occurrences[1]
+        self.assertThat(first.tasks[0].last_attempt, Equals(3))
+        self.workload.finish_task(first.tasks[0], 3, 9.0)
+        self.assertThat(state.progress.done, Equals({"1.0": [0]}))
+        for unix_time, ready in ((10.0, 1), (14.0, 1), (14.8, 2)):
+            self.workload.open_due_occurrences(
+                unix_time, max_early_start_s=0.25, now=unix_time
+            )
+            self.assertThat(self.workload.ready, HasLength(ready))
+        self.assertThat(list(self.workload.ready)[1], Equals(second))
+
     def test_a_job_with_occurrences_to_come_is_not_complete(self):
         state = add_job(
             self.workload, 1, Step(1), start_at=10.0, interval_s=5.0, repeat=2
--- a/libs/cell/dragonflybank/cell/workload.py
+++ b/libs/cell/dragonflybank/cell/workload.py
@@ -3,7 +3,7 @@
 The functions here do no input or output; the leader acts on their results.
 """
 
-__all__ = ["Workload"]
+__all__ = ["Workload", "recorded_occurrences"]
 
 import itertools
 from collections.abc import Iterable, Iterator
@@ -127,12 +127,14 @@
         self.jobs[job.id] = state
         self.rate_meter.add(state)
         if job.is_recurring:
+            for occurrence in sorted(recorded_occurrences(progress)):
+                self._load_occurrence(state, occurrence, now)
             self.recurring[job.id] = state
             self.open_due_occurrences(
                 unix_time, max_early_start_s=max_early_start_s, now=now
             )
         else:
-            self._open_occurrence(state, 0, now)
+            self._open_next_occurrence(state, now)
         return state
 
     def open_due_occurrences(
@@ -152,10 +154,10 @@
                 raise InputFaultError(FaultPlace.ROUND, [state.job.id]) from exc
 
     def _open_due(self, state: JobState, until: float, now: float) -> None:
-        while (number := len(state.occurrences)) < state.job.repeat:
-            if state.job.due_at(number) > until:
+        while state.due_count < state.job.repeat:
+            if state.job.due_at(state.due_count) > until:
                 return
-            self._open_occurrence(state, number, now)
+            self._open_next_occurrence(state, now)
         del self.recurring[state.job.id]
 
     def find_task(self, task_id: TaskId) -> Task | None:
@@ -337,9 +339,18 @@
         if job.team:
             self.ended_steps[job.id] = (job.team, job.steps)
 
-    def _open_occurrence(
+    def _open_next_occurrence(self, state: JobState, now: float) -> None:
+        """Lets the steps of the next occurrence become ready."""
+        occurrence = state.due_count
+        if occurrence not in state.occurrences:
+            self._load_occurrence(state, occurrence, now)
+        state.due_count += 1
+        self._open_ready_steps(state, state.occurrences[occurrence], now)
+
+    def _load_occurrence(
         self, state: JobState, occurrence: int, now: float
     ) -> None:
+        """Creates the steps of an occurrence; none of them is ready yet."""
         progress = state.progress
         steps = []
         for number, spec in enumerate(state.job.steps):
@@ -359,7 +370,6 @@
             )
         state.unfinished_steps += sum(s.unfinished_count > 0 for s in steps)
         state.occurrences[occurrence] = steps
-        self._open_ready_steps(state, steps, now)
 
     def _make_task(
         self, step: StepState, index: int, done: bool, now: float
@@ -383,6 +393,8 @@
             # A task may succeed after its job was cancelled.
             return
         for step in steps:
+            if step.occurrence >= state.due_count:
+                continue
             if step.ready_at is None and not step.blocking_count:
                 step.ready_at = now
                 if step.unfinished_count:
@@ -393,6 +405,21 @@
             self.ready[step] = None
 
 
+def recorded_occurrences(progress: Progress) -> set[int]:
+    """Returns the occurrences that a record of progress names.
+
+    A leader stores where it places a task before it starts it.
+
+    Example:
+        >>> recorded_occurrences(Progress(placed={"2.0.7": (1, "one")}))
+        {2}
+    """
+    keys = itertools.chain(
+        progress.done, progress.failed, progress.saved, progress.placed
+    )
+    return {int(key.partition(".")[0]) for key in keys}
+
+
 def _all_steps(state: JobState) -> Iterator[StepState]:
     return itertools.chain.from_iterable(state.occurrences.values())
 
