--- a/libs/cli/dragonflybank/cli/tests/test_explain.py
+++ b/libs/cli/dragonflybank/cli/tests/test_explain.py
@@ -62,6 +62,26 @@
         self.assertThat(marked[0], Contains("executor=i-2"))
         self.assertThat(marked[0], Contains("7.400 s"))
 
+    def test_answered_end_is_shown_with_its_revision(self):
+        lines = [
+            line(1.0, "job ended", job=JOB, phase="completed"),
+            line(5.0, "end stored", job=JOB, phase="completed", revision=81),
+            line(
+                5.1,
+                "end answered",
+                "host-b",
+                job=JOB,
+                phase="completed",
+                revision=81,
+            ),
+        ]
+        found = format_history(related_events(read_events(lines), JOB), JOB)
+        for text, event in zip(
+            found[1:], ("end stored", "end answered"), strict=True
+        ):
+            self.assertThat(text, Contains(event))
+            self.assertThat(text, Contains("revision=81"))
+
     def test_unknown_job_has_no_history(self):
         self.assertThat(
             related_events(read_events(LINES), "0" * 16), Equals([])
--- a/libs/standins/dragonflybank/standins/cell/schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/schedules.py
@@ -13,6 +13,7 @@
     "draw_outages",
     "draw_restart_series",
     "draw_schedule",
+    "inject",
     "play_schedule",
 ]
 
@@ -183,14 +184,15 @@
     cell = SimulatedCell(seed)
     await cell.start()
     injecting = [
-        asyncio.create_task(_inject(cell, scheduled)) for scheduled in schedule
+        asyncio.create_task(inject(cell, scheduled)) for scheduled in schedule
     ]
     found = await cell.run_load(LOAD)
     await asyncio.gather(*injecting)
     return found
 
 
-async def _inject(cell: SimulatedCell, scheduled: ScheduledFault) -> None:
+async def inject(cell: SimulatedCell, scheduled: ScheduledFault) -> None:
+    """Waits until a fault of a schedule is due, and plays it."""
     await asyncio.sleep(scheduled.start_s)
     inject = FAULTS.get(scheduled.fault) or OUTAGE_FAULTS[scheduled.fault]
     await inject(cell, scheduled)
