Split the faults, the check and the configurations out of long modules

Change: faults of the simulated cell are in cell_faults.py, the loop that asks the hosts is a method of AnswerCheck, configurations and keys of the soak are in configurations.py, and get_status is beside the host processes. No product code, and no draw changes.

--- a/libs/bench/dragonflybank/bench/soak/process_cell.py
+++ b/libs/bench/dragonflybank/bench/soak/process_cell.py
@@ -3,7 +3,6 @@
 __all__ = ["LONG_RUN_RANGE_S", "ProcessCell"]
 
 import asyncio
-import contextlib
 import itertools
 import os
 import pathlib
@@ -25,19 +24,17 @@
     StoreServer,
 )
 from dragonflybank.bench.deployment import wait_until
-from dragonflybank.bench.soak.processes import HostProcess
+from dragonflybank.bench.soak.configurations import (
+    LASTING_KEY,
+    UNKNOWN_KEY,
+    draw_key,
+    make_configuration,
+)
+from dragonflybank.bench.soak.processes import HostProcess, get_status
 from dragonflybank.bench.soak.proxy import TcpProxy
 from dragonflybank.bench.soak.recording import RecordingClient
 from dragonflybank.cell.election import LEADER_KEY, LeaderRecord
-from dragonflybank.cell.jobs import (
-    CellConfig,
-    Job,
-    JobPhase,
-    Queue,
-    Service,
-    Step,
-)
-from dragonflybank.cell.teams import Team, key_digest
+from dragonflybank.cell.jobs import Job, JobPhase, Step
 from dragonflybank.standins.cell.checks import KeyDecision
 from dragonflybank.standins.cell.executors import MemoryExecutor
 from dragonflybank.standins.cell.simulated_cell import (
@@ -66,10 +63,6 @@
 CONFIG_PROPAGATION_LIMIT_S = 2.5 + 6.0
 UNDISTURBED_S = 4.0
 CALLER_HOSTNAME = "front"
-# Each configuration has the first key, and adds a key named after its version
-# that the next but one withdraws.
-LASTING_KEY = "lasting"
-UNKNOWN_KEY = "never-in-force"
 # Longer than a restart, a cut and a lease.
 LONG_RUN_RANGE_S = (8.0, 20.0)
 
@@ -169,32 +162,16 @@
     def configure(self) -> None:
         """Writes the next configuration, which adds a queue named after it."""
         self._config_version += 1
-        extra = attrs.evolve(
-            next(iter(self._queues.values())),
-            name=f"extra-{self._config_version}",
-            prefix=f"/extra-{self._config_version}/",
-        )
-        queues: tuple[Queue, ...] = (*self._queues.values(), extra)
-        keys = {
-            "lasting": [LASTING_KEY],
-            "rotating": [
-                f"key-{n}"
-                for n in (self._config_version - 1, self._config_version)
-            ],
-        }
-        cfg = CellConfig(
+        cfg, keys = make_configuration(
             self._config_version,
-            {CALLER_HOSTNAME: queues},
-            {SERVICE_NAME: Service(SERVICE_NAME)},
-            teams={
-                name: Team(name, tuple(map(key_digest, found)))
-                for name, found in keys.items()
-            },
+            CALLER_HOSTNAME,
+            self._queues.values(),
+            SERVICE_NAME,
         )
         self.store.put(HttpPlatform.config_key, config_body(cfg, keys=keys))
         known = frozenset(itertools.chain.from_iterable(keys.values()))
         self.history.keys.append((self.now(), known))
-        for queue in queues:
+        for queue in cfg.queues[CALLER_HOSTNAME]:
             self.history.record_service(queue, self.now())
         self._configured_at = self.now()
 
@@ -279,9 +256,8 @@
                 return None
             if status != 200:
                 continue
-            phase = JobPhase(msgspec.json.decode(body)["state"])
+            phase = self._check_phase(job, body, process)
             observed_phases.append((self.now(), phase))
-            self.answer_check.check_phase(process, job.id, phase, self.now())
             if phase.is_final:
                 await self._ask_again(job)
                 return phase
@@ -296,10 +272,13 @@
                     "GET", job, None, host_name=name
                 )
                 if status == 200:
-                    phase = JobPhase(msgspec.json.decode(body)["state"])
-                    self.answer_check.check_phase(
-                        process, job.id, phase, self.now()
-                    )
+                    self._check_phase(job, body, process)
+
+    def _check_phase(self, job: Job, body: bytes, process: str) -> JobPhase:
+        """Returns the phase that a process answered, after its check."""
+        phase = JobPhase(msgspec.json.decode(body)["state"])
+        self.answer_check.check_phase(process, job.id, phase, self.now())
+        return phase
 
     async def cancel(self, job: Job) -> None:
         """Cancels a job as a caller does."""
@@ -332,12 +311,14 @@
         Returns:
             Status, None without an answer; body; and process of the host.
         """
-        host = (
-            self.processes[host_name] if host_name else self._choose_host(job)
-        )
+        host = self.processes.get(host_name) or self._choose_host(job)
         session = self._caller_session(host.name)
         sent_at, process_number = self.now(), host.process_number
-        key = self._draw_key() if method == "POST" else LASTING_KEY
+        key = (
+            draw_key(self._config_version, self.rng)
+            if method == "POST"
+            else LASTING_KEY
+        )
         try:
             async with session.request(
                 method,
@@ -352,20 +333,12 @@
                 self._record_key_decision(host, key, sent_at, resp.status)
                 process = f"{host.name}#{process_number}"
                 return resp.status, await resp.read(), process
-        except aiohttp.ClientConnectorError:
-            return None, b"", ""
-        except TimeoutError:
+        except (aiohttp.ClientConnectorError, TimeoutError):
             return None, b"", ""
         except (aiohttp.ClientError, OSError):
             self._check_lost_request(host, process_number, sent_at)
             return None, b"", ""
 
-    def _draw_key(self) -> str:
-        """Returns a key in force, a withdrawn one or one that never was."""
-        version = self._config_version
-        keys = (f"key-{version}", f"key-{version - 2}", UNKNOWN_KEY)
-        return self.rng.choices((LASTING_KEY, *keys), (7, 1, 1, 1))[0]
-
     def _record_key_decision(
         self, host: HostProcess, key: str, sent_at: float, status: int
     ) -> None:
@@ -473,7 +446,12 @@
         misses = dict.fromkeys(self.processes, 2)
         while True:
             for name, host in self.processes.items():
-                status = await self._get_status(host.ready_url, timeout_s=0.5)
+                status = await get_status(
+                    self._probe_session,
+                    host.ready_url,
+                    CALLER_HOSTNAME,
+                    timeout_s=0.5,
+                )
                 misses[name] = 0 if status == 200 else misses[name] + 1
                 host.was_ready |= status == 200
             self._ready_hosts = {n for n, count in misses.items() if count < 2}
@@ -493,7 +471,9 @@
             self.now(),
         )
         url = f"http://{host.caller_proxy.address}/extra-{version}/"
-        status = await self._get_status(url, timeout_s=1.0)
+        status = await get_status(
+            self._probe_session, url, CALLER_HOSTNAME, timeout_s=1.0
+        )
         if status is None or host.process_number != process_number:
             return
         key = host.name, process_number
@@ -516,15 +496,5 @@
                 f"CONFIG {host.name} has not adopted {version}"
             )
 
-    async def _get_status(self, url: str, *, timeout_s: float) -> int | None:
-        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
-            async with self._probe_session.get(
-                url,
-                headers={"Host": CALLER_HOSTNAME},
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
-            ) as resp:
-                return resp.status
-        return None
-
     def _start_task(self, coro) -> None:
         self._tasks.append(asyncio.create_task(coro))
--- a/libs/bench/dragonflybank/bench/soak/processes.py
+++ b/libs/bench/dragonflybank/bench/soak/processes.py
@@ -1,6 +1,6 @@
 """Host processes of the soak: settings, signals and restarts."""
 
-__all__ = ["HostProcess"]
+__all__ = ["HostProcess", "get_status"]
 
 import asyncio
 import contextlib
@@ -11,6 +11,8 @@
 import signal
 import sys
 
+import aiohttp
+
 from dragonflybank.bench.soak.host import CLOCK_SIGNAL, CLOCK_VARIABLE
 from dragonflybank.bench.soak.proxy import TcpProxy
 
@@ -193,3 +195,28 @@
             "advice_address": advice_address,
         }
         self._settings_file.write_text(json.dumps(fields))
+
+
+async def get_status(
+    session: aiohttp.ClientSession,
+    url: str,
+    hostname: str,
+    *,
+    timeout_s: float,
+) -> int | None:
+    """Returns the HTTP status of a URL, None without an answer.
+
+    Args:
+        session: Session that sends the request.
+        url: The URL.
+        hostname: The Host header.
+        timeout_s: Timeout in seconds.
+    """
+    with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+        async with session.get(
+            url,
+            headers={"Host": hostname},
+            timeout=aiohttp.ClientTimeout(total=timeout_s),
+        ) as resp:
+            return resp.status
+    return None
--- a/libs/standins/dragonflybank/standins/cell/answer_check.py
+++ b/libs/standins/dragonflybank/standins/cell/answer_check.py
@@ -8,14 +8,20 @@
 
 __all__ = ["AnswerCheck"]
 
+import asyncio
+import itertools
+from collections.abc import Collection, Mapping
+
 import attrs
 
+from dragonflybank.cell.host import CellHost
 from dragonflybank.cell.jobs import JobPhase, decode_progress
 from dragonflybank.cell.keys import cancel_key, ended_key
 from dragonflybank.standins.cell.store import MemoryStore
 
 # The platform's visible_ms.
 VISIBLE_S = 3.0
+CHECK_INTERVAL_S = 0.1
 
 
 @attrs.frozen
@@ -86,6 +92,33 @@
                 f"{now:.2f} at {host}",
             )
 
+    async def check_hosts(
+        self,
+        hosts: Mapping[str, CellHost],
+        process_of_host: Mapping[str, str],
+        job_ids: Collection[str],
+    ) -> None:
+        """Checks what hosts would answer without a read of the store.
+
+        The check runs until it is cancelled and follows changes of its
+        arguments.
+
+        Args:
+            hosts: Live hosts by name.
+            process_of_host: Processes by name of the host.
+            job_ids: Identifiers of the accepted jobs.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            for (name, host), job_id in itertools.product(
+                hosts.items(), job_ids
+            ):
+                phase = host.frontend.known_phase(job_id)
+                if phase is not None:
+                    process = process_of_host[name]
+                    self.check_phase(process, job_id, phase, loop.time())
+
     def check_cancel(self, host: str, job_id: str, now: float) -> None:
         """Checks a host's answer that the cancel of a job was accepted."""
         keys = (cancel_key(job_id), ended_key(job_id))
--- a/libs/standins/dragonflybank/standins/cell/simulated_cell.py
+++ b/libs/standins/dragonflybank/standins/cell/simulated_cell.py
@@ -47,7 +47,6 @@
 PHASE_POLL_INTERVAL_S = 0.5
 LEADER_POLL_INTERVAL_S = 0.005
 CALL_TIMEOUT_S = 3.0
-ANSWER_CHECK_INTERVAL_S = 0.1
 
 
 class SimulatedCell:
@@ -361,20 +360,6 @@
                     return
             await asyncio.sleep(1.0)
 
-    async def _check_answers(self) -> None:
-        """Checks what the hosts would answer without a look at the store."""
-        while True:
-            await asyncio.sleep(ANSWER_CHECK_INTERVAL_S)
-            now = self._clock.now()
-            for name, host in self.hosts.items():
-                process = self._process_of_host[name]
-                for job_id in self.history.accepted:
-                    phase = host.frontend.known_phase(job_id)
-                    if phase is not None:
-                        self.answer_check.check_phase(
-                            process, job_id, phase, now
-                        )
-
     async def run_load(
         self, load: SubmissionLoad, *, finish_timeout_s: float = 60.0
     ) -> list[str]:
@@ -386,7 +371,11 @@
                 after its submission, in seconds.
         """
         number = int(load.jobs_per_s * load.duration_s)
-        checking = asyncio.create_task(self._check_answers())
+        checking = asyncio.create_task(
+            self.answer_check.check_hosts(
+                self.hosts, self._process_of_host, self.history.accepted
+            )
+        )
         async with asyncio.TaskGroup() as group:
             callers = [
                 group.create_task(self._run_caller(load, finish_timeout_s))
--- a/libs/standins/dragonflybank/standins/cell/tests/test_schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/tests/test_schedules.py
@@ -5,12 +5,11 @@
 from hypothesis import strategies as st
 from testtools.matchers import Equals
 
+from dragonflybank.standins.cell.cell_faults import FAULTS, ScheduledFault
 from dragonflybank.standins.cell.schedules import (
     DURATIONS_S,
-    FAULTS,
     LAST_START_S,
     MAX_FAULTS,
-    ScheduledFault,
     draw_outages,
     draw_restart_series,
     play_schedule,
--- a/libs/standins/dragonflybank/standins/cell/waiting_schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/waiting_schedules.py
@@ -20,12 +20,9 @@
 from dragonflybank.cell.jobs import AdviceTiming, Job, Step
 from dragonflybank.cell.ports import EndKind
 from dragonflybank.cell.teams import ResourceCap, Team, key_digest
+from dragonflybank.standins.cell.cell_faults import FAULTS, ScheduledFault
 from dragonflybank.standins.cell.checks import find_violations
-from dragonflybank.standins.cell.schedules import (
-    FAULTS,
-    ScheduledFault,
-    draw_schedule,
-)
+from dragonflybank.standins.cell.schedules import draw_schedule
 from dragonflybank.standins.cell.simulated_cell import (
     SERVICE_NAME,
     SimulatedCell,
