--- a/libs/platform/dragonflybank/platform/http_client.py
+++ b/libs/platform/dragonflybank/platform/http_client.py
@@ -3,6 +3,9 @@
 __all__ = ["HttpClient", "HttpResponse"]
 
 import asyncio
+import contextlib
+import socket
+import weakref
 from collections.abc import Mapping
 from typing import Any
 
@@ -54,7 +57,8 @@
 class HttpClient:
     """A client of one HTTP server with a pool of connections.
 
-    The pool is closed and opened again after calls on it have timed out.
+    After calls on a pool have timed out, later calls use a new one. Calls that
+    are in progress keep their connections, and end by their own limits.
 
     Args:
         url: Base URL of the server.
@@ -64,7 +68,7 @@
 
     Attributes:
         url: Base URL of the server.
-        reconnects: Number of times the pool was closed after timeouts.
+        reconnects: Number of times that a new pool was needed after timeouts.
     """
 
     def __init__(
@@ -79,7 +83,8 @@
         self._timeout_s = timeout_s
         self._max_answer_bytes = max_answer_bytes
         self._timeouts = 0
-        self._session: aiohttp.ClientSession | None = None
+        self._pool: _Pool | None = None
+        self._replaced_pools: set[_Pool] = set()
 
     async def call(
         self,
@@ -105,55 +110,49 @@
             The response; ``UNREACHABLE`` if the server certainly did not
             receive the request, ``TIMED_OUT`` if it may have received it.
         """
-        session = self._get_session()
+        if self._pool is None:
+            self._pool = _Pool()
+        pool = self._pool
         limit_s = (timeout_s or self._timeout_s) + server_wait_s
         try:
-            async with asyncio.timeout(limit_s):
+            async with pool.call_limit(limit_s):
                 reply = await self._send_request(
-                    session, method, self.url + path, kwargs
+                    pool, method, self.url + path, kwargs
                 )
         except aiohttp.ClientConnectorError as exc:
             return failure(Code.UNREACHABLE, str(exc))
         except TimeoutError:
-            await self._on_timeout(session)
+            if pool.is_closed:
+                return failure(Code.TIMED_OUT, "the client was closed")
+            self._on_timeout(pool)
             return failure(Code.TIMED_OUT, f"{method} {path} after {limit_s} s")
         except (aiohttp.ClientError, OSError) as exc:
             return failure(Code.TIMED_OUT, f"{type(exc).__name__}: {exc}")
-        if session is self._session:
+        finally:
+            if self._replaced_pools:
+                await self._close_idle_pools()
+        if pool is self._pool:
             self._timeouts = 0
         return Success(reply)
 
     async def reconnect_if_unresponsive(self) -> None:
-        """Closes the pool if the last call on it timed out.
-
-        The next call opens a new one.
-        """
-        if self._timeouts:
-            self._timeouts = 0
-            self.reconnects += 1
-            await self.close()
+        """Replaces the pool if the last call on it timed out."""
+        if self._timeouts and self._pool is not None:
+            self._replace_pool(self._pool)
+            await self._close_idle_pools()
 
     async def close(self) -> None:
-        """Closes all connections."""
-        session, self._session = self._session, None
-        if session is not None:
-            await session.close()
-
-    def _get_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            connector = aiohttp.TCPConnector(
-                limit=CONNECTIONS_PER_PEER, ttl_dns_cache=None
-            )
-            self._session = aiohttp.ClientSession(
-                connector=connector, middlewares=(_prevent_retry,)
-            )
-        return self._session
+        """Ends all calls with ``TIMED_OUT`` and closes all connections."""
+        pools = [*self._replaced_pools, *filter(None, [self._pool])]
+        self._replaced_pools.clear()
+        self._pool = None
+        await asyncio.gather(*(pool.close() for pool in pools))
 
     async def _send_request(
-        self, session: aiohttp.ClientSession, method: str, url: str, kwargs
+        self, pool: "_Pool", method: str, url: str, kwargs
     ) -> HttpResponse:
         limit = self._max_answer_bytes
-        async with session.request(method, url, **kwargs) as resp:
+        async with pool.session.request(method, url, **kwargs) as resp:
             parts, size = [], 0
             while part := await resp.content.readany():
                 size += len(part)
@@ -163,14 +162,88 @@
                 parts.append(part)
             return HttpResponse(resp.status, resp.headers, b"".join(parts))
 
-    async def _on_timeout(self, session: aiohttp.ClientSession) -> None:
-        if session is not self._session:
+    def _on_timeout(self, pool: "_Pool") -> None:
+        if pool is not self._pool:
             return
         self._timeouts += 1
         if self._timeouts >= TIMEOUTS_BEFORE_RECONNECT:
-            self._timeouts = 0
-            self.reconnects += 1
-            await self.close()
+            self._replace_pool(pool)
+
+    def _replace_pool(self, pool: "_Pool") -> None:
+        self._timeouts = 0
+        self.reconnects += 1
+        self._pool = None
+        self._replaced_pools.add(pool)
+
+    async def _close_idle_pools(self) -> None:
+        """Closes the replaced pools whose last call has ended."""
+        idle = [pool for pool in self._replaced_pools if pool.is_idle]
+        self._replaced_pools.difference_update(idle)
+        for pool in idle:
+            await pool.close()
+
+
+class _Pool:
+    """Connections of a client that are given up together.
+
+    Attributes:
+        session: Session that opens the connections.
+        is_closed: Whether `close` was called.
+    """
+
+    def __init__(self):
+        self.is_closed = False
+        self._limits: set[asyncio.Timeout] = set()
+        self._sockets: weakref.WeakSet[socket.socket] = weakref.WeakSet()
+        connector = aiohttp.TCPConnector(
+            limit=CONNECTIONS_PER_PEER,
+            ttl_dns_cache=None,
+            socket_factory=self._open_socket,
+        )
+        self.session = aiohttp.ClientSession(
+            connector=connector, middlewares=(_prevent_retry,)
+        )
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call is in progress."""
+        return not self._limits
+
+    @contextlib.asynccontextmanager
+    async def call_limit(self, limit_s: float):
+        """Limits the time of a call; `close` ends it earlier.
+
+        Args:
+            limit_s: Longest duration of the call in seconds.
+        """
+        async with asyncio.timeout(limit_s) as limit:
+            self._limits.add(limit)
+            try:
+                yield
+            finally:
+                self._limits.discard(limit)
+
+    async def close(self) -> None:
+        """Ends all calls and closes the connections, whatever peers do.
+
+        aiohttp waits until unsent data is written before it closes a
+        connection, and a call whose connection it closes gets no error.
+        """
+        self.is_closed = True
+        now = asyncio.get_running_loop().time()
+        for limit in self._limits:
+            if not limit.expired():
+                limit.reschedule(now)
+        for sock in self._sockets:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        await self.session.close()
+
+    def _open_socket(self, address_info: tuple) -> socket.socket:
+        family, kind, protocol, *_ = address_info
+        sock = socket.socket(family, kind, protocol)
+        self._sockets.add(sock)
+        return sock
 
 
 class _AnswerTooLargeError(aiohttp.ClientError):
--- a/libs/platform/dragonflybank/platform/store.py
+++ b/libs/platform/dragonflybank/platform/store.py
@@ -109,7 +109,7 @@
     def __init__(self, url: str, *, timeout_s: float = CALL_TIMEOUT_S):
         self._http = HttpClient(url, timeout_s=timeout_s)
         # Watches have a client of their own, so that a watch that times out
-        # does not close the connections of other calls in progress.
+        # doesn't replace the connections of other calls.
         self._watch_http = HttpClient(url, timeout_s=timeout_s)
 
     async def close(self) -> None:
--- a/libs/platform/dragonflybank/platform/worker.py
+++ b/libs/platform/dragonflybank/platform/worker.py
@@ -243,7 +243,7 @@
         self.name = name
         self._http = HttpClient(url, timeout_s=timeout_s)
         # Lookups and the long poll for events have clients of their own, so
-        # that their timeouts do not close the connections of other calls.
+        # that their timeouts don't replace the connections of other calls.
         self._lookup_http = HttpClient(url, timeout_s=timeout_s)
         self._event_http = HttpClient(url, timeout_s=timeout_s)
 
