--- a/libs/cell/dragonflybank/cell/phase_cache.py
+++ b/libs/cell/dragonflybank/cell/phase_cache.py
@@ -112,7 +112,7 @@
         self._number_change(end.job_id)
 
     def learn_end(self, end: StoredEnd) -> None:
-        """Records an end that another host has stored."""
+        """Records an end that was read from the store or sent by the leader."""
         if end.job_id in self._ends:
             return
         self._forget_live(end.job_id)
