End a release whose answer was lost once other homes have the shard

Callers saw: two jobs of the own interface stayed queued for 150 s in worker_paused__drain of the fault matrix.

The conflict of each further release counts as WRITE_UNSETTLED, so the host released for good, and never opened the shard when it was assigned to it.

Change: an unsettled release reads the shard; if the store has a later version, the shard is closed here, since no write of this home can take effect.

The store answered each of these writes with "expected version 1, found 10".

The new test fails before the change; libs/jobs and libs/host pass.

--- a/libs/jobs/dragonflybank/jobs/journal.py
+++ b/libs/jobs/dragonflybank/jobs/journal.py
@@ -213,12 +213,26 @@
             outcome = await self._put(value, mark, attempts=1)
             failed = isinstance(outcome, Failure)
             code = outcome.failure().code if failed else Code.OK
+            if code is Code.WRITE_UNSETTLED and await self._is_replaced():
+                code = Code.CAS_CONFLICT
             if code in (Code.OK, Code.CAS_CONFLICT):
                 self._stop()
             # A release that may have had an effect must be repeated.
             self._releasing = code is not Code.STORE_UNAVAILABLE
         return not self.is_open
 
+    async def _is_replaced(self) -> bool:
+        """Returns whether the store has a later version of the shard.
+
+        An earlier release may have had an effect without an answer, after which
+        other homes may have opened the shard. This one can't write any more.
+        """
+        found = await self._store.get(shard_key(self.shard))
+        return (
+            isinstance(found, Success)
+            and found.unwrap().version > self._version
+        )
+
     async def close(self, now: float) -> None:
         """Releases the shard; closes it even if the store does not answer."""
         await self.release(now)
--- a/libs/jobs/dragonflybank/jobs/tests/test_journal.py
+++ b/libs/jobs/dragonflybank/jobs/tests/test_journal.py
@@ -163,6 +163,17 @@
         await fakes.wait_until(lambda: not former.is_open)
         self.assertEqual(Code.WRITE_UNSETTLED, fakes.code_of(first))
 
+    async def test_release_without_an_answer_ends_after_a_takeover(self):
+        # The former home tried again for good, and never opened the shard.
+        store = fakes.FakeStore()
+        former = await open_journal(store)
+        store.faults.append("lost")
+        await former.release(2.0)
+        present = await open_journal(store, "h2")
+        (await present.commit(entry_of(), now=3.0)).unwrap()
+        self.assertTrue(await former.release(4.0))
+        self.assertEqual((False, True), (former.is_open, present.is_open))
+
     async def test_recently_written_shard_is_not_taken_over(self):
         store = fakes.FakeStore()
         await open_journal(store)
