Use one injection of faults and one run of a schedule in the stand-ins

Cause: waiting_schedules had a copy of inject_fault, end_visibility one of the run of a schedule, and four tests of stopped calls the same first lines. Change: the copies call inject_fault, run_schedule and _begin_call. No product code, no draw and no assertion changes.

--- a/libs/platform/dragonflybank/platform/tests/test_stopped_calls.py
+++ b/libs/platform/dragonflybank/platform/tests/test_stopped_calls.py
@@ -97,6 +97,17 @@
             await client.close()
 
 
+async def _begin_call(
+    server: _StoppingServer, client: HttpClient, method: str, **kwargs
+) -> asyncio.Task:
+    """Begins a call with a long limit, and waits until the server stops."""
+    call = asyncio.create_task(
+        client.call(method, "/", timeout_s=_LONG_LIMIT_S, **kwargs)
+    )
+    await server.stopped.wait()
+    return call
+
+
 async def _time_out(client: HttpClient) -> list[Code]:
     """Makes calls that time out, until the client has new connections."""
     outcomes = [
@@ -119,10 +130,7 @@
     def _test_timeouts_of_other_calls(self, sent, owed):
         async def run():
             async with _serving(sent, owed) as (server, client):
-                call = asyncio.create_task(
-                    client.call("GET", "/", timeout_s=_LONG_LIMIT_S)
-                )
-                await server.stopped.wait()
+                call = await _begin_call(server, client, "GET")
                 await _time_out(client)
                 reconnects = client.reconnects
                 server.resumed.set()
@@ -135,10 +143,7 @@
     def _test_lost_connection(self, sent, owed):
         async def run():
             async with _serving(sent, owed, closes=True) as (server, client):
-                call = asyncio.create_task(
-                    client.call("GET", "/", timeout_s=_LONG_LIMIT_S)
-                )
-                await server.stopped.wait()
+                call = await _begin_call(server, client, "GET")
                 await _time_out(client)
                 server.resumed.set()
                 return await call
@@ -149,10 +154,7 @@
     def _test_close_of_the_client(self, sent, owed):
         async def run():
             async with _serving(sent, owed) as (server, client):
-                call = asyncio.create_task(
-                    client.call("GET", "/", timeout_s=_LONG_LIMIT_S)
-                )
-                await server.stopped.wait()
+                call = await _begin_call(server, client, "GET")
                 # Until this call ends, the other one has received what is sent.
                 await client.call("GET", "/")
                 await client.close()
@@ -181,15 +183,9 @@
     def test_other_calls_end_by_their_limits(self):
         async def run():
             async with _serving(reads=False) as (server, client):
-                call = asyncio.create_task(
-                    client.call(
-                        "POST",
-                        "/",
-                        data=_UNREAD_BODY,
-                        timeout_s=_LONG_LIMIT_S,
-                    )
+                call = await _begin_call(
+                    server, client, "POST", data=_UNREAD_BODY
                 )
-                await server.stopped.wait()
                 codes = await _time_out(client)
                 await client.close()
                 return codes, await call
--- a/libs/standins/dragonflybank/standins/cell/end_visibility.py
+++ b/libs/standins/dragonflybank/standins/cell/end_visibility.py
@@ -15,8 +15,8 @@
 import attrs
 
 from dragonflybank.cell.jobs import JobPhase
-from dragonflybank.standins.cell.cell_faults import ScheduledFault, inject_fault
-from dragonflybank.standins.cell.schedules import LOAD, draw_outages
+from dragonflybank.standins.cell.cell_faults import ScheduledFault
+from dragonflybank.standins.cell.schedules import draw_outages, run_schedule
 from dragonflybank.standins.cell.simulated_cell import SimulatedCell
 from dragonflybank.standins.cell.virtual_time import run_in_virtual_time
 
@@ -57,9 +57,7 @@
     cell, times = SimulatedCell(seed), EndTimes()
     await cell.start()
     sampling = asyncio.create_task(_sample(cell, times))
-    injecting = [asyncio.create_task(inject_fault(cell, s)) for s in schedule]
-    await cell.run_load(LOAD)
-    await asyncio.gather(*injecting)
+    await run_schedule(cell, schedule)
     sampling.cancel()
     ended_at: dict[str, float] = {}
     for executor in cell.executors.values():
--- a/libs/standins/dragonflybank/standins/cell/schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/schedules.py
@@ -12,6 +12,7 @@
     "draw_restart_series",
     "draw_schedule",
     "play_schedule",
+    "run_schedule",
 ]
 
 import asyncio
@@ -152,6 +153,21 @@
 async def _run(seed: int, schedule: Sequence[ScheduledFault]) -> list[str]:
     cell = SimulatedCell(seed)
     await cell.start()
+    return await run_schedule(cell, schedule)
+
+
+async def run_schedule(
+    cell: SimulatedCell, schedule: Sequence[ScheduledFault]
+) -> list[str]:
+    """Runs the load of `play_schedule` on a started cell.
+
+    Args:
+        cell: The cell.
+        schedule: Faults with their times.
+
+    Returns:
+        A line for each violation of a rule.
+    """
     injecting = [
         asyncio.create_task(inject_fault(cell, scheduled))
         for scheduled in schedule
--- a/libs/standins/dragonflybank/standins/cell/waiting_schedules.py
+++ b/libs/standins/dragonflybank/standins/cell/waiting_schedules.py
@@ -20,7 +20,10 @@
 from dragonflybank.cell.jobs import AdviceTiming, Job, Step
 from dragonflybank.cell.ports import EndKind
 from dragonflybank.cell.teams import ResourceCap, Team, key_digest
-from dragonflybank.standins.cell.cell_faults import FAULTS, ScheduledFault
+from dragonflybank.standins.cell.cell_faults import (
+    ScheduledFault,
+    inject_fault,
+)
 from dragonflybank.standins.cell.checks import find_violations
 from dragonflybank.standins.cell.schedules import draw_schedule
 from dragonflybank.standins.cell.simulated_cell import (
@@ -211,7 +214,7 @@
             check.run(),
             _move_queues(cell, drawn, rng),
             _fail_lasting_tasks(cell, drawn, rng),
-            *(_inject(cell, fault) for fault in drawn.faults),
+            *(inject_fault(cell, fault) for fault in drawn.faults),
             *(
                 _submit(cell, drawn, rng)
                 for _ in range(
@@ -237,11 +240,6 @@
     ]
 
 
-async def _inject(cell: SimulatedCell, scheduled: ScheduledFault) -> None:
-    await asyncio.sleep(scheduled.start_s)
-    await FAULTS[scheduled.fault](cell, scheduled)
-
-
 async def _submit(
     cell: SimulatedCell, drawn: DrawnCell, rng: random.Random
 ) -> None:
